Set down the design, the workspace, the kernel and the core types

Cause: the project needs its shape before its parts: a micro-kernel with named services, immutable values and nested test sections. Conclusion: decision packages can be written against core alone; no request path exists yet.

--- /dev/null
+++ b/packages/core/include/jasminewood/core/ids.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+// Identities of requests, attempts and processes.
+//
+//     const auto first = AttemptId{.request_ = "r-lj-a-1-7", .number_ = 1};
+
+namespace jasminewood
+{
+
+// One try of a request at one upstream. A request has one attempt at a time, or two while a hedge runs. Attempt numbers
+// start at 1 and are never reused within a request.
+struct AttemptId
+{
+    const std::string request_;
+    const std::uint32_t number_ = 0;
+
+    auto operator<=>(const AttemptId &) const = default;
+};
+
+// One run of one process. A restarted process keeps its name and gets a new incarnation, so that messages meant for its
+// predecessor can be refused.
+struct NodeId
+{
+    const std::string name_;
+    const std::uint64_t incarnation_ = 0;
+
+    auto operator<=>(const NodeId &) const = default;
+};
+
+// Returns "REQUEST#NUMBER", as it stands in logs and in the time line.
+auto toString(const AttemptId &attempt) -> std::string;
+
+// Returns "NAME@INCARNATION", as it stands in logs and in the time line.
+auto toString(const NodeId &node) -> std::string;
+
+} // namespace jasminewood
--- /dev/null
+++ b/packages/core/src/failure.cpp
@@ -0,0 +1,27 @@
+#include "jasminewood/core/failure.h"
+
+#include <fmt/format.h>
+
+namespace jasminewood
+{
+
+auto toString(RunState state) -> std::string_view
+{
+    switch (state) {
+    case RunState::NotRun:
+        return "not_run";
+    case RunState::Ran:
+        return "ran";
+    case RunState::MayHaveRun:
+        break;
+    }
+    return "may_have_run";
+}
+
+auto toString(const Failure &failure) -> std::string
+{
+    const auto place = failure.peer_.empty() ? std::string() : " at " + failure.peer_;
+    return fmt::format("{}{}: {} ({})", failure.step_, place, failure.reason_, toString(failure.runState_));
+}
+
+} // namespace jasminewood
--- /dev/null
+++ b/packages/kernel/include/jasminewood/kernel/registry.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <typeindex>
+#include <vector>
+
+#include "jasminewood/core/result.h"
+
+// The micro-kernel of a program: services by name, started in order and stopped in reverse.
+//
+//     auto registry = kernel::Registry();
+//     registry.add("upstreams", std::make_shared<Upstreams>());
+//     registry.add("http", std::make_shared<HttpFront>());
+//     if (const auto failure = registry.startAll()) { ... }
+//     registry.stopAll();
+//
+// A service is any class with
+//     auto start(const kernel::Registry &services) -> Status;
+//     auto stop() -> void;
+// start() looks up the services it needs with find() and keeps the handles. Services form no include graph beyond each
+// other's public headers.
+
+namespace jasminewood::kernel
+{
+
+template <typename Candidate>
+concept Service = requires(Candidate service, const class Registry &services)
+{
+    {
+        service.start(services)
+        } -> std::same_as<Status>;
+    service.stop();
+};
+
+// Not thread-safe while services are added; find() may be called from any thread after the last add().
+class Registry
+{
+public:
+    // Registers a service under a name that must be unique. The order of add() is the order of start.
+    template <Service Type>
+    auto add(const std::string &name, std::shared_ptr<Type> service) -> void
+    {
+        auto start = [service](const Registry &services) {
+            return service->start(services);
+        };
+        auto stop = [service] {
+            service->stop();
+        };
+        entries_.push_back(Entry {.name_ = name,
+            .type_ = std::type_index(typeid(Type)),
+            .instance_ = std::move(service),
+            .start_ = std::move(start),
+            .stop_ = std::move(stop)});
+    }
+
+    // Returns the service of that name. Fails with step "find service" if the name is unknown or the type differs.
+    template <typename Type>
+    auto find(const std::string &name) const -> Result<std::shared_ptr<Type>>
+    {
+        const auto *entry = lookUp(name);
+        if (entry == nullptr) {
+            return Failure {.step_ = "find service", .peer_ = name, .reason_ = "no service has this name"};
+        }
+        if (entry->type_ != std::type_index(typeid(Type))) {
+            return Failure {.step_ = "find service", .peer_ = name, .reason_ = "the service has another type"};
+        }
+        return std::static_pointer_cast<Type>(entry->instance_);
+    }
+
+    // Looks a service up for start(): stores the handle in target, or returns the failure.
+    template <typename Type>
+    auto require(const std::string &name, std::shared_ptr<Type> &target) const -> Status
+    {
+        const auto found = find<Type>(name);
+        if (!found) {
+            return found.reason();
+        }
+        target = *found;
+        return std::nullopt;
+    }
+
+    // Starts all services in the order of add(). On the first failure it stops those already started, in reverse, and
+    // returns the failure with the name of the service as its peer.
+    auto startAll() -> Status;
+
+    // Stops all started services in reverse order. May be called twice.
+    auto stopAll() -> void;
+
+private:
+    struct Entry
+    {
+        std::string name_;
+        std::type_index type_;
+        std::shared_ptr<void> instance_;
+        std::function<auto(const Registry &)->Status> start_;
+        std::function<auto()->void> stop_;
+    };
+
+    auto lookUp(const std::string &name) const -> const Entry *;
+
+    std::vector<Entry> entries_;
+    std::size_t started_ = 0;
+};
+
+} // namespace jasminewood::kernel
--- /dev/null
+++ b/packages/testkit/include/jasminewood/testkit/property.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <rapidcheck.h>
+
+#include "jasminewood/testkit/story.h"
+
+// RapidCheck properties as tests of a story. The seed is fixed unless RC_PARAMS is set, so that every run of the tests
+// gives the same verdict; RapidCheck prints the seed and the shrunk counterexample of a failure.
+
+namespace jasminewood::testkit
+{
+
+template <typename Testable>
+auto property(const std::string &name, Testable testable) -> Part
+{
+    return test(name, [name, testable = std::move(testable)] {
+        check(rc::check(name, testable), "property does not hold");
+    });
+}
+
+} // namespace jasminewood::testkit
--- /dev/null
+++ b/packages/testkit/include/jasminewood/testkit/story.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+// Nested CppUnit suites whose printed path reads as a sentence. The library brings main().
+//
+//     const testkit::Story story = {"a retried booking", {
+//         section("whose first router froze", {
+//             test("runs at most once", [] { check(runs() <= 1); }),
+//         }),
+//     }};
+//
+// A test program may define several stories, in several files. An argument runs only the tests whose path contains it.
+
+namespace jasminewood::testkit
+{
+
+struct Test
+{
+    const std::string name_;
+    const std::function<auto()->void> body_;
+};
+
+struct Section;
+
+using Part = std::variant<Test, Section>;
+
+struct Section
+{
+    const std::string name_;
+    const std::vector<Part> parts_;
+};
+
+// Creates a test. The body fails by check() or by any CppUnit assertion.
+auto test(const std::string &name, std::function<auto()->void> body) -> Part;
+
+// Creates a suite of tests and further suites.
+auto section(const std::string &name, std::vector<Part> parts) -> Part;
+
+// Registers a top-level suite with the program; define it at namespace scope.
+class Story
+{
+public:
+    Story(const std::string &name, std::vector<Part> parts);
+};
+
+// Fails the running test at the caller's line unless the condition holds.
+auto check(bool condition, const std::string &message = "condition does not hold", const char *file = __builtin_FILE(),
+    int line = __builtin_LINE()) -> void;
+
+} // namespace jasminewood::testkit
--- /dev/null
+++ b/packages/testkit/src/story.cpp
@@ -0,0 +1,152 @@
+#include "jasminewood/testkit/story.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <utility>
+
+#include <cppunit/Asserter.h>
+#include <cppunit/Exception.h>
+#include <cppunit/SourceLine.h>
+#include <cppunit/TestCase.h>
+#include <cppunit/TestFailure.h>
+#include <cppunit/TestListener.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestSuite.h>
+
+namespace jasminewood::testkit
+{
+
+namespace
+{
+
+constexpr const char *defaultRapidCheckParameters = "seed=20261204";
+
+auto stories() -> std::vector<Section> &
+{
+    static auto registered = std::vector<Section>();
+    return registered;
+}
+
+class FunctionTest : public CppUnit::TestCase
+{
+public:
+    FunctionTest(const std::string &path, std::function<auto()->void> body)
+        : CppUnit::TestCase(path)
+        , body_(std::move(body))
+    {
+    }
+
+    auto runTest() -> void override
+    {
+        body_();
+    }
+
+private:
+    std::function<auto()->void> body_;
+};
+
+// Owned by the suite it is added to, as CppUnit requires.
+auto makeSuite(const Section &section, const std::string &parentPath, const std::string &filter) -> CppUnit::TestSuite *
+{
+    const auto path = parentPath.empty() ? section.name_ : parentPath + " / " + section.name_;
+    auto suite = std::make_unique<CppUnit::TestSuite>(path);
+    for (const auto &part : section.parts_) {
+        if (const auto *nested = std::get_if<Section>(&part)) {
+            suite->addTest(makeSuite(*nested, path, filter));
+            continue;
+        }
+        const auto &single = std::get<Test>(part);
+        const auto testPath = path + " / " + single.name_;
+        if (testPath.find(filter) != std::string::npos) {
+            suite->addTest(std::make_unique<FunctionTest>(testPath, single.body_).release());
+        }
+    }
+    return suite.release();
+}
+
+class PathPrinter : public CppUnit::TestListener
+{
+public:
+    auto startTest(CppUnit::Test * /*test*/) -> void override
+    {
+        failed_ = false;
+        started_ = std::chrono::steady_clock::now();
+    }
+
+    auto addFailure(const CppUnit::TestFailure &failure) -> void override
+    {
+        failed_ = true;
+        const auto line = failure.sourceLine();
+        std::cout << "FAILED " << failure.failedTestName() << "\n    " << line.fileName() << ":" << line.lineNumber()
+                  << ": " << failure.thrownException()->what() << std::endl;
+    }
+
+    auto endTest(CppUnit::Test *test) -> void override
+    {
+        const auto elapsed
+            = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - started_);
+        (failed_ ? ++failures_ : ++passes_);
+        if (!failed_) {
+            std::cout << "ok     " << test->getName() << " (" << elapsed.count() << " ms)" << std::endl;
+        }
+    }
+
+    auto passes() const -> int
+    {
+        return passes_;
+    }
+
+    auto failures() const -> int
+    {
+        return failures_;
+    }
+
+private:
+    bool failed_ = false;
+    std::chrono::steady_clock::time_point started_;
+    int passes_ = 0;
+    int failures_ = 0;
+};
+
+} // namespace
+
+auto test(const std::string &name, std::function<auto()->void> body) -> Part
+{
+    return Test {.name_ = name, .body_ = std::move(body)};
+}
+
+auto section(const std::string &name, std::vector<Part> parts) -> Part
+{
+    return Section {.name_ = name, .parts_ = std::move(parts)};
+}
+
+Story::Story(const std::string &name, std::vector<Part> parts)
+{
+    stories().push_back(Section {.name_ = name, .parts_ = std::move(parts)});
+}
+
+auto check(bool condition, const std::string &message, const char *file, int line) -> void
+{
+    CppUnit::Asserter::failIf(!condition, message, CppUnit::SourceLine(file, line));
+}
+
+} // namespace jasminewood::testkit
+
+auto main(int argc, char **argv) -> int
+{
+    using namespace jasminewood::testkit;
+    setenv("RC_PARAMS", defaultRapidCheckParameters, 0);
+    const auto filter = std::string(argc > 1 ? argv[1] : "");
+    auto result = CppUnit::TestResult();
+    auto printer = PathPrinter();
+    result.addListener(&printer);
+    for (const auto &story : stories()) {
+        const auto suite = std::unique_ptr<CppUnit::TestSuite>(makeSuite(story, "", filter));
+        suite->run(&result);
+    }
+    std::cout << printer.passes() << " passed, " << printer.failures() << " failed" << std::endl;
+    return printer.failures() == 0 && printer.passes() > 0 ? 0 : 1;
+}
