Add the decision packages scheduling and routing

The agent's gate and the routers need their decisions as libraries without sockets, clocks or threads before the services that use them are written. scheduling brings GateQueue with the orders FirstInFirstOut and TierAndShare and LengthEstimator; routing brings Chooser, UpstreamHealth, RetryBudget, HedgePolicy and CrashSuspicion. Time comes as TimePoint and seeds come with the constructor.

--- /dev/null
+++ b/packages/routing/src/crash_suspicion.cpp
@@ -0,0 +1,117 @@
+#include "jasminewood/routing/crash_suspicion.h"
+
+#include <algorithm>
+
+namespace jasminewood::routing
+{
+
+namespace
+{
+
+auto expired(TimePoint crashedAt, TimePoint now) -> bool
+{
+    return now - crashedAt >= crashExpiry;
+}
+
+} // namespace
+
+auto CrashSuspicion::crashed(const std::string &crashId, const std::vector<std::uint64_t> &fingerprints, TimePoint now)
+    -> void
+{
+    forgetExpired(now);
+    for (const auto fingerprint : fingerprints) {
+        record(fingerprint, crashId, Crash {.at_ = now});
+    }
+}
+
+auto CrashSuspicion::completed(std::uint64_t fingerprint, TimePoint now) -> void
+{
+    forgetExpired(now);
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end()) {
+        return;
+    }
+    // Cleared crashes are kept, so that a late report of the same crash does not count again.
+    for (auto &[crashId, crash] : found->second.crashes_) {
+        crash.cleared_ = true;
+    }
+}
+
+auto CrashSuspicion::verdict(std::uint64_t fingerprint, TimePoint now) const -> Verdict
+{
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end()) {
+        return Verdict::Clear;
+    }
+    const auto &crashes = found->second.crashes_;
+    const auto points = std::count_if(crashes.begin(), crashes.end(), [&](const auto &entry) {
+        return !entry.second.cleared_ && !expired(entry.second.at_, now);
+    });
+    if (points >= static_cast<std::ptrdiff_t>(refusedCrashes)) {
+        return Verdict::Refused;
+    }
+    return points > 0 ? Verdict::Suspect : Verdict::Clear;
+}
+
+auto CrashSuspicion::reports(TimePoint now) const -> std::vector<CrashReport>
+{
+    auto reports = std::vector<CrashReport>();
+    for (const auto &[fingerprint, suspect] : suspects_) {
+        for (const auto &[crashId, crash] : suspect.crashes_) {
+            if (!expired(crash.at_, now)) {
+                const auto age = std::chrono::duration_cast<Milliseconds>(now - crash.at_);
+                reports.push_back(CrashReport {
+                    .fingerprint_ = fingerprint, .crashId_ = crashId, .age_ = age, .cleared_ = crash.cleared_});
+            }
+        }
+    }
+    return reports;
+}
+
+auto CrashSuspicion::merge(const std::vector<CrashReport> &reports, TimePoint now) -> void
+{
+    forgetExpired(now);
+    for (const auto &report : reports) {
+        if (report.age_ < crashExpiry) {
+            record(report.fingerprint_, report.crashId_, Crash {.at_ = now - report.age_, .cleared_ = report.cleared_});
+        }
+    }
+}
+
+auto CrashSuspicion::record(std::uint64_t fingerprint, const std::string &crashId, const Crash &crash) -> void
+{
+    if (!suspects_.contains(fingerprint) && suspects_.size() >= maximumSuspects) {
+        forgetOldest();
+    }
+    auto &suspect = suspects_[fingerprint];
+    suspect.latest_ = std::max(suspect.latest_, crash.at_);
+    const auto known = suspect.crashes_.find(crashId);
+    if (known != suspect.crashes_.end()) {
+        known->second.at_ = std::min(known->second.at_, crash.at_);
+        known->second.cleared_ = known->second.cleared_ || crash.cleared_;
+    } else if (suspect.crashes_.size() < maximumCrashesPerSuspect) {
+        suspect.crashes_.emplace(crashId, crash);
+    }
+}
+
+auto CrashSuspicion::forgetExpired(TimePoint now) -> void
+{
+    for (auto &[fingerprint, suspect] : suspects_) {
+        std::erase_if(suspect.crashes_, [&](const auto &entry) {
+            return expired(entry.second.at_, now);
+        });
+    }
+    std::erase_if(suspects_, [](const auto &entry) {
+        return entry.second.crashes_.empty();
+    });
+}
+
+auto CrashSuspicion::forgetOldest() -> void
+{
+    const auto oldest = std::min_element(suspects_.begin(), suspects_.end(), [](const auto &left, const auto &right) {
+        return left.second.latest_ < right.second.latest_;
+    });
+    suspects_.erase(oldest);
+}
+
+} // namespace jasminewood::routing
--- /dev/null
+++ b/packages/routing/src/policy.cpp
@@ -0,0 +1,142 @@
+#include "jasminewood/routing/policy.h"
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+#include <tuple>
+
+#include <xxhash.h>
+
+namespace jasminewood::routing
+{
+
+namespace
+{
+
+auto eligibleFor(const Request &request, const Candidate &candidate) -> bool
+{
+    const auto &excluded = request.excluded_;
+    const auto tried = std::find(excluded.begin(), excluded.end(), candidate.node_) != excluded.end();
+    return !tried && !(request.suspect_ && candidate.suspectRunning_);
+}
+
+auto averageScore(const std::vector<Candidate> &candidates) -> double
+{
+    const auto total
+        = std::accumulate(candidates.begin(), candidates.end(), 0.0, [](double sum, const Candidate &candidate) {
+              return sum + score(candidate);
+          });
+    return total / static_cast<double>(candidates.size());
+}
+
+auto withinAffinityBound(const Candidate &preferred, const std::vector<Candidate> &candidates) -> bool
+{
+    return score(preferred) <= affinityLoadFactor * averageScore(candidates);
+}
+
+} // namespace
+
+auto score(const Candidate &candidate) -> double
+{
+    return (static_cast<double>(candidate.outstanding_) + candidate.queuedAhead_ + 1) * candidate.slowness_;
+}
+
+auto preferredUpstream(std::uint64_t prefixHash, const std::vector<Candidate> &candidates) -> std::size_t
+{
+    assert(!candidates.empty());
+    auto best = std::size_t(0);
+    auto bestHash = XXH64_hash_t(0);
+    for (auto index = std::size_t(0); index < candidates.size(); ++index) {
+        const auto &name = candidates[index].node_.name_;
+        const auto hash = XXH3_64bits_withSeed(name.data(), name.size(), prefixHash);
+        if (hash >= bestHash) {
+            best = index;
+            bestHash = hash;
+        }
+    }
+    return best;
+}
+
+Chooser::Chooser(std::uint64_t seed, std::string dataCentre)
+    : random_(seed)
+    , dataCentre_(std::move(dataCentre))
+    , turn_(random_())
+{
+}
+
+auto Chooser::choose(const Policy &policy, const Request &request, const std::vector<Candidate> &candidates)
+    -> Result<NodeId>
+{
+    auto eligible = std::vector<Candidate>();
+    eligible.reserve(candidates.size());
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(eligible), [&](const Candidate &candidate) {
+        return eligibleFor(request, candidate);
+    });
+    if (eligible.empty()) {
+        return Failure {.step_ = "choose",
+            .reason_ = candidates.empty() ? "pool has no upstream" : "no further upstream is eligible",
+            .runState_ = RunState::NotRun,
+            .retryAfter_ = noUpstreamRetryAfter};
+    }
+    const auto index = std::visit(
+        [&](const auto &kind) {
+            return pick(kind, request, eligible);
+        },
+        policy);
+    return eligible[index].node_;
+}
+
+auto Chooser::pick(const RoundRobin & /*policy*/, const Request & /*request*/, const std::vector<Candidate> &eligible)
+    -> std::size_t
+{
+    return static_cast<std::size_t>(turn_++ % eligible.size());
+}
+
+auto Chooser::pick(const LeastOutstanding & /*policy*/, const Request & /*request*/,
+    const std::vector<Candidate> &eligible) -> std::size_t
+{
+    auto least = std::vector<std::size_t>();
+    for (auto index = std::size_t(0); index < eligible.size(); ++index) {
+        if (!least.empty() && eligible[index].outstanding_ < eligible[least.front()].outstanding_) {
+            least.clear();
+        }
+        if (least.empty() || eligible[index].outstanding_ == eligible[least.front()].outstanding_) {
+            least.push_back(index);
+        }
+    }
+    return least[randomBelow(least.size())];
+}
+
+auto Chooser::pick(const Weighted & /*policy*/, const Request &request, const std::vector<Candidate> &eligible)
+    -> std::size_t
+{
+    if (eligible.size() == 1) {
+        return 0;
+    }
+    if (request.prefixHash_ != 0) {
+        const auto preferred = preferredUpstream(request.prefixHash_, eligible);
+        if (withinAffinityBound(eligible[preferred], eligible)) {
+            return preferred;
+        }
+    }
+    const auto first = randomBelow(eligible.size());
+    // Drawn from the others, so that the two candidates are distinct.
+    const auto offset = 1 + randomBelow(eligible.size() - 1);
+    const auto second = (first + offset) % eligible.size();
+    return better(eligible[second], eligible[first]) ? second : first;
+}
+
+auto Chooser::randomBelow(std::size_t bound) -> std::size_t
+{
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
+}
+
+auto Chooser::better(const Candidate &left, const Candidate &right) const -> bool
+{
+    const auto rank = [&](const Candidate &candidate) -> std::tuple<double, bool, bool> {
+        return {score(candidate), candidate.freeSlots_ == 0, candidate.dataCentre_ != dataCentre_};
+    };
+    return rank(left) < rank(right);
+}
+
+} // namespace jasminewood::routing
--- /dev/null
+++ b/packages/scheduling/include/jasminewood/scheduling/gate_queue.h
@@ -0,0 +1,230 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jasminewood/core/clock.h"
+#include "jasminewood/core/failure.h"
+#include "jasminewood/core/ids.h"
+#include "jasminewood/core/tier.h"
+#include "jasminewood/scheduling/fair_accounts.h"
+#include "jasminewood/scheduling/share_window.h"
+
+// The queue and the slots of one agent's gate: which request waits, which starts next and which is shed.
+//
+//     const auto admission = queue.enqueue(entry, now);
+//     while (const auto next = queue.takeNext(now)) {
+//         start(*next);
+//     }
+//     waitUntil(queue.nextExpiry());
+//     for (const auto &attempt : queue.expire(now)) {
+//         answerNotRun(attempt);
+//     }
+
+namespace jasminewood::scheduling
+{
+
+// What the manifest says of one request class.
+struct ClassPolicy
+{
+    const std::string name_;
+    const Tier tier_ = lowestTier;
+    // Fraction of started work that the class gets before tier order applies, 0 to 1. The same fraction of the queue is
+    // kept for the class, so that a higher tier cannot push out all the work that the share is meant for.
+    const double minimumShare_ = 0;
+    // Longest time in the queue for entries that bring no limit of their own; zero means no limit.
+    const Milliseconds maximumWait_ = Milliseconds(0);
+
+    auto operator<=>(const ClassPolicy &) const = default;
+};
+
+// How one gate queues and starts work.
+struct GatePolicy
+{
+    const std::vector<ClassPolicy> classes_;
+    // Attempts that run at the same time.
+    const std::uint32_t concurrency_ = 1;
+    // Slots out of concurrency_ that attempts expected to be long may take.
+    const std::uint32_t longLaneSlots_ = 1;
+    // Output tokens after which a running attempt counts as long.
+    const std::uint32_t longTokens_ = 1024;
+    // Entries that wait at the same time.
+    const std::uint32_t queueLimit_ = 64;
+
+    auto operator<=>(const GatePolicy &) const = default;
+};
+
+// A request that asks to run.
+struct Entry
+{
+    const AttemptId attempt_;
+    const std::string account_;
+    // Work of the account relative to the other accounts of its class; above 0.
+    const double accountWeight_ = 1;
+    const std::string requestClass_;
+    const Tier tier_ = lowestTier;
+    // Estimated work in output tokens.
+    const std::uint32_t costEstimate_ = 0;
+    // True if the request is suspected of crashing upstreams.
+    const bool suspect_ = false;
+    // True if the request takes a slot of the long lane from the start.
+    const bool longExpected_ = false;
+    // Longest time in the queue; zero means the class's limit.
+    const Milliseconds maximumWait_ = Milliseconds(0);
+    const TimePoint enqueuedAt_;
+
+    auto operator<=>(const Entry &) const = default;
+};
+
+// The entry waits.
+struct Queued
+{
+    auto operator<=>(const Queued &) const = default;
+};
+
+// The entry waits in the place of another one, which never ran and never will.
+struct QueuedEvicting
+{
+    const AttemptId evicted_;
+
+    auto operator<=>(const QueuedEvicting &) const = default;
+};
+
+// The entry does not wait.
+struct Refused
+{
+    const Failure failure_;
+
+    auto operator<=>(const Refused &) const = default;
+};
+
+using Admission = std::variant<Queued, QueuedEvicting, Refused>;
+
+// Baseline: arrival order, no eviction and no lanes.
+struct FirstInFirstOut
+{
+    auto operator<=>(const FirstInFirstOut &) const = default;
+};
+
+// Classes below their minimum share, then tiers, then fairness between accounts; with lanes and eviction.
+struct TierAndShare
+{
+    auto operator<=>(const TierAndShare &) const = default;
+};
+
+using QueueOrder = std::variant<FirstInFirstOut, TierAndShare>;
+
+// When a refused request may be sent again.
+constexpr Milliseconds refusedRetryAfter = Milliseconds(1000);
+
+// Not thread-safe: one service owns it under its mutex. Memory is bounded by the queue limit, the concurrency and the
+// remembered accounts.
+class GateQueue
+{
+public:
+    explicit GateQueue(GatePolicy policy, QueueOrder order = TierAndShare {});
+
+    // Refuses an attempt that already waits or runs, one whose maximum wait has passed, and any attempt when neither a
+    // place is free nor an entry of a strictly lower tier can be evicted. Eviction takes the newest entry of the lowest
+    // tier among the classes that hold more than their reserved places. Precondition: now does not go backwards between
+    // calls.
+    auto enqueue(Entry entry, TimePoint now) -> Admission;
+
+    // Moves the next entry that may start now into a slot and returns it; empty if there is none. Entries past their
+    // maximum wait do not start. At most one suspect runs at a time.
+    auto takeNext(TimePoint now) -> std::optional<Entry>;
+
+    // Removes and returns the entries that have waited for their maximum wait.
+    auto expire(TimePoint now) -> std::vector<AttemptId>;
+
+    // Returns the earliest time at which expire() returns something; empty if no entry can expire.
+    auto nextExpiry() const -> std::optional<TimePoint>;
+
+    // Output tokens of a running attempt so far. Work above the estimate is charged at once, and the attempt moves into
+    // the long lane after GatePolicy::longTokens_. An attempt that does not run is ignored.
+    auto progress(const AttemptId &attempt, std::uint32_t outputTokens) -> void;
+
+    // A running attempt ended in any way. Frees its slot and replaces the estimated work by the actual one. An attempt
+    // that does not run is ignored.
+    auto finished(const AttemptId &attempt, std::uint32_t outputTokens) -> void;
+
+    // Returns true if the attempt was still queued; it never starts then. A running attempt is left as it is.
+    auto remove(const AttemptId &attempt) -> bool;
+
+    auto running() const -> std::uint32_t;
+
+    // Running attempts that count as long.
+    auto runningLong() const -> std::uint32_t;
+
+    // Slots that a new attempt could take at once.
+    auto freeSlots() const -> std::uint32_t;
+
+    auto queued() const -> std::uint32_t;
+
+    auto queuedByTier() const -> std::array<std::uint32_t, tierCount>;
+
+    // Entries that wait or run are kept, also beyond the new limits.
+    auto replacePolicy(GatePolicy policy) -> void;
+
+private:
+    // Position in arrival order.
+    using Arrival = std::uint64_t;
+
+    struct Waiting
+    {
+        Entry entry_;
+        std::optional<TimePoint> deadline_;
+    };
+
+    struct Running
+    {
+        Entry entry_;
+        bool long_;
+        double charged_;
+        // True if the work counts in the share window.
+        bool shared_;
+    };
+
+    using Queue = std::map<Arrival, Waiting>;
+
+    auto admit(Entry entry) -> void;
+    auto deadline(const Entry &entry) const -> std::optional<TimePoint>;
+    auto place(const Entry &entry, const FirstInFirstOut &order) -> Admission;
+    auto place(const Entry &entry, const TierAndShare &order) -> Admission;
+    auto next(TimePoint now, const FirstInFirstOut &order) const -> Queue::const_iterator;
+    auto next(TimePoint now, const TierAndShare &order) const -> Queue::const_iterator;
+    auto mayStart(const Waiting &waiting, TimePoint now) const -> bool;
+    auto laneFree(const Entry &entry) const -> bool;
+    auto evictable(Tier arriving) const -> Queue::const_iterator;
+    auto start(Queue::const_iterator position, TimePoint now) -> Entry;
+    auto drop(Queue::const_iterator position) -> void;
+    auto settle(Running &running, double work) -> void;
+    auto waitingOf(const std::string &requestClass) const -> std::uint32_t;
+    auto classPolicy(const std::string &requestClass) const -> const ClassPolicy *;
+    auto reservedPlaces(const std::string &requestClass) const -> std::uint32_t;
+    auto placeFree(const std::string &requestClass) const -> bool;
+    auto shortfall(const std::string &requestClass) const -> double;
+
+    std::shared_ptr<const GatePolicy> policy_;
+    QueueOrder order_;
+    Queue queue_;
+    Arrival nextArrival_ = 0;
+    std::map<AttemptId, Arrival> arrivals_;
+    std::set<std::pair<TimePoint, Arrival>> deadlines_;
+    std::map<AttemptId, Running> running_;
+    std::uint32_t runningLong_ = 0;
+    std::uint32_t runningSuspects_ = 0;
+    std::map<std::string, FairAccounts> accounts_;
+    ShareWindow shares_;
+};
+
+} // namespace jasminewood::scheduling
--- /dev/null
+++ b/packages/scheduling/src/share_window.cpp
@@ -0,0 +1,58 @@
+#include "jasminewood/scheduling/share_window.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace jasminewood::scheduling
+{
+
+namespace
+{
+
+// Work in tokens below which a class counts as having no recent work.
+constexpr double negligibleWork = 0.01;
+
+} // namespace
+
+auto ShareWindow::charge(const std::string &requestClass, double work, TimePoint now) -> void
+{
+    decay(now);
+    correct(requestClass, work);
+}
+
+auto ShareWindow::correct(const std::string &requestClass, double work) -> void
+{
+    auto &total = work_[requestClass];
+    total = std::max(0.0, total + work);
+}
+
+auto ShareWindow::share(const std::string &requestClass) const -> double
+{
+    const auto found = work_.find(requestClass);
+    if (found == work_.end() || found->second <= 0) {
+        return 0;
+    }
+    const auto total = std::accumulate(work_.begin(), work_.end(), 0.0, [](double sum, const auto &entry) {
+        return sum + entry.second;
+    });
+    return found->second / total;
+}
+
+auto ShareWindow::decay(TimePoint now) -> void
+{
+    if (now <= updated_) {
+        return;
+    }
+    const auto halfLives = std::chrono::duration<double>(now - updated_) / shareHalfLife;
+    const auto factor = std::exp2(-halfLives);
+    for (auto &[requestClass, work] : work_) {
+        work *= factor;
+    }
+    std::erase_if(work_, [](const auto &entry) {
+        return entry.second < negligibleWork;
+    });
+    updated_ = now;
+}
+
+} // namespace jasminewood::scheduling
