Add the decision packages delivery, claims, membership and admission

Each package depends on core only, and delivery also on xxhash. Time is passed as TimePoint and the seed of the backoff as an argument.

--- /dev/null
+++ b/packages/admission/src/account_limiter.cpp
@@ -0,0 +1,190 @@
+#include "jasminewood/admission/account_limiter.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "account_meter.h"
+
+namespace jasminewood::admission
+{
+
+namespace
+{
+
+// After its start a router hears totals that the others gathered long before. Within this time first totals are taken
+// as the base and not debited.
+constexpr Milliseconds warmUp = Milliseconds(1'000);
+
+// What is known of one account at one other router.
+struct RemoteUsage
+{
+    std::uint64_t requests_ = 0;
+    std::uint64_t work_ = 0;
+    TimePoint changedAt_;
+};
+
+auto increase(std::uint64_t &known, std::uint64_t total) -> double
+{
+    const auto before = known;
+    known = std::max(known, total);
+    return static_cast<double>(known - before);
+}
+
+} // namespace
+
+struct AccountLimiter::Account
+{
+    internal::AccountMeter requests_;
+    internal::AccountMeter work_;
+    std::uint64_t admittedRequests_ = 0;
+    // Admitted work after corrections; published as its maximum so far, because totals never decrease.
+    std::int64_t netWork_ = 0;
+    std::uint64_t publishedWork_ = 0;
+    std::optional<TimePoint> usedAt_;
+    std::map<NodeId, RemoteUsage> remotes_;
+
+    auto addWork(std::int64_t amount) -> void
+    {
+        netWork_ += amount;
+        publishedWork_ = std::max(publishedWork_, static_cast<std::uint64_t>(std::max<std::int64_t>(netWork_, 0)));
+        work_.debitOwn(static_cast<double>(amount));
+    }
+};
+
+auto overshootBound(double ratePerSecond, std::uint32_t routers) -> double
+{
+    const auto burst = ratePerSecond * std::chrono::duration<double>(burstWindow).count();
+    const auto unknown = ratePerSecond * std::chrono::duration<double>(usageDelay).count();
+    return (routers - 1) * (burst / routers + unknown);
+}
+
+AccountLimiter::AccountLimiter(TimePoint now)
+    : startedAt_(now)
+    , sweptAt_(now)
+{
+}
+
+AccountLimiter::~AccountLimiter() = default;
+
+auto AccountLimiter::configure(const AccountLimits &limits, std::uint32_t routers, TimePoint now) -> void
+{
+    const auto count = std::max<std::uint32_t>(routers, 1);
+    std::erase_if(accounts_, [this, &limits](const auto &entry) {
+        const auto removed = limits.count(entry.first) == 0;
+        remoteEntries_ -= removed ? entry.second->remotes_.size() : 0;
+        return removed;
+    });
+    for (const auto &[name, limit] : limits) {
+        const auto found = accounts_.find(name);
+        if (found != accounts_.end()) {
+            found->second->requests_.configure(limit.requestsPerSecond_, count);
+            found->second->work_.configure(limit.workPerSecond_, count);
+            continue;
+        }
+        accounts_.emplace(name,
+            std::make_unique<Account>(
+                Account {.requests_ = internal::AccountMeter(limit.requestsPerSecond_, count, now),
+                    .work_ = internal::AccountMeter(limit.workPerSecond_, count, now)}));
+    }
+}
+
+auto AccountLimiter::admit(const std::string &account, std::uint32_t cost, TimePoint now) -> Status
+{
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end()) {
+        return std::nullopt;
+    }
+    auto &state = *found->second;
+    const auto forRequests = state.requests_.wait(1, now);
+    const auto forWork = state.work_.wait(cost, now);
+    if (forRequests || forWork) {
+        return Failure {.step_ = "admit",
+            .reason_ = std::string("the account's limit of ") + (forRequests ? "requests" : "work") + " is reached",
+            .runState_ = RunState::NotRun,
+            .retryAfter_ = std::max(forRequests.value_or(Milliseconds(0)), forWork.value_or(Milliseconds(0)))};
+    }
+    state.requests_.debitOwn(1);
+    ++state.admittedRequests_;
+    state.addWork(cost);
+    state.usedAt_ = now;
+    return std::nullopt;
+}
+
+auto AccountLimiter::correct(const std::string &account, std::uint32_t estimated, std::uint32_t actual) -> void
+{
+    const auto found = accounts_.find(account);
+    if (found != accounts_.end()) {
+        found->second->addWork(std::int64_t(actual) - std::int64_t(estimated));
+    }
+}
+
+auto AccountLimiter::usage(TimePoint now) const -> UsageTotals
+{
+    auto totals = UsageTotals();
+    for (const auto &[name, account] : accounts_) {
+        if (account->usedAt_ && now - *account->usedAt_ <= usageRepeat) {
+            totals.emplace(
+                name, AccountTotals {.requests_ = account->admittedRequests_, .work_ = account->publishedWork_});
+        }
+    }
+    return totals;
+}
+
+auto AccountLimiter::merge(const NodeId &router, const UsageTotals &totals, TimePoint now) -> void
+{
+    forgetIdle(now);
+    for (const auto &[name, total] : totals) {
+        const auto found = accounts_.find(name);
+        if (found != accounts_.end()) {
+            mergeAccount(*found->second, router, total, now);
+        }
+    }
+}
+
+auto AccountLimiter::remoteEntries() const -> std::size_t
+{
+    return remoteEntries_;
+}
+
+// The first totals of a router may be old; it can have admitted no more than unknownUsage() since the account was last
+// idle there, so no more is debited.
+auto AccountLimiter::mergeAccount(Account &account, const NodeId &router, const AccountTotals &totals, TimePoint now)
+    -> void
+{
+    auto remote = account.remotes_.find(router);
+    const auto first = remote == account.remotes_.end();
+    if (first) {
+        if (remoteEntries_ >= maximumRemoteEntries) {
+            return;
+        }
+        ++remoteEntries_;
+        remote = account.remotes_.emplace(router, RemoteUsage {.changedAt_ = now}).first;
+    }
+    auto requests = increase(remote->second.requests_, totals.requests_);
+    auto work = increase(remote->second.work_, totals.work_);
+    if (requests > 0 || work > 0) {
+        remote->second.changedAt_ = now;
+    }
+    if (first) {
+        const auto warmingUp = now - startedAt_ < warmUp;
+        requests = warmingUp ? 0 : std::min(requests, account.requests_.unknownUsage());
+        work = warmingUp ? 0 : std::min(work, account.work_.unknownUsage());
+    }
+    account.requests_.debitRemote(requests, now);
+    account.work_.debitRemote(work, now);
+}
+
+auto AccountLimiter::forgetIdle(TimePoint now) -> void
+{
+    if (now - sweptAt_ < remoteUsageLife / 2) {
+        return;
+    }
+    sweptAt_ = now;
+    for (auto &[name, account] : accounts_) {
+        remoteEntries_ -= std::erase_if(account->remotes_, [now](const auto &entry) {
+            return now - entry.second.changedAt_ > remoteUsageLife;
+        });
+    }
+}
+
+} // namespace jasminewood::admission
--- /dev/null
+++ b/packages/delivery/src/digest.cpp
@@ -0,0 +1,34 @@
+#include "jasminewood/delivery/digest.h"
+
+#include <new>
+
+#include <xxhash.h>
+
+namespace jasminewood::delivery
+{
+
+Digest::Digest()
+    : state_(XXH3_createState())
+{
+    if (!state_) {
+        throw std::bad_alloc();
+    }
+    XXH3_64bits_reset(state_.get());
+}
+
+auto Digest::update(std::string_view data) -> void
+{
+    XXH3_64bits_update(state_.get(), data.data(), data.size());
+}
+
+auto Digest::value() const -> std::uint64_t
+{
+    return XXH3_64bits_digest(state_.get());
+}
+
+auto Digest::Release::operator()(XXH3_state_s *state) const -> void
+{
+    XXH3_freeState(state);
+}
+
+} // namespace jasminewood::delivery
--- /dev/null
+++ b/packages/membership/src/member_table.cpp
@@ -0,0 +1,204 @@
+#include "jasminewood/membership/member_table.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace jasminewood::membership
+{
+
+namespace
+{
+
+// A second silence in a row means that a new connection failed too.
+constexpr std::uint32_t silencesUntilGone = 2;
+
+} // namespace
+
+auto toString(MemberState state) -> std::string
+{
+    switch (state) {
+    case MemberState::Joining:
+        return "joining";
+    case MemberState::Live:
+        return "live";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Gone:
+        break;
+    }
+    return "gone";
+}
+
+MemberTable::MemberTable(std::uint64_t seed)
+    : seed_(seed)
+{
+}
+
+auto MemberTable::vmList(const std::vector<VmEntry> &entries, TimePoint now) -> void
+{
+    if (entries.empty()) {
+        return;
+    }
+    for (auto &[name, entry] : entries_) {
+        entry.listed_ = false;
+    }
+    for (const auto &vm : entries) {
+        list(vm, now);
+    }
+    removeForgotten();
+}
+
+auto MemberTable::connected(const Peer &peer, TimePoint now) -> void
+{
+    auto &entry = create(peer.node_.name_, now);
+    if (entry.incarnation_ != peer.node_.incarnation_) {
+        entry.incarnation_ = peer.node_.incarnation_;
+        entry.leaving_ = false;
+        entry.connectedAt_ = now;
+    }
+    entry.address_ = peer.address_;
+    entry.pool_ = peer.pool_;
+    entry.dataCentre_ = peer.dataCentre_;
+    entry.connected_ = true;
+    entry.gone_ = false;
+    entry.silences_ = 0;
+    entry.backoff_.reset();
+}
+
+auto MemberTable::silent(const NodeId &node, TimePoint now) -> void
+{
+    auto *entry = current(node);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->connected_ = false;
+    ++entry->silences_;
+    entry->gone_ = entry->gone_ || entry->silences_ >= silencesUntilGone;
+    // The first new connection is tried at once: service must be restored within 2 s.
+    entry->dialAt_ = entry->gone_ ? now + entry->backoff_.next() : now;
+    removeForgotten();
+}
+
+auto MemberTable::refused(const std::string &name, TimePoint now) -> void
+{
+    const auto found = entries_.find(name);
+    if (found == entries_.end()) {
+        return;
+    }
+    auto &entry = found->second;
+    entry.connected_ = false;
+    entry.gone_ = true;
+    entry.dialAt_ = now + entry.backoff_.next();
+    removeForgotten();
+}
+
+auto MemberTable::leaving(const NodeId &node) -> void
+{
+    if (auto *entry = current(node)) {
+        entry->leaving_ = true;
+    }
+}
+
+auto MemberTable::members() const -> std::vector<Member>
+{
+    auto all = std::vector<Member>();
+    for (const auto &[name, entry] : entries_) {
+        all.push_back(member(name, entry));
+    }
+    return all;
+}
+
+auto MemberTable::find(const std::string &name) const -> std::optional<Member>
+{
+    const auto found = entries_.find(name);
+    return found == entries_.end() ? std::nullopt : std::optional<Member>(member(name, found->second));
+}
+
+auto MemberTable::routable(const std::string &pool) const -> std::vector<Member>
+{
+    auto chosen = std::vector<Member>();
+    for (const auto &[name, entry] : entries_) {
+        if (entry.pool_ == pool && entry.connected_ && !entry.leaving_ && !entry.gone_) {
+            chosen.push_back(member(name, entry));
+        }
+    }
+    return chosen;
+}
+
+auto MemberTable::dialTargets(TimePoint now) const -> std::vector<Member>
+{
+    auto due = std::vector<Member>();
+    for (const auto &[name, entry] : entries_) {
+        if (!entry.connected_ && entry.dialAt_ <= now) {
+            due.push_back(member(name, entry));
+        }
+    }
+    return due;
+}
+
+auto MemberTable::nextDial() const -> std::optional<TimePoint>
+{
+    auto earliest = std::optional<TimePoint>();
+    for (const auto &[name, entry] : entries_) {
+        if (!entry.connected_ && (!earliest || entry.dialAt_ < *earliest)) {
+            earliest = entry.dialAt_;
+        }
+    }
+    return earliest;
+}
+
+auto MemberTable::member(const std::string &name, const Entry &entry) -> Member
+{
+    const auto state = entry.gone_ ? MemberState::Gone
+        : entry.leaving_           ? MemberState::Leaving
+        : entry.connected_         ? MemberState::Live
+        : entry.incarnation_ == 0  ? MemberState::Joining
+                                   : MemberState::Suspect;
+    return Member {.node_ = NodeId {.name_ = name, .incarnation_ = entry.incarnation_},
+        .address_ = entry.address_,
+        .pool_ = entry.pool_,
+        .dataCentre_ = entry.dataCentre_,
+        .state_ = state};
+}
+
+auto MemberTable::current(const NodeId &node) -> Entry *
+{
+    const auto found = entries_.find(node.name_);
+    return found == entries_.end() || found->second.incarnation_ != node.incarnation_ ? nullptr : &found->second;
+}
+
+auto MemberTable::create(const std::string &name, TimePoint now) -> Entry &
+{
+    const auto seed = seed_ ^ std::hash<std::string>()(name);
+    return entries_.try_emplace(name, Entry {.dialAt_ = now, .backoff_ = Backoff(seed)}).first->second;
+}
+
+// While a link lives, its Hello is newer than the list and takes precedence. The list's leaving flag may describe the
+// previous incarnation until the list has caught up with the connection.
+auto MemberTable::list(const VmEntry &vm, TimePoint now) -> void
+{
+    auto &entry = create(vm.name_, now);
+    entry.listed_ = true;
+    if (!entry.connected_) {
+        entry.address_ = vm.address_;
+        entry.pool_ = vm.pool_;
+        entry.dataCentre_ = vm.dataCentre_;
+    }
+    if (vm.leaving_ && (entry.incarnation_ == 0 || now - entry.connectedAt_ > vmListLag)) {
+        entry.leaving_ = true;
+    }
+}
+
+// A member that is not in the list is kept while its link lives or is being restored.
+auto MemberTable::removeForgotten() -> void
+{
+    std::erase_if(entries_, [](const auto &item) {
+        const auto &entry = item.second;
+        return !entry.listed_ && !entry.connected_ && (entry.gone_ || entry.incarnation_ == 0);
+    });
+}
+
+} // namespace jasminewood::membership
