Add the HTTP server and client shared by all programs

Cause: the router, the agent, the fakes and the platform clients all speak HTTP, and none of libmicrohttpd and libcurl gives their common needs directly: unbuffered streams, callers that left before the first byte, calls that are cancelled from another thread, and failures that tell whether the request may have run.

--- /dev/null
+++ b/packages/http/include/jasminewood/http/server.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jasminewood/core/clock.h"
+#include "jasminewood/core/result.h"
+
+// An HTTP/1.1 server with one thread for each connection, over libmicrohttpd.
+//
+//     const auto server = http::Server::start({.port_ = 8080}, [](const http::Request &request) -> http::Response {
+//         return http::WholeResponse {.status_ = 200, .body_ = request.path_};
+//     });
+
+namespace jasminewood::http
+{
+
+// One header field of a response.
+struct Header
+{
+    const std::string name_;
+    const std::string value_;
+
+    // clang-tidy 14 takes the 0 of the generated comparison for a null pointer.
+    auto operator<=>(const Header &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+// A request whose body has arrived completely.
+struct Request
+{
+    const std::string method_;
+    const std::string path_;
+    // The query as "name=value&name=value", decoded.
+    const std::string query_;
+    // Header fields by lower-case name.
+    const std::map<std::string, std::string> headers_;
+    // Query parameters by name, decoded.
+    const std::map<std::string, std::string> parameters_;
+    const std::string body_;
+    // Returns whether the caller closed its connection. Does not block. Valid until the response is over, so next_ of a
+    // StreamResponse may use a copy.
+    const std::function<auto()->bool> callerGone_;
+};
+
+// A response whose body is known when the handler returns.
+struct WholeResponse
+{
+    const int status_ = 200;
+    const std::vector<Header> headers_;
+    const std::string body_;
+
+    auto operator<=>(const WholeResponse &) const = default;
+};
+
+// Data to send at once. An empty chunk is skipped.
+struct Chunk
+{
+    const std::string data_;
+
+    auto operator<=>(const Chunk &) const = default;
+};
+
+// The stream is complete.
+struct EndOfStream
+{
+    auto operator<=>(const EndOfStream &) const = default;
+};
+
+// The stream is broken: the connection is closed without a valid end, so that the caller sees a truncated answer.
+struct AbortStream
+{
+    auto operator<=>(const AbortStream &) const = default;
+};
+
+using StreamStep = std::variant<Chunk, EndOfStream, AbortStream>;
+
+// A response whose body is produced while it is sent.
+struct StreamResponse
+{
+    const int status_ = 200;
+    const std::vector<Header> headers_;
+    // Returns the next step on the connection's thread. May block.
+    const std::function<auto()->StreamStep> next_;
+    // Called exactly once when the response is over or the caller went away. May be empty.
+    const std::function<auto()->void> closed_;
+};
+
+using Response = std::variant<WholeResponse, StreamResponse>;
+
+// Runs on the connection's thread and may block. An exception that leaves it is answered with status 500.
+using Handler = std::function<auto(const Request &)->Response>;
+
+struct ServerOptions
+{
+    const std::string address_ = "127.0.0.1";
+    // 0 lets the system choose a free port.
+    const std::uint16_t port_ = 0;
+    // A larger body is answered with status 413 and the handler is not called.
+    const std::size_t maximumBodyBytes_ = std::size_t(4) << 20U;
+    const unsigned maximumConnections_ = 4096;
+    // A connection without a request in progress is closed after this time. A caller that accepts no data for this time
+    // is treated as gone.
+    const std::chrono::seconds idleTimeout_ = std::chrono::seconds(60);
+
+    auto operator<=>(const ServerOptions &) const = default;
+};
+
+// Thread-safe.
+class Server
+{
+public:
+    // Binds, listens and serves. Fails with step "bind" and peer "ADDRESS:PORT" if the address cannot be bound.
+    static auto start(const ServerOptions &options, Handler handler) -> Result<std::shared_ptr<Server>>;
+
+    // Stops the server as stop() does.
+    ~Server();
+
+    Server(const Server &) = delete;
+    auto operator=(const Server &) -> Server & = delete;
+
+    // The port on which the server listens.
+    auto port() const -> std::uint16_t;
+
+    // Accepts no new connections. Requests on open connections are still served, and each response closes its
+    // connection.
+    auto quiesce() -> void;
+
+    // Waits until all requests are answered; returns whether that happened within the time given.
+    auto waitIdle(Milliseconds timeout) -> bool;
+
+    // Closes all connections and waits for running handlers to return. May be called twice.
+    auto stop() -> void;
+
+private:
+    class State;
+
+    explicit Server(std::unique_ptr<State> state);
+
+    const std::unique_ptr<State> state_;
+};
+
+} // namespace jasminewood::http
--- /dev/null
+++ b/packages/http/src/connection.cpp
@@ -0,0 +1,193 @@
+#include "connection.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstring>
+#include <memory>
+#include <utility>
+
+#include <fmt/format.h>
+#include <poll.h>
+
+namespace jasminewood::http::internal
+{
+
+namespace
+{
+
+// The size of the buffer that libmicrohttpd offers to the reader of a stream. Data is sent as soon as the reader
+// returns, whether or not the buffer is full.
+constexpr std::size_t streamBlockBytes = 16 * 1024;
+
+using Fields = std::map<std::string, std::string>;
+
+auto collectHeader(void *fields, MHD_ValueKind /*kind*/, const char *name, const char *value) -> MHD_Result
+{
+    auto lower = std::string(name);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char letter) {
+        return char(std::tolower(letter));
+    });
+    static_cast<Fields *>(fields)->insert_or_assign(lower, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+auto collectParameter(void *fields, MHD_ValueKind /*kind*/, const char *name, const char *value) -> MHD_Result
+{
+    static_cast<Fields *>(fields)->insert_or_assign(name, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+auto joined(const Fields &parameters) -> std::string
+{
+    auto query = std::string();
+    for (const auto &[name, value] : parameters) {
+        query += (query.empty() ? "" : "&") + name + "=" + value;
+    }
+    return query;
+}
+
+auto hungUp(int socket) -> bool
+{
+    auto poller = pollfd {.fd = socket, .events = POLLRDHUP, .revents = 0};
+    return poll(&poller, 1, 0) > 0 && (poller.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
+// The state of a stream between two calls of the reader.
+struct StreamState
+{
+    const std::function<auto()->StreamStep> next_;
+    const std::function<auto()->void> closed_;
+    std::string pending_ = {};
+};
+
+// Takes the step's data into pending_; returns libmicrohttpd's end code if there is none.
+struct StepTaker
+{
+    StreamState &state_;
+
+    auto operator()(const Chunk &chunk) const -> ssize_t
+    {
+        state_.pending_ = chunk.data_;
+        return 0;
+    }
+
+    auto operator()(const EndOfStream & /*step*/) const -> ssize_t
+    {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+
+    auto operator()(const AbortStream & /*step*/) const -> ssize_t
+    {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+};
+
+auto readStream(void *context, std::uint64_t /*position*/, char *buffer, std::size_t size) -> ssize_t
+{
+    auto &state = *static_cast<StreamState *>(context);
+    try {
+        while (state.pending_.empty()) {
+            const auto end = std::visit(StepTaker {state}, state.next_());
+            if (end != 0) {
+                return end;
+            }
+        }
+    } catch (...) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    const auto taken = std::min(size, state.pending_.size());
+    std::memcpy(buffer, state.pending_.data(), taken);
+    state.pending_.erase(0, taken);
+    return ssize_t(taken);
+}
+
+auto closeStream(void *context) -> void
+{
+    const auto state = std::unique_ptr<StreamState>(static_cast<StreamState *>(context));
+    if (state->closed_) {
+        try {
+            state->closed_();
+        } catch (...) { // The stream is over either way, and C code has called this function.
+        }
+    }
+}
+
+struct ResponseMaker
+{
+    auto operator()(const WholeResponse &whole) const -> MHD_Response *
+    {
+        // The response copies the body, so the data is not modified.
+        auto *data = const_cast<char *>(whole.body_.data());
+        return MHD_create_response_from_buffer(whole.body_.size(), data, MHD_RESPMEM_MUST_COPY);
+    }
+
+    auto operator()(const StreamResponse &stream) const -> MHD_Response *
+    {
+        auto state = std::make_unique<StreamState>(StreamState {.next_ = stream.next_, .closed_ = stream.closed_});
+        return MHD_create_response_from_callback(
+            MHD_SIZE_UNKNOWN, streamBlockBytes, &readStream, state.release(), &closeStream);
+    }
+};
+
+} // namespace
+
+auto headerOf(MHD_Connection *connection, const char *name) -> std::string
+{
+    const auto *value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+    return value == nullptr ? "" : value;
+}
+
+auto socketOf(MHD_Connection *connection) -> int
+{
+    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
+auto requestOf(MHD_Connection *connection, const char *method, const char *path, std::string body) -> Request
+{
+    auto headers = Fields();
+    auto parameters = Fields();
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectParameter, &parameters);
+    auto query = joined(parameters);
+    const auto socket = socketOf(connection);
+    return Request {.method_ = method,
+        .path_ = path,
+        .query_ = std::move(query),
+        .headers_ = std::move(headers),
+        .parameters_ = std::move(parameters),
+        .body_ = std::move(body),
+        .callerGone_ = [socket] {
+            return hungUp(socket);
+        }};
+}
+
+auto send(MHD_Connection *connection, const Response &response, bool closing) -> MHD_Result
+{
+    auto *prepared = std::visit(ResponseMaker {}, response);
+    if (prepared == nullptr) {
+        return MHD_NO;
+    }
+    const auto &[status, headers] = std::visit(
+        [](const auto &any) {
+            return std::pair(any.status_, &any.headers_);
+        },
+        response);
+    for (const auto &header : *headers) {
+        MHD_add_response_header(prepared, header.name_.c_str(), header.value_.c_str());
+    }
+    if (closing) {
+        MHD_add_response_header(prepared, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    const auto queued = MHD_queue_response(connection, unsigned(status), prepared);
+    MHD_destroy_response(prepared);
+    return queued;
+}
+
+auto errorResponse(int status, const std::string &message) -> WholeResponse
+{
+    return WholeResponse {.status_ = status,
+        .headers_ = {{.name_ = "Content-Type", .value_ = "application/json"}},
+        .body_ = fmt::format(R"({{"error":{{"message":"{}","code":{},"run_state":"not_run"}}}})", message, status)};
+}
+
+} // namespace jasminewood::http::internal
--- /dev/null
+++ b/packages/http/tests/raw_peer.cpp
@@ -0,0 +1,108 @@
+#include "raw_peer.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace jasminewood::http
+{
+
+namespace
+{
+
+auto loopback(std::uint16_t port) -> sockaddr_in
+{
+    auto address = sockaddr_in {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+} // namespace
+
+auto connectTo(std::uint16_t port) -> int
+{
+    const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto address = loopback(port);
+    if (connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+        close(socket);
+        return -1;
+    }
+    return socket;
+}
+
+auto sendText(int socket, const std::string &text) -> void
+{
+    for (std::size_t sent = 0; sent < text.size();) {
+        const auto count = send(socket, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0) {
+            return;
+        }
+        sent += std::size_t(count);
+    }
+}
+
+auto readUntil(int socket, const std::string &mark) -> std::string
+{
+    auto text = std::string();
+    char buffer[4096];
+    while (text.find(mark) == std::string::npos) {
+        const auto count = recv(socket, buffer, sizeof(buffer), 0);
+        if (count <= 0) {
+            break;
+        }
+        text.append(buffer, std::size_t(count));
+    }
+    return text;
+}
+
+RawServer::RawServer(std::function<auto(int)->void> serve)
+    : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+{
+    auto address = loopback(0);
+    auto size = socklen_t(sizeof(address));
+    bind(socket_, reinterpret_cast<const sockaddr *>(&address), size);
+    listen(socket_, 16);
+    getsockname(socket_, reinterpret_cast<sockaddr *>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this, serve = std::move(serve)] {
+        acceptAll(serve);
+    });
+}
+
+auto RawServer::acceptAll(const std::function<auto(int)->void> &serve) -> void
+{
+    for (auto peer = accept(socket_, nullptr, nullptr); peer >= 0; peer = accept(socket_, nullptr, nullptr)) {
+        const auto lock = std::scoped_lock(mutex_);
+        peers_.push_back(peer);
+        workers_.emplace_back([serve, peer] {
+            serve(peer);
+            shutdown(peer, SHUT_RDWR);
+        });
+    }
+}
+
+RawServer::~RawServer()
+{
+    shutdown(socket_, SHUT_RDWR);
+    thread_.join();
+    for (const auto peer : peers_) {
+        shutdown(peer, SHUT_RDWR);
+    }
+    for (auto &worker : workers_) {
+        worker.join();
+    }
+    for (const auto peer : peers_) {
+        close(peer);
+    }
+    close(socket_);
+}
+
+auto RawServer::url() const -> std::string
+{
+    return "http://127.0.0.1:" + std::to_string(port_) + "/";
+}
+
+} // namespace jasminewood::http
--- /dev/null
+++ b/packages/http/tests/raw_peer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+// Bare TCP peers, for answers and callers that neither library produces by itself.
+
+namespace jasminewood::http
+{
+
+// Connects to a port on 127.0.0.1 and returns the socket.
+auto connectTo(std::uint16_t port) -> int;
+
+// Sends the whole text.
+auto sendText(int socket, const std::string &text) -> void;
+
+// Reads until the text contains the mark or the peer closes; returns what was read.
+auto readUntil(int socket, const std::string &mark) -> std::string;
+
+// Listens on a free port and serves each connection on its own thread with a function of the socket.
+class RawServer
+{
+public:
+    explicit RawServer(std::function<auto(int)->void> serve);
+    ~RawServer();
+
+    RawServer(const RawServer &) = delete;
+    auto operator=(const RawServer &) -> RawServer & = delete;
+
+    auto url() const -> std::string;
+
+private:
+    auto acceptAll(const std::function<auto(int)->void> &serve) -> void;
+
+    int socket_;
+    std::uint16_t port_ = 0;
+    std::mutex mutex_;
+    std::vector<int> peers_;
+    std::vector<std::thread> workers_;
+    std::thread thread_;
+};
+
+} // namespace jasminewood::http
