Add fake-engine, a stand-in for inference engines

Cause: the router and the agent need an engine whose output a checker can judge and whose faults can be provoked. Change: package testbench with fake-engine as a program and as a class that tests start in their own process: OpenAI calls, streams, resumption at a token, priorities, slots, a prefix cache, lagging metrics and injected faults. A handler of the HTTP server may now close the connection without any answer. Conclusion: the first end-to-end path can run against it; preemption of running sequences is not modelled.

--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -50,6 +50,9 @@
     const std::function<auto()->bool> callerGone_;
 };
 
+// A response with this status closes the connection without any answer.
+inline constexpr int noAnswer = 0;
+
 // A response whose body is known when the handler returns.
 struct WholeResponse
 {
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -172,6 +172,10 @@
             return std::pair(any.status_, &any.headers_);
         },
         response);
+    if (status == noAnswer) {
+        MHD_destroy_response(prepared);
+        return MHD_NO;
+    }
     for (const auto &header : *headers) {
         MHD_add_response_header(prepared, header.name_.c_str(), header.value_.c_str());
     }
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -156,6 +156,19 @@
                         check(*calls == 0);
                     }),
             }),
+        section("whose handler gives no answer",
+            {
+                // Guards against a fake outage that callers can tell from a real one.
+                test("closes the connection, which the caller sees as may have run",
+                    [] {
+                        const auto server = serve([](const Request &) {
+                            return WholeResponse {.status_ = noAnswer};
+                        });
+                        const auto answer = fetch({.url_ = "http://127.0.0.1:" + std::to_string(server->port()) + "/"});
+                        check(!answer && answer.reason().step_ == "receive");
+                        check(answer.reason().runState_ == RunState::MayHaveRun);
+                    }),
+            }),
         section("on a port in use",
             {
                 // Guards against a program that starts without its port, and a failure that does not name it.
--- /dev/null
+++ b/packages/testbench/src/chat_request.cpp
@@ -0,0 +1,94 @@
+#include "chat_request.h"
+
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+#include "jasminewood/testbench/expected_output.h"
+
+namespace jasminewood::testbench::internal
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+auto contentOf(const json &message) -> std::string
+{
+    const auto &content = message.at("content");
+    if (content.is_string()) {
+        return content.get<std::string>();
+    }
+    auto text = std::string();
+    for (const auto &part : content) {
+        text += part.value("text", "");
+    }
+    return text;
+}
+
+auto requestIdOf(const http::Request &request) -> std::string
+{
+    const auto found = request.headers_.find("x-request-id");
+    return found == request.headers_.end() ? "" : found->second;
+}
+
+auto maximumTokensOf(const json &body) -> std::optional<std::size_t>
+{
+    for (const auto *name : {"max_completion_tokens", "max_tokens"}) {
+        if (body.contains(name) && body[name].is_number_unsigned()) {
+            return body[name].get<std::size_t>();
+        }
+    }
+    return std::nullopt;
+}
+
+auto endTokenOf(const json &body, const std::string &message, std::size_t first) -> std::size_t
+{
+    const auto maximum = maximumTokensOf(body);
+    if (!requestedTokens(message) && maximum) {
+        return first + *maximum;
+    }
+    return expectedTokens(message, maximum);
+}
+
+auto parse(const http::Request &request) -> ChatRequest
+{
+    const auto body = json::parse(request.body_);
+    auto prompt = std::string();
+    auto user = std::string();
+    for (const auto &message : body.at("messages")) {
+        const auto role = message.at("role").get<std::string>();
+        const auto content = contentOf(message);
+        prompt += role + ":" + content + "\n";
+        user = role == "user" ? content : user;
+    }
+    const auto &last = body.at("messages").back();
+    const auto continues = body.value("continue_final_message", false) && last.at("role") == "assistant";
+    const auto resumed = continues ? contentOf(last) : "";
+    const auto first = countTokens(resumed);
+    const auto lastSpace = resumed.rfind(' ');
+    return ChatRequest {.requestId_ = requestIdOf(request),
+        .model_ = body.value("model", ""),
+        .prompt_ = std::move(prompt),
+        .lastUserMessage_ = user,
+        .priority_ = body.value("priority", std::int64_t(0)),
+        .stream_ = body.value("stream", false),
+        .includeUsage_ = body.value("stream_options", json::object()).value("include_usage", false),
+        .firstToken_ = first,
+        .endToken_ = endTokenOf(body, user, first),
+        .partialToken_ = lastSpace == std::string::npos ? resumed : resumed.substr(lastSpace + 1)};
+}
+
+} // namespace
+
+auto parseChatRequest(const http::Request &request) -> Result<ChatRequest>
+{
+    try {
+        return parse(request);
+    } catch (const json::exception &problem) {
+        return Failure {.step_ = "parse", .reason_ = problem.what()};
+    }
+}
+
+} // namespace jasminewood::testbench::internal
--- /dev/null
+++ b/packages/testbench/tests/fake_engine_test.cpp
@@ -0,0 +1,165 @@
+#include "jasminewood/testbench/fake_engine.h"
+
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "jasminewood/http/client.h"
+#include "jasminewood/testbench/expected_output.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace jasminewood::testbench;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+using nlohmann::json;
+
+namespace
+{
+
+auto startEngine() -> std::shared_ptr<FakeEngine>
+{
+    const auto engine = FakeEngine::start({.baseTokenMs_ = 0.01, .prefillMicrosecondsPerByte_ = 0});
+    check(bool(engine), "the engine starts");
+    return *engine;
+}
+
+auto urlOf(const FakeEngine &engine, const std::string &path) -> std::string
+{
+    return "http://127.0.0.1:" + std::to_string(engine.port()) + path;
+}
+
+auto callOf(const FakeEngine &engine, const json &body, const std::string &id = "r-1") -> http::ClientRequest
+{
+    return {.method_ = "POST",
+        .url_ = urlOf(engine, "/v1/chat/completions"),
+        .headers_ = {{.name_ = "X-Request-Id", .value_ = id}},
+        .body_ = body.dump()};
+}
+
+auto ask(const FakeEngine &engine, const json &body, const std::string &id = "r-1") -> Result<http::ClientResponse>
+{
+    return http::fetch(callOf(engine, body, id));
+}
+
+auto prompt(const std::string &message) -> json
+{
+    return {{"messages", json::array({{{"role", "user"}, {"content", message}}})}};
+}
+
+auto contentOf(const http::ClientResponse &answer) -> std::string
+{
+    return json::parse(answer.body_)["choices"][0]["message"]["content"];
+}
+
+// Joins the deltas of a stream's whole body.
+auto deltasOf(const std::string &body) -> std::string
+{
+    auto text = std::string();
+    for (auto start = body.find("data: {"); start != std::string::npos; start = body.find("data: {", start + 1)) {
+        const auto end = body.find("\n\n", start);
+        const auto chunk = json::parse(body.substr(start + 6, end - start - 6));
+        text += chunk["choices"][0]["delta"].value("content", "");
+    }
+    return text;
+}
+
+auto fault(const FakeEngine &engine, const json &body) -> void
+{
+    const auto answer = http::fetch({.method_ = "POST", .url_ = urlOf(engine, "/fault"), .body_ = body.dump()});
+    check(answer && answer->status_ == 200);
+}
+
+const testkit::Story story = {"a fake engine",
+    {
+        section("asked for a completion",
+            {
+                // Guards against an answer that a checker cannot recognise as whole and as the caller's own.
+                test("gives the same text whole and streamed",
+                    [] {
+                        const auto engine = startEngine();
+                        const auto expected = expectedText("hi [tokens=20]", 0, 20);
+                        auto body = prompt("hi [tokens=20]");
+                        check(contentOf(*ask(*engine, body)) == expected);
+                        body["stream"] = true;
+                        const auto streamed = ask(*engine, body);
+                        check(deltasOf(streamed->body_) == expected);
+                        check(streamed->body_.ends_with("data: [DONE]\n\n"));
+                        check(expected != expectedText("ho [tokens=20]", 0, 20));
+                        const auto runs = http::fetch({.url_ = urlOf(*engine, "/runs")});
+                        check(json::parse(runs->body_)["r-1"] == 2);
+                    }),
+                // Guards against a resumed stream with a gap or a repeated token.
+                test("continues a final assistant message at the right token",
+                    [] {
+                        const auto engine = startEngine();
+                        auto body = prompt("hi [tokens=20]");
+                        body["continue_final_message"] = true;
+                        for (const auto &start : {expectedText("hi [tokens=20]", 0, 7), std::string("")}) {
+                            body["messages"].push_back({{"role", "assistant"}, {"content", start}});
+                            check(start + contentOf(*ask(*engine, body)) == expectedText("hi [tokens=20]", 0, 20));
+                        }
+                    }),
+                // Guards against answers longer than the caller allowed.
+                test("produces max_tokens tokens",
+                    [] {
+                        const auto engine = startEngine();
+                        auto body = prompt("hello");
+                        body["max_tokens"] = 3;
+                        check(contentOf(*ask(*engine, body)) == expectedText("hello", 0, 3));
+                    }),
+                // Guards against figures that a parser of vLLM's metrics does not find.
+                test("reports its load",
+                    [] {
+                        const auto engine = startEngine();
+                        const auto metrics = http::fetch({.url_ = urlOf(*engine, "/metrics")});
+                        for (const auto *name : {"running", "waiting"}) {
+                            const auto line
+                                = "vllm:num_requests_" + std::string(name) + "{model_name=\"fake-model\"} 0\n";
+                            check(metrics->body_.find(line) != std::string::npos);
+                        }
+                    }),
+            }),
+        section("with a fault",
+            {
+                // Guards against a cut stream that ends as if it were whole.
+                test("cuts an answer off after the given tokens",
+                    [] {
+                        const auto engine = startEngine();
+                        fault(*engine, {{"drop_after_tokens", 4}});
+                        auto body = prompt("hi [tokens=20]");
+                        body["stream"] = true;
+                        auto text = std::string();
+                        const auto cut = http::StreamCall().perform(callOf(*engine, body), nullptr, [&](auto data) {
+                            text += data;
+                            return true;
+                        });
+                        check(!cut && cut.reason().step_ == "receive");
+                        check(deltasOf(text) == expectedText("hi [tokens=20]", 0, 4));
+                        check(bool(ask(*engine, body)));
+                    }),
+                // Guards against a crash that callers cannot tell from an answer.
+                test("crashes on a request that carries the mark",
+                    [] {
+                        const auto engine = startEngine();
+                        const auto answer = ask(*engine, prompt("please [crash]"));
+                        check(!answer && answer.reason().runState_ == RunState::MayHaveRun);
+                        const auto next = ask(*engine, prompt("hello"));
+                        check(!next && next.reason().runState_ == RunState::NotRun);
+                    }),
+                // Guards against a stall that closes connections or that cannot be ended.
+                test("stalls and resumes",
+                    [] {
+                        const auto engine = startEngine();
+                        fault(*engine, {{"stall", true}});
+                        const auto silent
+                            = http::fetch({.url_ = urlOf(*engine, "/health"), .timeout_ = Milliseconds(50)});
+                        check(!silent && silent.reason().step_ == "timeout");
+                        fault(*engine, {{"stall", false}});
+                        check(http::fetch({.url_ = urlOf(*engine, "/health")})->status_ == 200);
+                    }),
+            }),
+    }};
+
+} // namespace
