Parse INI text and check the settings of a program

inih reports no empty sections, cuts headings at 49 bytes and splits lines above its buffer, so its callbacks alone cannot give exact line numbers. Package ini feeds it one whole line per call, reads headings itself and fails at the line of the first error. Conclusion: the programs can declare their settings as values.

--- /dev/null
+++ b/packages/ini/src/scalar.cpp
@@ -0,0 +1,88 @@
+#include "jasminewood/ini/scalar.h"
+
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace jasminewood::ini
+{
+
+namespace
+{
+
+constexpr std::string_view blanks = " \t\r\n";
+
+struct Unit
+{
+    std::string_view suffix_;
+    std::int64_t milliseconds_;
+};
+
+// "ms" precedes "m" and "s", because the first suffix that matches is taken.
+constexpr auto units = std::array {Unit {"ms", 1}, Unit {"s", 1'000}, Unit {"m", 60'000}, Unit {"h", 3'600'000}};
+
+} // namespace
+
+auto trimmed(std::string_view text) -> std::string_view
+{
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+auto parseInteger(std::string_view text) -> std::optional<std::int64_t>
+{
+    auto value = std::int64_t(0);
+    const auto *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc() || rest != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+auto parseDuration(std::string_view text) -> std::optional<Milliseconds>
+{
+    auto factor = std::int64_t(1);
+    for (const auto &unit : units) {
+        if (text.ends_with(unit.suffix_)) {
+            factor = unit.milliseconds_;
+            text.remove_suffix(unit.suffix_.size());
+            break;
+        }
+    }
+    const auto count = parseInteger(trimmed(text));
+    if (!count || *count < 0 || *count > std::numeric_limits<std::int64_t>::max() / factor) {
+        return std::nullopt;
+    }
+    return Milliseconds(*count * factor);
+}
+
+auto parseYesNo(std::string_view text) -> std::optional<bool>
+{
+    if (text == "yes") {
+        return true;
+    }
+    if (text == "no") {
+        return false;
+    }
+    return std::nullopt;
+}
+
+auto parseList(std::string_view text) -> std::vector<std::string>
+{
+    auto parts = std::vector<std::string>();
+    while (!text.empty()) {
+        const auto comma = text.find(',');
+        const auto part = trimmed(text.substr(0, comma));
+        if (!part.empty()) {
+            parts.emplace_back(part);
+        }
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    }
+    return parts;
+}
+
+} // namespace jasminewood::ini
--- /dev/null
+++ b/packages/ini/tests/document_test.cpp
@@ -0,0 +1,114 @@
+#include "jasminewood/ini/document.h"
+#include "jasminewood/ini/fault.h"
+#include "jasminewood/testkit/property.h"
+
+using namespace jasminewood;
+using jasminewood::testkit::check;
+using jasminewood::testkit::property;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+auto failsAt(const std::string &text, const std::string &place) -> bool
+{
+    const auto document = ini::parse(text, "f.ini");
+    return !document && document.reason().step_ == "parse" && document.reason().peer_ == place;
+}
+
+const testkit::Story story = {"an INI text",
+    {
+        section("that is well formed",
+            {
+                // Guards against lost arguments and against two sections of one name becoming one.
+                test("yields its sections in order, with arguments and lines",
+                    [] {
+                        const auto document
+                            = ini::parse("; head\n[class \"quote\"]\ntier = 0\n\n[class quote]\n[pool gpu]", "f.ini");
+                        check(bool(document));
+                        const auto &sections = document->sections_;
+                        check(sections.size() == 3);
+                        check(sections[0].argument_ == "quote" && sections[0].line_ == 2);
+                        check(sections[0].entries_.front() == ini::Entry {.key_ = "tier", .value_ = "0", .line_ = 3});
+                        check(sections[1].argument_ == "quote" && sections[1].line_ == 5);
+                        check(ini::heading(sections[2]) == "pool gpu" && sections[2].entries_.empty());
+                    }),
+                // Guards against names cut at inih's internal limit of 50 bytes.
+                test("keeps long headings and long values whole",
+                    [] {
+                        const auto name = std::string(120, 'n');
+                        const auto value = std::string(3000, 'v');
+                        const auto document = ini::parse("[class " + name + "]\nkey = " + value + "\n", "f.ini");
+                        check(bool(document));
+                        check(document->sections_[0].argument_ == name);
+                        check(document->sections_[0].entries_[0].value_ == value);
+                    }),
+                // Guards against line numbers that drift after a continuation, and against a repeated key that is
+                // mistaken for one.
+                test("joins continuation lines and keeps repeated keys apart",
+                    [] {
+                        const auto document = ini::parse("[a]\nk = 1,\n  2,\n\n  3\nk = 4\r\n", "f.ini");
+                        check(bool(document));
+                        const auto &entries = document->sections_[0].entries_;
+                        check(entries.size() == 2);
+                        check(entries[0] == ini::Entry {.key_ = "k", .value_ = "1, 2, 3", .line_ = 2});
+                        check(entries[1] == ini::Entry {.key_ = "k", .value_ = "4", .line_ = 6});
+                    }),
+                // Guards against line numbers that drift with comments, blank lines and long lines.
+                property("numbers every entry by its line",
+                    [](const std::vector<std::uint8_t> &shape) {
+                        auto text = std::string("[s]\n");
+                        auto expected = std::vector<int>();
+                        auto line = 1;
+                        for (const auto byte : shape) {
+                            ++line;
+                            if (byte % 3 == 0) {
+                                text += "# comment\n";
+                            } else if (byte % 3 == 1) {
+                                text += "\n";
+                            } else {
+                                text += "k = " + std::string(byte * 10, 'x') + "\n";
+                                expected.push_back(line);
+                            }
+                        }
+                        const auto document = ini::parse(text, "f.ini");
+                        RC_ASSERT(bool(document));
+                        auto found = std::vector<int>();
+                        for (const auto &entry : document->sections_[0].entries_) {
+                            found.push_back(entry.line_);
+                        }
+                        RC_ASSERT(found == expected);
+                    }),
+            }),
+        section("with a syntax error",
+            {
+                // Guards against a message that sends the operator to the wrong line.
+                test("fails at the exact line of the first error",
+                    [] {
+                        check(failsAt("[a]\nk = 1\nnonsense\n", "f.ini:3"));
+                        check(failsAt("[a\nk = 1\n", "f.ini:1"));
+                        check(failsAt("k = 1\n", "f.ini:1"));
+                        check(failsAt("[a b c]\n", "f.ini:1"));
+                        check(failsAt("[a]\n= 1\n", "f.ini:2"));
+                        check(failsAt("[a]\n\nk = " + std::string(5000, 'v') + "\n", "f.ini:3"));
+                        check(failsAt(std::string("[a]\nk = \0x\n", 11), "f.ini:2"));
+                    }),
+            }),
+        section("with a fault of content",
+            {
+                // Guards against a changed format, which operators' tools read.
+                test("prints file, line, section, key, expectation and finding",
+                    [] {
+                        const auto fault = ini::Fault {.file_ = "f.ini",
+                            .line_ = 3,
+                            .section_ = "class quote",
+                            .key_ = "tier",
+                            .expected_ = "0 to 3",
+                            .found_ = "\"7\""};
+                        check(ini::toString(fault) == "f.ini:3: [class quote] tier: expected 0 to 3, found \"7\"");
+                    }),
+            }),
+    }};
+
+} // namespace
--- /dev/null
+++ b/packages/ini/tests/scalar_test.cpp
@@ -0,0 +1,44 @@
+#include "jasminewood/ini/scalar.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace std::chrono_literals;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+const testkit::Story story = {"a single value",
+    {
+        section("that is a number",
+            {
+                // Guards against a value that is accepted although only its beginning is a number.
+                test("is accepted as a whole or not at all",
+                    [] {
+                        check(ini::parseInteger("-12") == -12);
+                        check(!ini::parseInteger("12x") && !ini::parseInteger("") && !ini::parseInteger("1 2"));
+                        check(!ini::parseInteger("99999999999999999999"));
+                    }),
+                // Guards against units taken for each other and against overflow.
+                test("may carry a unit of time",
+                    [] {
+                        check(ini::parseDuration("250ms") == 250ms && ini::parseDuration("3s") == 3s);
+                        check(ini::parseDuration("2m") == 2min && ini::parseDuration("7") == 7ms);
+                        check(!ini::parseDuration("-1s") && !ini::parseDuration("ms") && !ini::parseDuration("1d"));
+                        check(!ini::parseDuration("9223372036854775807h"));
+                    }),
+            }),
+        section("that is a list",
+            {
+                // Guards against empty names after a trailing comma.
+                test("drops blanks and empty parts",
+                    [] {
+                        check(ini::parseList(" a, b ,,c,") == std::vector<std::string> {"a", "b", "c"});
+                        check(ini::parseList(" ").empty());
+                    }),
+            }),
+    }};
+
+} // namespace
--- /dev/null
+++ b/packages/settings/include/jasminewood/settings/schema.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "jasminewood/core/clock.h"
+
+// The settings of a program, listed as values. The file, the flags, the checks and the help text all follow from them.
+//
+//     const auto schema = settings::Schema {
+//         {.section_ = "http", .name_ = "listen", .kind_ = settings::Address {}, .default_ = "127.0.0.1:8080",
+//             .help_ = "address of the callers' interface"},
+//     };
+
+namespace jasminewood::settings
+{
+
+struct Text
+{
+    auto operator<=>(const Text &) const = default;
+};
+
+// Bounds are inclusive.
+struct Integer
+{
+    const std::int64_t min_ = 0;
+    const std::int64_t max_ = std::numeric_limits<std::int64_t>::max();
+
+    auto operator<=>(const Integer &) const = default;
+};
+
+// Bounds are inclusive. Written with a unit, as in "250ms" or "3s".
+struct Duration
+{
+    const Milliseconds min_ = Milliseconds(0);
+    const Milliseconds max_ = Milliseconds::max();
+
+    auto operator<=>(const Duration &) const = default;
+};
+
+// "IP:PORT" with a numeric IPv4 address, or "[IP]:PORT" with a numeric IPv6 address. Port 0 lets the system choose.
+struct Address
+{
+    auto operator<=>(const Address &) const = default;
+};
+
+struct Choice
+{
+    const std::vector<std::string> values_;
+
+    auto operator<=>(const Choice &) const = default;
+};
+
+using Kind = std::variant<Text, Integer, Duration, Address, Choice>;
+
+struct Key
+{
+    const std::string section_;
+    const std::string name_;
+    const Kind kind_;
+    // Nothing if the key is required.
+    const std::optional<std::string> default_ = std::nullopt;
+    const std::string help_;
+
+    auto operator<=>(const Key &) const = default;
+};
+
+using Schema = std::vector<Key>;
+
+// A numeric address and port.
+struct Endpoint
+{
+    // Without brackets.
+    const std::string host_;
+    const std::uint16_t port_ = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+};
+
+// Returns "HOST:PORT", or "[HOST]:PORT" for IPv6.
+auto toString(const Endpoint &endpoint) -> std::string;
+
+// Returns nothing unless the text is what Address accepts.
+auto parseEndpoint(std::string_view text) -> std::optional<Endpoint>;
+
+// The value of a key in the type of its kind.
+using Value = std::variant<std::string, std::int64_t, Milliseconds, Endpoint>;
+
+// Returns nothing if the text is no value of this kind.
+auto parseValue(const Kind &kind, const std::string &text) -> std::optional<Value>;
+
+// Returns what a key of this kind accepts, in words, for faults and help texts.
+auto describe(const Kind &kind) -> std::string;
+
+} // namespace jasminewood::settings
--- /dev/null
+++ b/packages/settings/include/jasminewood/settings/settings.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jasminewood/ini/fault.h"
+#include "jasminewood/settings/schema.h"
+
+// Checked settings from an INI file, flags and defaults. Flags take precedence over the file, the file over defaults.
+//
+//     const auto loaded = settings::load(schema, "router.ini", settings::flagOverrides(schema));
+//     if (const auto *faults = std::get_if<std::vector<settings::Fault>>(&loaded)) { ... }
+//     const auto listen = std::get<settings::Settings>(loaded).address("http", "listen");
+
+namespace jasminewood::settings
+{
+
+using Fault = ini::Fault;
+
+// Values by flag name, that is "SECTION_KEY".
+using Overrides = std::map<std::string, std::string>;
+
+// One effective value and where it comes from.
+struct Setting
+{
+    const std::string section_;
+    const std::string name_;
+    const std::string text_;
+    const Value value_;
+    // "FILE:LINE", "flag --NAME" or "default".
+    const std::string source_;
+
+    auto operator<=>(const Setting &) const = default;
+};
+
+// Immutable; copies share their content. Thread-safe.
+// Precondition of each access: the schema has this key, and its kind is the one asked for.
+class Settings
+{
+public:
+    explicit Settings(std::vector<Setting> settings);
+
+    // The value of a Text or Choice key.
+    auto text(const std::string &section, const std::string &name) const -> const std::string &;
+    auto integer(const std::string &section, const std::string &name) const -> std::int64_t;
+    auto duration(const std::string &section, const std::string &name) const -> Milliseconds;
+    auto address(const std::string &section, const std::string &name) const -> const Endpoint &;
+
+    // All settings in the order of the schema.
+    auto all() const -> const std::vector<Setting> &;
+
+private:
+    auto value(const std::string &section, const std::string &name) const -> const Value &;
+
+    std::shared_ptr<const std::vector<Setting>> settings_;
+};
+
+// Reads the file at path, or none if path is empty. Returns all faults together: an unreadable file, a syntax error, an
+// unknown section or key, a duplicate, a missing required key and a wrong value. The faults of the file come first.
+auto load(const Schema &schema, const std::string &path, const Overrides &overrides)
+    -> std::variant<Settings, std::vector<Fault>>;
+
+// As load(), from text; fileName stands in the faults.
+auto loadText(const Schema &schema, std::string_view text, const std::string &fileName, const Overrides &overrides)
+    -> std::variant<Settings, std::vector<Fault>>;
+
+// Returns the effective settings as INI, each preceded by a comment with its source.
+auto print(const Settings &settings) -> std::string;
+
+} // namespace jasminewood::settings
--- /dev/null
+++ b/packages/settings/tests/flags_test.cpp
@@ -0,0 +1,48 @@
+#include "jasminewood/settings/flags.h"
+#include "jasminewood/testkit/story.h"
+
+#include <array>
+
+#include <gflags/gflags.h>
+
+using namespace jasminewood;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+const auto schema = settings::Schema {
+    {.section_ = "flagtest", .name_ = "listen-port", .kind_ = settings::Integer {}, .default_ = "80", .help_ = "port"},
+    {.section_ = "flagtest", .name_ = "name", .kind_ = settings::Text {}, .help_ = "name of the process"},
+};
+
+const testkit::Story story = {"the flags of a schema",
+    {
+        section("after the command line was parsed",
+            {
+                // Guards against defaults that count as given, and against a given default that is lost.
+                test("override exactly the keys that were given",
+                    [] {
+                        settings::registerFlags(schema);
+                        settings::registerFlags(schema);
+                        auto program = std::string("program");
+                        auto flag = std::string("--flagtest_listen_port=80");
+                        auto words = std::array {program.data(), flag.data()};
+                        auto count = static_cast<int>(words.size());
+                        auto *arguments = words.data();
+                        gflags::ParseCommandLineFlags(&count, &arguments, false);
+                        check(settings::flagOverrides(schema) == settings::Overrides {{"flagtest_listen_port", "80"}});
+                    }),
+                // Guards against flags without a help text.
+                test("describe themselves for --help",
+                    [] {
+                        settings::registerFlags(schema);
+                        const auto info = gflags::GetCommandLineFlagInfoOrDie("flagtest_name");
+                        check(info.description == "name of the process (text, required in the file or here)");
+                    }),
+            }),
+    }};
+
+} // namespace
--- /dev/null
+++ b/packages/settings/tests/settings_test.cpp
@@ -0,0 +1,101 @@
+#include "jasminewood/settings/settings.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace std::chrono_literals;
+using jasminewood::settings::Fault;
+using jasminewood::settings::Settings;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+const auto schema = settings::Schema {
+    {.section_ = "http", .name_ = "listen", .kind_ = settings::Address {}, .default_ = "127.0.0.1:0", .help_ = "port"},
+    {.section_ = "http", .name_ = "threads", .kind_ = settings::Integer {.min_ = 1, .max_ = 9}, .help_ = "threads"},
+    {.section_ = "link",
+        .name_ = "silence",
+        .kind_ = settings::Duration {.min_ = 100ms, .max_ = 10s},
+        .default_ = "1500ms",
+        .help_ = "silence"},
+    {.section_ = "log",
+        .name_ = "level",
+        .kind_ = settings::Choice {.values_ = {"info", "debug"}},
+        .default_ = "info",
+        .help_ = "level"},
+};
+
+auto faultsOf(const std::string &text, const settings::Overrides &overrides = {}) -> std::vector<std::string>
+{
+    const auto loaded = settings::loadText(schema, text, "r.ini", overrides);
+    auto lines = std::vector<std::string>();
+    if (const auto *faults = std::get_if<std::vector<Fault>>(&loaded)) {
+        for (const auto &fault : *faults) {
+            lines.push_back(toString(fault));
+        }
+    }
+    return lines;
+}
+
+const testkit::Story story = {"settings",
+    {
+        section("that are right",
+            {
+                // Guards against a wrong order of precedence between flag, file and default.
+                test("come from the flag, else the file, else the default",
+                    [] {
+                        const auto loaded = settings::loadText(schema,
+                            "[http]\nthreads = 3\nlisten = [::1]:80\n[link]\nsilence = 2s\n", "r.ini",
+                            {{"link_silence", "300ms"}});
+                        const auto *values = std::get_if<Settings>(&loaded);
+                        check(values != nullptr);
+                        check(values->integer("http", "threads") == 3);
+                        check(values->address("http", "listen") == settings::Endpoint {.host_ = "::1", .port_ = 80});
+                        check(values->duration("link", "silence") == 300ms);
+                        check(values->text("log", "level") == "info");
+                        check(settings::print(*values)
+                            == "[http]\n; r.ini:3\nlisten = [::1]:80\n; r.ini:2\nthreads = 3\n\n"
+                               "[link]\n; flag --link_silence\nsilence = 300ms\n\n[log]\n; default\nlevel = info\n");
+                    }),
+            }),
+        section("with several faults",
+            {
+                // Guards against an operator who must correct and retry once for each fault.
+                test("list all of them with their lines",
+                    [] {
+                        const auto faults = faultsOf("[http]\nlisten = localhost:80\nport = 1\n[lnk]\nx = 1\n"
+                                                     "[link]\nsilence = 1ms\nsilence = 2s\n[log]\nlevel = loud\n");
+                        check(faults
+                            == std::vector<std::string> {
+                                "r.ini:3: [http] port: expected a known key, found \"port\"",
+                                "r.ini:4: [lnk]: expected a known section, found \"lnk\"",
+                                "r.ini:8: [link] silence: expected each key once, found a duplicate of line 7",
+                                "r.ini:2: [http] listen: expected a numeric address IP:PORT, found \"localhost:80\"",
+                                "r.ini: [http] threads: expected a number from 1 to 9, found nothing (the key is "
+                                "required)",
+                                "r.ini:7: [link] silence: expected a duration from 100ms to 10000ms, such as 3s, "
+                                "found \"1ms\"",
+                                "r.ini:10: [log] level: expected one of info, debug, found \"loud\"",
+                            });
+                    }),
+                // Guards against a wrong file that goes unnoticed until the flag is removed.
+                test("report a wrong value in the file although a flag replaces it",
+                    [] {
+                        check(faultsOf("[http]\nthreads = many\n", {{"http_threads", "2"}}).size() == 1);
+                        check(faultsOf("[http]\nthreads = 2\n", {{"http_threads", "10"}})
+                            == std::vector<std::string> {
+                                "flag --http_threads: [http] threads: expected a number from 1 to 9, found \"10\""});
+                    }),
+                // Guards against a syntax error or a missing file that is taken for an empty file.
+                test("fail on syntax errors and on unreadable files",
+                    [] {
+                        check(faultsOf("[http]\nthreads 3\n").front().starts_with("r.ini:2: expected INI text, found"));
+                        const auto loaded = settings::load(schema, "/nonexistent/r.ini", {{"http_threads", "2"}});
+                        check(std::holds_alternative<std::vector<Fault>>(loaded));
+                    }),
+            }),
+    }};
+
+} // namespace
