Add the msgpack codec of the wire messages

The link and every process need one encoding of wire::Message. The fields of each message are listed once, in fields.h, and the writer, the reader and the limit check all follow that list. Decoding splits the bytes into items with msgpack's event parser, so no memory is taken on the word of a length field. validate() applies decode's limits before sending, which lets one oversized request fail without the loss of the connection that it shares.

--- /dev/null
+++ b/packages/wire/src/fields.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+
+#include "jasminewood/wire/codec.h"
+#include "jasminewood/wire/messages.h"
+
+// The fields of each message and of the values in it, in the order of the encoding. Encoding, decoding and checking of
+// limits all follow these lists, so they cannot disagree.
+
+namespace jasminewood::wire::internal
+{
+
+// A string of at most maximumBodyBytes with any bytes; all other strings are names.
+struct Body
+{
+    const std::string &text_;
+};
+
+struct OptionalBody
+{
+    const std::optional<std::string> &text_;
+};
+
+inline auto fieldsOf(const NodeId &value)
+{
+    return std::tie(value.name_, value.incarnation_);
+}
+
+inline auto fieldsOf(const AttemptId &value)
+{
+    return std::tie(value.request_, value.number_);
+}
+
+inline auto fieldsOf(const Failure &value)
+{
+    return std::make_tuple(std::cref(value.step_), std::cref(value.peer_), Body {value.reason_},
+        std::cref(value.runState_), std::cref(value.retryAfter_));
+}
+
+inline auto fieldsOf(const LoadReport &value)
+{
+    return std::tie(
+        value.running_, value.freeSlots_, value.queuedByTier_, value.firstToken_, value.betweenTokens_, value.leaving_);
+}
+
+inline auto fieldsOf(const CrashReport &value)
+{
+    return std::tie(value.fingerprint_, value.crash_);
+}
+
+inline auto fieldsOf(const Hello &value)
+{
+    return std::tie(value.version_, value.node_, value.role_, value.dataCentre_, value.pool_);
+}
+
+inline auto fieldsOf(const Heartbeat &value)
+{
+    return std::tie(value.sequence_, value.load_);
+}
+
+inline auto fieldsOf(const Dispatch &value)
+{
+    return std::make_tuple(std::cref(value.attempt_), std::cref(value.expectedIncarnation_), std::cref(value.account_),
+        std::cref(value.requestClass_), std::cref(value.tier_), Body {value.path_}, Body {value.body_},
+        std::cref(value.stream_), std::cref(value.idempotent_), std::cref(value.suspect_),
+        std::cref(value.maximumWait_), std::cref(value.costEstimate_), Body {value.resumeText_});
+}
+
+inline auto fieldsOf(const Started &value)
+{
+    return std::tie(value.attempt_);
+}
+
+inline auto fieldsOf(const Frame &value)
+{
+    return std::make_tuple(std::cref(value.attempt_), std::cref(value.offset_), Body {value.data_});
+}
+
+inline auto fieldsOf(const Finished &value)
+{
+    return std::tie(
+        value.attempt_, value.length_, value.digest_, value.status_, value.contentType_, value.outputTokens_);
+}
+
+inline auto fieldsOf(const Failed &value)
+{
+    return std::tie(value.attempt_, value.failure_, value.upstreamCrashed_, value.wastedTokens_);
+}
+
+inline auto fieldsOf(const Cancel &value)
+{
+    return std::tie(value.attempt_);
+}
+
+inline auto fieldsOf(const Attach &value)
+{
+    return std::tie(value.attempt_, value.offset_);
+}
+
+inline auto fieldsOf(const Void &value)
+{
+    return std::tie(value.attempt_);
+}
+
+inline auto fieldsOf(const Voided &value)
+{
+    return std::make_tuple(std::cref(value.attempt_), std::cref(value.runState_), OptionalBody {value.answer_});
+}
+
+inline auto fieldsOf(const Leaving & /*value*/)
+{
+    return std::tuple<>();
+}
+
+inline auto fieldsOf(const ManifestUpdate &value)
+{
+    return std::make_tuple(std::cref(value.revision_), Body {value.text_});
+}
+
+inline auto fieldsOf(const Usage &value)
+{
+    return std::tie(value.router_, value.admittedWork_);
+}
+
+inline auto fieldsOf(const Suspicions &value)
+{
+    return std::tie(value.reports_);
+}
+
+inline auto fieldsOf(const Drain & /*value*/)
+{
+    return std::tuple<>();
+}
+
+template <typename Value>
+using FieldsOf = decltype(fieldsOf(std::declval<const Value &>()));
+
+template <typename Value>
+constexpr auto fieldCount = std::tuple_size_v<FieldsOf<Value>>;
+
+// Type numbers are part of the format: a number is never given to another message.
+template <typename Value>
+constexpr std::uint32_t typeNumber = 0;
+
+template <>
+inline constexpr std::uint32_t typeNumber<Hello> = 1;
+template <>
+inline constexpr std::uint32_t typeNumber<Heartbeat> = 2;
+template <>
+inline constexpr std::uint32_t typeNumber<Dispatch> = 3;
+template <>
+inline constexpr std::uint32_t typeNumber<Started> = 4;
+template <>
+inline constexpr std::uint32_t typeNumber<Frame> = 5;
+template <>
+inline constexpr std::uint32_t typeNumber<Finished> = 6;
+template <>
+inline constexpr std::uint32_t typeNumber<Failed> = 7;
+template <>
+inline constexpr std::uint32_t typeNumber<Cancel> = 8;
+template <>
+inline constexpr std::uint32_t typeNumber<Attach> = 9;
+template <>
+inline constexpr std::uint32_t typeNumber<Void> = 10;
+template <>
+inline constexpr std::uint32_t typeNumber<Voided> = 11;
+template <>
+inline constexpr std::uint32_t typeNumber<Leaving> = 12;
+template <>
+inline constexpr std::uint32_t typeNumber<ManifestUpdate> = 13;
+template <>
+inline constexpr std::uint32_t typeNumber<Usage> = 14;
+template <>
+inline constexpr std::uint32_t typeNumber<Suspicions> = 15;
+template <>
+inline constexpr std::uint32_t typeNumber<Drain> = 16;
+
+} // namespace jasminewood::wire::internal
--- /dev/null
+++ b/packages/wire/src/item_writer.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <string>
+
+#include <msgpack.hpp>
+
+#include "fields.h"
+
+// Writes values as msgpack, the inverse of ItemReader.
+
+namespace jasminewood::wire::internal
+{
+
+// The kind of stream that msgpack::packer writes to.
+struct StringStream
+{
+    auto write(const char *data, std::size_t size) -> void
+    {
+        bytes_.append(data, size);
+    }
+
+    std::string bytes_;
+};
+
+class ItemWriter
+{
+public:
+    template <typename Message>
+    auto message(const Message &message) -> std::string
+    {
+        packer_.pack_array(2 + fieldCount<Message>);
+        write(protocolVersion);
+        write(typeNumber<Message>);
+        writeFields(message);
+        return std::move(stream_.bytes_);
+    }
+
+private:
+    template <typename Value>
+    auto writeFields(const Value &value) -> void
+    {
+        std::apply(
+            [this](const auto &...field) {
+                (write(field), ...);
+            },
+            fieldsOf(value));
+    }
+
+    template <typename Value>
+    auto write(const Value &value) -> void requires std::is_arithmetic_v<Value>
+    {
+        packer_.pack(value);
+    }
+
+    template <typename Value>
+    auto write(const Value &value) -> void requires std::is_enum_v<Value>
+    {
+        packer_.pack(static_cast<std::uint8_t>(value));
+    }
+
+    template <typename Value>
+    auto write(const Value &value) -> void requires requires
+    {
+        fieldsOf(value);
+    }
+    {
+        packer_.pack_array(fieldCount<Value>);
+        writeFields(value);
+    }
+
+    auto write(const std::string &name) -> void
+    {
+        packer_.pack_str(std::uint32_t(name.size()));
+        packer_.pack_str_body(name.data(), std::uint32_t(name.size()));
+    }
+
+    auto write(const Body &body) -> void
+    {
+        packer_.pack_bin(std::uint32_t(body.text_.size()));
+        packer_.pack_bin_body(body.text_.data(), std::uint32_t(body.text_.size()));
+    }
+
+    auto write(const OptionalBody &body) -> void
+    {
+        body.text_ ? write(Body {*body.text_}) : void(packer_.pack_nil());
+    }
+
+    template <typename Period>
+    auto write(const std::chrono::duration<std::int64_t, Period> &span) -> void
+    {
+        packer_.pack(span.count());
+    }
+
+    template <typename Value>
+    auto write(const std::optional<Value> &value) -> void
+    {
+        value ? write(*value) : void(packer_.pack_nil());
+    }
+
+    template <typename Value, std::size_t count>
+    auto write(const std::array<Value, count> &values) -> void
+    {
+        writeList(values);
+    }
+
+    template <typename Value>
+    auto write(const std::vector<Value> &values) -> void
+    {
+        writeList(values);
+    }
+
+    template <typename List>
+    auto writeList(const List &values) -> void
+    {
+        packer_.pack_array(std::uint32_t(values.size()));
+        for (const auto &value : values) {
+            write(value);
+        }
+    }
+
+    template <typename Value>
+    auto write(const std::map<std::string, Value> &values) -> void
+    {
+        packer_.pack_map(std::uint32_t(values.size()));
+        for (const auto &[key, value] : values) {
+            write(key);
+            write(value);
+        }
+    }
+
+    StringStream stream_;
+    msgpack::packer<StringStream> packer_ = msgpack::packer<StringStream>(stream_);
+};
+
+} // namespace jasminewood::wire::internal
--- /dev/null
+++ b/packages/wire/tests/arbitrary_message.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <string>
+
+#include <rapidcheck.h>
+
+#include "jasminewood/wire/codec.h"
+
+// Generators of message values within the limits of the format.
+
+namespace jasminewood::wire
+{
+
+inline auto anyName() -> std::string
+{
+    return *rc::gen::container<std::string>(std::size_t(*rc::gen::inRange(0, 20)), rc::gen::arbitrary<char>());
+}
+
+inline auto anyBody() -> std::string
+{
+    return *rc::gen::arbitrary<std::string>();
+}
+
+template <typename Number>
+auto anyNumber() -> Number
+{
+    return *rc::gen::arbitrary<Number>();
+}
+
+inline auto anyAttempt() -> AttemptId
+{
+    return AttemptId {.request_ = anyName(), .number_ = anyNumber<std::uint32_t>()};
+}
+
+inline auto anyNode() -> NodeId
+{
+    return NodeId {.name_ = anyName(), .incarnation_ = anyNumber<std::uint64_t>()};
+}
+
+template <typename Span>
+auto anySpan() -> Span
+{
+    return Span(*rc::gen::inRange<std::int64_t>(0, Span(maximumSpan).count() + 1));
+}
+
+inline auto anyRunState() -> RunState
+{
+    return *rc::gen::element(RunState::NotRun, RunState::MayHaveRun, RunState::Ran);
+}
+
+inline auto anyLoad() -> std::optional<LoadReport>
+{
+    if (anyNumber<bool>()) {
+        return std::nullopt;
+    }
+    return LoadReport {.running_ = anyNumber<std::uint32_t>(),
+        .freeSlots_ = anyNumber<std::uint32_t>(),
+        .queuedByTier_ = {anyNumber<std::uint32_t>(), 1, 0, anyNumber<std::uint32_t>()},
+        .firstToken_ = anySpan<Microseconds>(),
+        .betweenTokens_ = anySpan<Microseconds>(),
+        .leaving_ = anyNumber<bool>()};
+}
+
+inline auto anyFailure() -> Failure
+{
+    return Failure {.step_ = anyName(),
+        .peer_ = anyName(),
+        .reason_ = anyBody(),
+        .runState_ = anyRunState(),
+        .retryAfter_ = anyNumber<bool>() ? std::make_optional(anySpan<Milliseconds>()) : std::nullopt};
+}
+
+inline auto anyDispatch() -> Dispatch
+{
+    return Dispatch {.attempt_ = anyAttempt(),
+        .expectedIncarnation_ = anyNumber<std::uint64_t>(),
+        .account_ = anyName(),
+        .requestClass_ = anyName(),
+        .tier_ = *rc::gen::inRange<Tier>(highestTier, lowestTier + 1),
+        .path_ = anyBody(),
+        .body_ = anyBody(),
+        .stream_ = anyNumber<bool>(),
+        .idempotent_ = anyNumber<bool>(),
+        .suspect_ = anyNumber<bool>(),
+        .maximumWait_ = anySpan<Milliseconds>(),
+        .costEstimate_ = anyNumber<std::uint32_t>(),
+        .resumeText_ = anyBody()};
+}
+
+inline auto anySuspicions() -> Suspicions
+{
+    auto reports = std::vector<CrashReport>();
+    const auto count = *rc::gen::inRange(0, 5);
+    for (auto index = 0; index < count; ++index) {
+        reports.push_back(CrashReport {.fingerprint_ = anyNumber<std::uint64_t>(), .crash_ = anyName()});
+    }
+    return Suspicions {.reports_ = std::move(reports)};
+}
+
+inline auto anyUsage() -> Usage
+{
+    auto work = std::map<std::string, std::uint64_t>();
+    const auto count = *rc::gen::inRange(0, 5);
+    for (auto index = 0; index < count; ++index) {
+        work.emplace(anyName(), anyNumber<std::uint64_t>());
+    }
+    return Usage {.router_ = anyNode(), .admittedWork_ = std::move(work)};
+}
+
+// Creates one value of each message type, in the order of the type numbers.
+inline auto anyOfEach() -> std::vector<Message>
+{
+    return {Hello {.node_ = anyNode(), .role_ = Role::Agent, .dataCentre_ = anyName(), .pool_ = anyName()},
+        Heartbeat {.sequence_ = anyNumber<std::uint64_t>(), .load_ = anyLoad()}, anyDispatch(),
+        Started {.attempt_ = anyAttempt()},
+        Frame {.attempt_ = anyAttempt(), .offset_ = anyNumber<std::uint64_t>(), .data_ = anyBody()},
+        Finished {.attempt_ = anyAttempt(),
+            .length_ = anyNumber<std::uint64_t>(),
+            .digest_ = anyNumber<std::uint64_t>(),
+            .status_ = anyNumber<std::uint16_t>(),
+            .contentType_ = anyName(),
+            .outputTokens_ = anyNumber<std::uint32_t>()},
+        Failed {.attempt_ = anyAttempt(),
+            .failure_ = anyFailure(),
+            .upstreamCrashed_ = anyNumber<bool>(),
+            .wastedTokens_ = anyNumber<std::uint32_t>()},
+        Cancel {.attempt_ = anyAttempt()}, Attach {.attempt_ = anyAttempt(), .offset_ = anyNumber<std::uint64_t>()},
+        Void {.attempt_ = anyAttempt()},
+        Voided {.attempt_ = anyAttempt(),
+            .runState_ = anyRunState(),
+            .answer_ = anyNumber<bool>() ? std::make_optional(anyBody()) : std::nullopt},
+        Leaving {}, ManifestUpdate {.revision_ = anyNumber<std::uint64_t>(), .text_ = anyBody()}, anyUsage(),
+        anySuspicions(), Drain {}};
+}
+
+} // namespace jasminewood::wire
--- /dev/null
+++ b/packages/wire/tests/codec_test.cpp
@@ -0,0 +1,213 @@
+#include "jasminewood/wire/codec.h"
+
+#include "arbitrary_message.h"
+#include "jasminewood/testkit/property.h"
+
+using namespace jasminewood;
+using jasminewood::testkit::check;
+using jasminewood::testkit::property;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+auto isRefused(std::string_view bytes) -> bool
+{
+    const auto message = wire::decode(bytes);
+    return !message && message.reason().step_ == "decode" && !message.reason().reason_.empty();
+}
+
+auto isValidOrRefused(std::string_view bytes) -> bool
+{
+    const auto message = wire::decode(bytes);
+    return message ? !wire::validate(*message) : isRefused(bytes);
+}
+
+// Replaces the byte of the version or of the type number in an encoded message with fewer than 16 items.
+auto withByte(std::string bytes, std::size_t position, char value) -> std::string
+{
+    bytes[position] = value;
+    return bytes;
+}
+
+constexpr std::size_t versionPosition = 1;
+constexpr std::size_t typePosition = 2;
+
+auto usageOf(std::size_t accounts) -> wire::Message
+{
+    auto work = std::map<std::string, std::uint64_t>();
+    for (auto index = std::size_t(0); index < accounts; ++index) {
+        work.emplace("account-" + std::to_string(index), index);
+    }
+    return wire::Usage {.router_ = {.name_ = "r", .incarnation_ = 1}, .admittedWork_ = std::move(work)};
+}
+
+auto manifestOf(std::size_t size) -> wire::Message
+{
+    return wire::ManifestUpdate {.revision_ = 1, .text_ = std::string(size, 'x')};
+}
+
+auto cancelOf(std::size_t size) -> wire::Message
+{
+    return wire::Cancel {.attempt_ = {.request_ = std::string(size, 'x'), .number_ = 1}};
+}
+
+// Both sides of a limit must agree: what validate() lets through, decode() accepts, and the other way round.
+auto limitIsAt(const wire::Message &allowed, const wire::Message &refused) -> void
+{
+    check(!wire::validate(allowed));
+    check(bool(wire::decode(wire::encode(allowed))));
+    check(wire::validate(refused).has_value() && wire::validate(refused)->step_ == "encode");
+    check(isRefused(wire::encode(refused)));
+}
+
+const testkit::Story wholeMessages = {"a message of any type",
+    {
+        // Guards against a field that is lost, reordered or cut by the encoding.
+        property("is the same after a round trip and valid",
+            [] {
+                for (const auto &message : wire::anyOfEach()) {
+                    const auto decoded = wire::decode(wire::encode(message));
+                    RC_ASSERT(bool(decoded));
+                    RC_ASSERT(*decoded == message);
+                    RC_ASSERT(!wire::validate(message));
+                }
+            }),
+        // Guards against a type number that changes when the variant is reordered.
+        property("has the type number of its place in the table",
+            [] {
+                auto number = char(0);
+                for (const auto &message : wire::anyOfEach()) {
+                    RC_ASSERT(wire::encode(message)[typePosition] == ++number);
+                }
+            }),
+    }};
+
+const testkit::Story damagedMessages = {"a damaged message",
+    {
+        section("cut at any byte",
+            {
+                // Guards against a partial message that passes for a whole one.
+                property("is refused",
+                    [] {
+                        for (const auto &message : wire::anyOfEach()) {
+                            const auto bytes = wire::encode(message);
+                            for (auto size = std::size_t(0); size < bytes.size(); ++size) {
+                                RC_ASSERT(isRefused(std::string_view(bytes).substr(0, size)));
+                            }
+                        }
+                    }),
+            }),
+        section("with bytes after it",
+            {
+                // Guards against two messages in one frame, of which the second would be lost.
+                test("is refused",
+                    [] {
+                        check(isRefused(wire::encode(wire::Drain {}) + wire::encode(wire::Drain {})));
+                    }),
+            }),
+        section("with changed bytes",
+            {
+                // Guards against a crash or an exception on any input.
+                property("is refused or is another valid message",
+                    [] {
+                        for (const auto &message : wire::anyOfEach()) {
+                            auto bytes = wire::encode(message);
+                            const auto position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+                            bytes[position] = *rc::gen::arbitrary<char>();
+                            RC_ASSERT(isValidOrRefused(bytes));
+                        }
+                    }),
+                property("that are random is refused or is a valid message",
+                    [](const std::string &bytes) {
+                        RC_ASSERT(isValidOrRefused(bytes));
+                    }),
+            }),
+        section("that states a length far beyond its bytes",
+            {
+                // Guards against memory taken on the word of a length field: 4 GiB would be asked for here.
+                test("is refused",
+                    [] {
+                        check(isRefused("\xdd\xff\xff\xff\xff"));
+                        check(isRefused("\x93\x01\x0d\xdb\xff\xff\xff\xff"));
+                        check(isRefused("\x93\x01\x0d\xc6\xff\xff\xff\xff"));
+                        check(isRefused("\x94\x01\x0e\xdf\xff\xff\xff\xff"));
+                    }),
+            }),
+        section("nested far too deep",
+            {
+                // Guards against a parser stack that grows with hostile input.
+                test("is refused",
+                    [] {
+                        check(isRefused(std::string(1U << 20U, '\x91')));
+                    }),
+            }),
+    }};
+
+const testkit::Story otherVersions = {"a message of another",
+    {
+        section("version",
+            {
+                // Guards against a reading of fields that mean something else.
+                test("is refused with both versions in the reason",
+                    [] {
+                        const auto bytes = withByte(wire::encode(wire::Drain {}), versionPosition, '\x02');
+                        const auto message = wire::decode(bytes);
+                        check(!message && message.reason().step_ == "decode");
+                        check(message.reason().reason_ == "protocol version 2 instead of 1");
+                    }),
+            }),
+        section("type",
+            {
+                test("is refused if the type is unknown",
+                    [] {
+                        check(isRefused(withByte(wire::encode(wire::Drain {}), typePosition, '\x00')));
+                        check(isRefused(withByte(wire::encode(wire::Drain {}), typePosition, '\x11')));
+                    }),
+                test("is refused if the type has other fields",
+                    [] {
+                        check(isRefused(withByte(wire::encode(wire::Drain {}), typePosition, '\x01')));
+                        check(isRefused(withByte(wire::encode(cancelOf(1)), typePosition, '\x0f')));
+                    }),
+            }),
+    }};
+
+const testkit::Story limits = {"the limit of",
+    {
+        // Guards against a sender that loses its connection over a message which the peer must refuse.
+        test("a name is the same on both sides",
+            [] {
+                limitIsAt(cancelOf(wire::maximumNameBytes), cancelOf(wire::maximumNameBytes + 1));
+            }),
+        test("a body is the same on both sides",
+            [] {
+                limitIsAt(manifestOf(wire::maximumBodyBytes), manifestOf(wire::maximumBodyBytes + 1));
+            }),
+        test("a map is the same on both sides",
+            [] {
+                limitIsAt(usageOf(wire::maximumEntries), usageOf(wire::maximumEntries + 1));
+            }),
+        test("a list is the same on both sides",
+            [] {
+                const auto report = wire::CrashReport {.fingerprint_ = 1, .crash_ = "a@1/1"};
+                limitIsAt(wire::Suspicions {.reports_ = std::vector(wire::maximumEntries, report)},
+                    wire::Suspicions {.reports_ = std::vector(wire::maximumEntries + 1, report)});
+            }),
+        test("a whole message is the same on both sides",
+            [] {
+                const auto half = std::string(wire::maximumBodyBytes, 'x');
+                const auto message = wire::Message(wire::Dispatch {.body_ = half, .resumeText_ = half});
+                check(wire::validate(message).has_value());
+                check(isRefused(wire::encode(message)));
+            }),
+        test("a time span is refused on both sides when negative or too long",
+            [] {
+                const auto negative = wire::Dispatch {.maximumWait_ = Milliseconds(-1)};
+                const auto tooLong = wire::Dispatch {.maximumWait_ = wire::maximumSpan + Milliseconds(1)};
+                limitIsAt(wire::Dispatch {.maximumWait_ = wire::maximumSpan}, negative);
+                limitIsAt(wire::Dispatch {.maximumWait_ = wire::maximumSpan}, tooLong);
+            }),
+    }};
+
+} // namespace
