Carry finish reasons, stored answers, crash ids and time line queries in the wire messages

Cause: Voided could not return the status and type of a stored answer, Failed could not say which crash broke an attempt, and the time line of all processes had no way to the router. Change: adds Answer, AccountUsage, TimelineQuery and TimelineReply, finishReason and crash fields; a crash report carries its age.

--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -121,6 +121,8 @@
     // HTTP status of the upstream.
     const std::uint16_t status_ = 0;
     const std::string contentType_;
+    // The engine's reason, for example "stop" or "length"; empty for plain services.
+    const std::string finishReason_;
     const std::uint32_t outputTokens_ = 0;
 
     auto operator<=>(const Finished &) const = default;
@@ -131,8 +133,9 @@
 {
     const AttemptId attempt_;
     const Failure failure_;
-    // True if the upstream's process died while the attempt ran.
-    const bool upstreamCrashed_ = false;
+    // Identifies the crash, "AGENT@INCARNATION/COUNT", if the upstream's process died while the attempt ran; else
+    // empty.
+    const std::string crash_;
     // Output tokens produced and thrown away.
     const std::uint32_t wastedTokens_ = 0;
 
@@ -164,12 +167,23 @@
     auto operator<=>(const Void &) const = default;
 };
 
+// A whole answer of an upstream.
+struct Answer
+{
+    // HTTP status of the upstream.
+    const std::uint16_t status_ = 0;
+    const std::string contentType_;
+    const std::string body_;
+
+    auto operator<=>(const Answer &) const = default;
+};
+
 // Answer to Void. NotRun: voided for good. Ran: answer_ holds the output. MayHaveRun: it is running now.
 struct Voided
 {
     const AttemptId attempt_;
     const RunState runState_ = RunState::MayHaveRun;
-    const std::optional<std::string> answer_;
+    const std::optional<Answer> answer_;
 
     auto operator<=>(const Voided &) const = default;
 };
@@ -189,11 +203,22 @@
     auto operator<=>(const ManifestUpdate &) const = default;
 };
 
-// Router to router: work units that this router has admitted by account since its start.
+// What one router has admitted of one account since its start.
+struct AccountUsage
+{
+    const std::uint64_t requests_ = 0;
+    // Estimated output tokens.
+    const std::uint64_t work_ = 0;
+
+    auto operator<=>(const AccountUsage &) const = default;
+};
+
+// Router to router: the totals of the accounts that were used lately. They never decrease, so the receiver keeps the
+// maximum.
 struct Usage
 {
     const NodeId router_;
-    const std::map<std::string, std::uint64_t> admittedWork_;
+    const std::map<std::string, AccountUsage> accounts_;
 
     auto operator<=>(const Usage &) const = default;
 };
@@ -204,6 +229,10 @@
     const std::uint64_t fingerprint_ = 0;
     // Identifies the crash, not the request: "AGENT@INCARNATION/COUNT".
     const std::string crash_;
+    // Time since the crash.
+    const Milliseconds age_ = Milliseconds(0);
+    // True if a request with this fingerprint has completed since.
+    const bool cleared_ = false;
 
     auto operator<=>(const CrashReport &) const = default;
 };
@@ -221,7 +250,28 @@
     auto operator<=>(const Drain &) const = default;
 };
 
+// Asks for the events of a request, or of a span of time if request_ is empty. Answered by TimelineReply.
+struct TimelineQuery
+{
+    const std::uint64_t query_ = 0;
+    const std::string request_;
+    // Microseconds since the epoch.
+    const std::uint64_t fromMicros_ = 0;
+    const std::uint64_t toMicros_ = 0;
+
+    auto operator<=>(const TimelineQuery &) const = default;
+};
+
+struct TimelineReply
+{
+    const std::uint64_t query_ = 0;
+    // JSON array of events, as package observe writes it.
+    const std::string events_;
+
+    auto operator<=>(const TimelineReply &) const = default;
+};
+
 using Message = std::variant<Hello, Heartbeat, Dispatch, Started, Frame, Finished, Failed, Cancel, Attach, Void, Voided,
-    Leaving, ManifestUpdate, Usage, Suspicions, Drain>;
+    Leaving, ManifestUpdate, Usage, Suspicions, Drain, TimelineQuery, TimelineReply>;
 
 } // namespace jasminewood::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -21,11 +21,6 @@
     const std::string &text_;
 };
 
-struct OptionalBody
-{
-    const std::optional<std::string> &text_;
-};
-
 inline auto fieldsOf(const NodeId &value)
 {
     return std::tie(value.name_, value.incarnation_);
@@ -50,7 +45,7 @@
 
 inline auto fieldsOf(const CrashReport &value)
 {
-    return std::tie(value.fingerprint_, value.crash_);
+    return std::tie(value.fingerprint_, value.crash_, value.age_, value.cleared_);
 }
 
 inline auto fieldsOf(const Hello &value)
@@ -83,13 +78,13 @@
 
 inline auto fieldsOf(const Finished &value)
 {
-    return std::tie(
-        value.attempt_, value.length_, value.digest_, value.status_, value.contentType_, value.outputTokens_);
+    return std::tie(value.attempt_, value.length_, value.digest_, value.status_, value.contentType_,
+        value.finishReason_, value.outputTokens_);
 }
 
 inline auto fieldsOf(const Failed &value)
 {
-    return std::tie(value.attempt_, value.failure_, value.upstreamCrashed_, value.wastedTokens_);
+    return std::tie(value.attempt_, value.failure_, value.crash_, value.wastedTokens_);
 }
 
 inline auto fieldsOf(const Cancel &value)
@@ -107,9 +102,14 @@
     return std::tie(value.attempt_);
 }
 
+inline auto fieldsOf(const Answer &value)
+{
+    return std::make_tuple(std::cref(value.status_), std::cref(value.contentType_), Body {value.body_});
+}
+
 inline auto fieldsOf(const Voided &value)
 {
-    return std::make_tuple(std::cref(value.attempt_), std::cref(value.runState_), OptionalBody {value.answer_});
+    return std::tie(value.attempt_, value.runState_, value.answer_);
 }
 
 inline auto fieldsOf(const Leaving & /*value*/)
@@ -122,9 +122,14 @@
     return std::make_tuple(std::cref(value.revision_), Body {value.text_});
 }
 
+inline auto fieldsOf(const AccountUsage &value)
+{
+    return std::tie(value.requests_, value.work_);
+}
+
 inline auto fieldsOf(const Usage &value)
 {
-    return std::tie(value.router_, value.admittedWork_);
+    return std::tie(value.router_, value.accounts_);
 }
 
 inline auto fieldsOf(const Suspicions &value)
@@ -137,6 +142,16 @@
     return std::tuple<>();
 }
 
+inline auto fieldsOf(const TimelineQuery &value)
+{
+    return std::tie(value.query_, value.request_, value.fromMicros_, value.toMicros_);
+}
+
+inline auto fieldsOf(const TimelineReply &value)
+{
+    return std::make_tuple(std::cref(value.query_), Body {value.events_});
+}
+
 template <typename Value>
 using FieldsOf = decltype(fieldsOf(std::declval<const Value &>()));
 
@@ -179,5 +194,9 @@
 inline constexpr std::uint32_t typeNumber<Suspicions> = 15;
 template <>
 inline constexpr std::uint32_t typeNumber<Drain> = 16;
+template <>
+inline constexpr std::uint32_t typeNumber<TimelineQuery> = 17;
+template <>
+inline constexpr std::uint32_t typeNumber<TimelineReply> = 18;
 
 } // namespace jasminewood::wire::internal
--- a/packages/wire/src/item_reader.h
+++ b/packages/wire/src/item_reader.h
@@ -150,11 +150,6 @@
         return limited(take<Bytes>("a byte string is expected").bytes_, maximumBodyBytes);
     }
 
-    auto read(Tag<OptionalBody> /*tag*/) -> std::optional<std::string>
-    {
-        return takeNil() ? std::nullopt : std::make_optional(read(Tag<Body>()));
-    }
-
     template <typename Period>
     auto read(Tag<std::chrono::duration<std::int64_t, Period>> /*tag*/) -> std::chrono::duration<std::int64_t, Period>
     {
--- a/packages/wire/src/item_writer.h
+++ b/packages/wire/src/item_writer.h
@@ -80,11 +80,6 @@
         packer_.pack_bin_body(body.text_.data(), std::uint32_t(body.text_.size()));
     }
 
-    auto write(const OptionalBody &body) -> void
-    {
-        body.text_ ? write(Body {*body.text_}) : void(packer_.pack_nil());
-    }
-
     template <typename Period>
     auto write(const std::chrono::duration<std::int64_t, Period> &span) -> void
     {
--- a/packages/wire/src/items.cpp
+++ b/packages/wire/src/items.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-// The most items that a message within the limits has: a list of crash reports takes three for each entry.
-constexpr std::size_t maximumItems = 4 * maximumEntries;
+// The most items that a message within the limits has: a list of crash reports takes five for each entry.
+constexpr std::size_t maximumItems = 6 * maximumEntries;
 constexpr std::uint32_t maximumDepth = 4;
 
 // Receives the parser's events. A function that returns false stops the parser. The names are the library's.
--- a/packages/wire/src/limit_check.h
+++ b/packages/wire/src/limit_check.h
@@ -73,14 +73,6 @@
         bytes_ += overheadBytes + body.text_.size();
     }
 
-    auto check(const OptionalBody &body) -> void
-    {
-        bytes_ += overheadBytes;
-        if (body.text_) {
-            check(Body {*body.text_});
-        }
-    }
-
     template <typename Period>
     auto check(const std::chrono::duration<std::int64_t, Period> &span) -> void
     {
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -92,19 +92,31 @@
     auto reports = std::vector<CrashReport>();
     const auto count = *rc::gen::inRange(0, 5);
     for (auto index = 0; index < count; ++index) {
-        reports.push_back(CrashReport {.fingerprint_ = anyNumber<std::uint64_t>(), .crash_ = anyName()});
+        reports.push_back(CrashReport {.fingerprint_ = anyNumber<std::uint64_t>(),
+            .crash_ = anyName(),
+            .age_ = anySpan<Milliseconds>(),
+            .cleared_ = anyNumber<bool>()});
     }
     return Suspicions {.reports_ = std::move(reports)};
 }
 
 inline auto anyUsage() -> Usage
 {
-    auto work = std::map<std::string, std::uint64_t>();
+    auto accounts = std::map<std::string, AccountUsage>();
     const auto count = *rc::gen::inRange(0, 5);
     for (auto index = 0; index < count; ++index) {
-        work.emplace(anyName(), anyNumber<std::uint64_t>());
+        accounts.emplace(
+            anyName(), AccountUsage {.requests_ = anyNumber<std::uint64_t>(), .work_ = anyNumber<std::uint64_t>()});
     }
-    return Usage {.router_ = anyNode(), .admittedWork_ = std::move(work)};
+    return Usage {.router_ = anyNode(), .accounts_ = std::move(accounts)};
+}
+
+inline auto anyAnswer() -> std::optional<Answer>
+{
+    if (anyNumber<bool>()) {
+        return std::nullopt;
+    }
+    return Answer {.status_ = anyNumber<std::uint16_t>(), .contentType_ = anyName(), .body_ = anyBody()};
 }
 
 // Creates one value of each message type, in the order of the type numbers.
@@ -119,18 +131,22 @@
             .digest_ = anyNumber<std::uint64_t>(),
             .status_ = anyNumber<std::uint16_t>(),
             .contentType_ = anyName(),
+            .finishReason_ = anyName(),
             .outputTokens_ = anyNumber<std::uint32_t>()},
         Failed {.attempt_ = anyAttempt(),
             .failure_ = anyFailure(),
-            .upstreamCrashed_ = anyNumber<bool>(),
+            .crash_ = anyName(),
             .wastedTokens_ = anyNumber<std::uint32_t>()},
         Cancel {.attempt_ = anyAttempt()}, Attach {.attempt_ = anyAttempt(), .offset_ = anyNumber<std::uint64_t>()},
         Void {.attempt_ = anyAttempt()},
-        Voided {.attempt_ = anyAttempt(),
-            .runState_ = anyRunState(),
-            .answer_ = anyNumber<bool>() ? std::make_optional(anyBody()) : std::nullopt},
-        Leaving {}, ManifestUpdate {.revision_ = anyNumber<std::uint64_t>(), .text_ = anyBody()}, anyUsage(),
-        anySuspicions(), Drain {}};
+        Voided {.attempt_ = anyAttempt(), .runState_ = anyRunState(), .answer_ = anyAnswer()}, Leaving {},
+        ManifestUpdate {.revision_ = anyNumber<std::uint64_t>(), .text_ = anyBody()}, anyUsage(), anySuspicions(),
+        Drain {},
+        TimelineQuery {.query_ = anyNumber<std::uint64_t>(),
+            .request_ = anyName(),
+            .fromMicros_ = anyNumber<std::uint64_t>(),
+            .toMicros_ = anyNumber<std::uint64_t>()},
+        TimelineReply {.query_ = anyNumber<std::uint64_t>(), .events_ = anyBody()}};
 }
 
 } // namespace jasminewood::wire
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -36,11 +36,11 @@
 
 auto usageOf(std::size_t accounts) -> wire::Message
 {
-    auto work = std::map<std::string, std::uint64_t>();
+    auto totals = std::map<std::string, wire::AccountUsage>();
     for (auto index = std::size_t(0); index < accounts; ++index) {
-        work.emplace("account-" + std::to_string(index), index);
+        totals.emplace("account-" + std::to_string(index), wire::AccountUsage {.requests_ = 1, .work_ = index});
     }
-    return wire::Usage {.router_ = {.name_ = "r", .incarnation_ = 1}, .admittedWork_ = std::move(work)};
+    return wire::Usage {.router_ = {.name_ = "r", .incarnation_ = 1}, .accounts_ = std::move(totals)};
 }
 
 auto manifestOf(std::size_t size) -> wire::Message
