--- /dev/null
+++ b/packages/observe/src/log.cpp
@@ -0,0 +1,176 @@
+#include "jasminewood/observe/log.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cmath>
+#include <iterator>
+#include <mutex>
+#include <utility>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace jasminewood::observe
+{
+
+namespace
+{
+
+constexpr auto levelNames = std::array<std::string_view, 4> {"debug", "info", "warning", "error"};
+
+auto jsonText(std::string_view text) -> std::string
+{
+    constexpr int noIndent = -1;
+    return nlohmann::json(text).dump(noIndent, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+struct ValueFormatter
+{
+    auto operator()(const std::string &text) const -> std::string
+    {
+        return jsonText(text);
+    }
+
+    auto operator()(std::int64_t number) const -> std::string
+    {
+        return std::to_string(number);
+    }
+
+    // JSON has no infinity and no NaN.
+    auto operator()(double number) const -> std::string
+    {
+        return std::isfinite(number) ? fmt::format("{}", number) : "null";
+    }
+
+    auto operator()(bool truth) const -> std::string
+    {
+        return truth ? "true" : "false";
+    }
+};
+
+// A failed write is dropped: there is no other place to report it.
+auto writeAll(int descriptor, std::string_view text) -> void
+{
+    while (!text.empty()) {
+        const auto written = ::write(descriptor, text.data(), text.size());
+        if (written < 0 && errno != EINTR) {
+            return;
+        }
+        text.remove_prefix(written < 0 ? 0 : static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace
+
+struct Log::Output
+{
+    const NodeId node_;
+    const Level minimum_;
+    const int descriptor_;
+    std::mutex mutex_ = {};
+};
+
+auto toString(Level level) -> std::string_view
+{
+    return levelNames.at(static_cast<std::size_t>(level));
+}
+
+auto levelNamed(std::string_view name) -> Level
+{
+    for (auto index = std::size_t(0); index < levelNames.size(); ++index) {
+        if (levelNames.at(index) == name) {
+            return static_cast<Level>(index);
+        }
+    }
+    return Level::Info;
+}
+
+auto fieldsOf(const AttemptId &attempt) -> Fields
+{
+    return {{.key_ = "request", .value_ = attempt.request_}, {.key_ = "attempt", .value_ = attempt.number_}};
+}
+
+auto fieldsOf(const Failure &failure) -> Fields
+{
+    return {{.key_ = "step", .value_ = failure.step_}, {.key_ = "peer", .value_ = failure.peer_},
+        {.key_ = "reason", .value_ = failure.reason_},
+        {.key_ = "run_state", .value_ = std::string(toString(failure.runState_))}};
+}
+
+auto joined(const Fields &first, const Fields &second) -> Fields
+{
+    auto all = first;
+    std::copy(second.begin(), second.end(), std::back_inserter(all));
+    return all;
+}
+
+auto formatLine(std::chrono::system_clock::time_point time, Level level, const NodeId &node, std::string_view message,
+    const Fields &fields) -> std::string
+{
+    constexpr int millisecondsPerSecond = 1000;
+    const auto sinceEpoch = std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count();
+    const auto second = std::chrono::floor<std::chrono::seconds>(time);
+    auto line
+        = fmt::format(R"({{"ts":"{:%Y-%m-%dT%H:%M:%S}.{:03}Z","level":"{}","process":{},"incarnation":{},"message":{})",
+            fmt::gmtime(std::chrono::system_clock::to_time_t(second)), sinceEpoch % millisecondsPerSecond,
+            toString(level), jsonText(node.name_), node.incarnation_, jsonText(message));
+    for (const auto &field : fields) {
+        line += fmt::format(",{}:{}", jsonText(field.key_), std::visit(ValueFormatter(), field.value_));
+    }
+    return line + "}\n";
+}
+
+Log::Log(NodeId node, Level minimum, int descriptor)
+    : Log(
+        std::shared_ptr<Output>(new Output {.node_ = std::move(node), .minimum_ = minimum, .descriptor_ = descriptor}),
+        {})
+{
+}
+
+Log::Log(std::shared_ptr<Output> output, Fields context)
+    : output_(std::move(output))
+    , context_(std::make_shared<const Fields>(std::move(context)))
+{
+}
+
+auto Log::with(const Fields &fields) const -> Log
+{
+    return Log(output_, joined(*context_, fields));
+}
+
+auto Log::write(Level level, std::string_view message, const Fields &fields) const -> void
+{
+    if (level < output_->minimum_) {
+        return;
+    }
+    const auto line
+        = formatLine(std::chrono::system_clock::now(), level, output_->node_, message, joined(*context_, fields));
+    // The lock keeps a line whole if the descriptor takes it in several parts.
+    const auto lock = std::lock_guard(output_->mutex_);
+    writeAll(output_->descriptor_, line);
+}
+
+auto Log::debug(std::string_view message, const Fields &fields) const -> void
+{
+    write(Level::Debug, message, fields);
+}
+
+auto Log::info(std::string_view message, const Fields &fields) const -> void
+{
+    write(Level::Info, message, fields);
+}
+
+auto Log::warning(std::string_view message, const Fields &fields) const -> void
+{
+    write(Level::Warning, message, fields);
+}
+
+auto Log::error(std::string_view message, const Fields &fields) const -> void
+{
+    write(Level::Error, message, fields);
+}
+
+} // namespace jasminewood::observe
