Carry method, content type and idempotency key in Dispatch

Cause: calls of plain services need their method, content type and Idempotency-Key at the upstream. Change: three fields of Dispatch. Conclusion: chat and service calls use one message.

--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -77,9 +77,13 @@
     const std::string account_;
     const std::string requestClass_;
     const Tier tier_ = lowestTier;
-    // HTTP path at the upstream, for example "/v1/chat/completions".
+    // HTTP method and path at the upstream, for example "POST" and "/v1/chat/completions".
+    const std::string method_;
     const std::string path_;
     const std::string body_;
+    const std::string contentType_;
+    // Passed on to the upstream; empty if the caller sent none.
+    const std::string idempotencyKey_;
     const bool stream_ = false;
     const bool idempotent_ = true;
     // True if the request is suspected of crashing upstreams; at most one such attempt runs at a time.
