Make the wire package pass clang-tidy

clang-tidy names template parameters in CamelCase and takes a capture of this as unused when a message has no fields.

--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -205,7 +205,8 @@
     // Identifies the crash, not the request: "AGENT@INCARNATION/COUNT".
     const std::string crash_;
 
-    auto operator<=>(const CrashReport &) const = default;
+    // clang-tidy 14 reports the zero of a comparison of lists here as a null pointer.
+    auto operator<=>(const CrashReport &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct Suspicions
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -32,18 +32,18 @@
 }
 
 // Tries the alternatives of Message from the given one on.
-template <std::size_t index = 0>
+template <std::size_t Index = 0>
 auto readMessageOfType(std::uint32_t type, internal::ItemReader &reader, std::size_t fields) -> Result<Message>
 {
-    if constexpr (index == std::variant_size_v<Message>) {
+    if constexpr (Index == std::variant_size_v<Message>) {
         return internal::decodeFailure(fmt::format("unknown message type {}", type));
     } else {
-        using Type = std::variant_alternative_t<index, Message>;
+        using Type = std::variant_alternative_t<Index, Message>;
         static_assert(internal::typeNumber<Type> != 0, "every message needs a type number");
         if (type == internal::typeNumber<Type>) {
             return readMessage<Type>(reader, fields);
         }
-        return readMessageOfType<index + 1>(type, reader, fields);
+        return readMessageOfType<Index + 1>(type, reader, fields);
     }
 }
 
--- a/packages/wire/src/item_reader.h
+++ b/packages/wire/src/item_reader.h
@@ -60,9 +60,9 @@
     template <typename Value>
     auto fields() -> Value
     {
-        return [this]<std::size_t... index>(std::index_sequence<index...>)->Value
+        return [this]<std::size_t... Index>(std::index_sequence<Index...>)->Value
         {
-            return Value {read(Tag<std::decay_t<std::tuple_element_t<index, FieldsOf<Value>>>>())...};
+            return Value {this->read(Tag<std::decay_t<std::tuple_element_t<Index, FieldsOf<Value>>>>())...};
         }
         (std::make_index_sequence<fieldCount<Value>>());
     }
@@ -171,13 +171,13 @@
         return std::optional<Value>(std::in_place, read(Tag<Value>()));
     }
 
-    template <typename Value, std::size_t count>
-    auto read(Tag<std::array<Value, count>> /*tag*/) -> std::array<Value, count>
+    template <typename Value, std::size_t Count>
+    auto read(Tag<std::array<Value, Count>> /*tag*/) -> std::array<Value, Count>
     {
-        if (listStart() != count) {
+        if (listStart() != Count) {
             fail("a list has the wrong length");
         }
-        auto values = std::array<Value, count>();
+        auto values = std::array<Value, Count>();
         for (auto &entry : values) {
             entry = read(Tag<Value>());
         }
--- a/packages/wire/src/item_writer.h
+++ b/packages/wire/src/item_writer.h
@@ -41,7 +41,7 @@
     {
         std::apply(
             [this](const auto &...field) {
-                (write(field), ...);
+                (this->write(field), ...);
             },
             fieldsOf(value));
     }
@@ -97,8 +97,8 @@
         value ? write(*value) : void(packer_.pack_nil());
     }
 
-    template <typename Value, std::size_t count>
-    auto write(const std::array<Value, count> &values) -> void
+    template <typename Value, std::size_t Count>
+    auto write(const std::array<Value, Count> &values) -> void
     {
         writeList(values);
     }
--- a/packages/wire/src/limit_check.h
+++ b/packages/wire/src/limit_check.h
@@ -18,7 +18,7 @@
     {
         std::apply(
             [this](const auto &...field) {
-                (check(field), ...);
+                (this->check(field), ...);
             },
             fieldsOf(value));
     }
@@ -36,7 +36,7 @@
 
 private:
     // The most bytes that msgpack puts before a text, and the most that a number takes.
-    static constexpr std::size_t overheadBytes = 9;
+    static constexpr std::size_t overheadBytes_ = 9;
 
     auto require(bool holds, const char *fault) -> void
     {
@@ -48,7 +48,7 @@
     template <typename Value>
     auto check(const Value & /*value*/) -> void requires std::is_arithmetic_v<Value> || std::is_enum_v<Value>
     {
-        bytes_ += overheadBytes;
+        bytes_ += overheadBytes_;
     }
 
     template <typename Value>
@@ -57,25 +57,25 @@
         fieldsOf(value);
     }
     {
-        bytes_ += overheadBytes;
+        bytes_ += overheadBytes_;
         checkFields(value);
     }
 
     auto check(const std::string &name) -> void
     {
         require(name.size() <= maximumNameBytes, "a name is too long");
-        bytes_ += overheadBytes + name.size();
+        bytes_ += overheadBytes_ + name.size();
     }
 
     auto check(const Body &body) -> void
     {
         require(body.text_.size() <= maximumBodyBytes, "a body is too long");
-        bytes_ += overheadBytes + body.text_.size();
+        bytes_ += overheadBytes_ + body.text_.size();
     }
 
     auto check(const OptionalBody &body) -> void
     {
-        bytes_ += overheadBytes;
+        bytes_ += overheadBytes_;
         if (body.text_) {
             check(Body {*body.text_});
         }
@@ -85,29 +85,29 @@
     auto check(const std::chrono::duration<std::int64_t, Period> &span) -> void
     {
         require(span.count() >= 0 && span <= maximumSpan, "a time span is out of range");
-        bytes_ += overheadBytes;
+        bytes_ += overheadBytes_;
     }
 
     template <typename Value>
     auto check(const std::optional<Value> &value) -> void
     {
-        bytes_ += overheadBytes;
+        bytes_ += overheadBytes_;
         if (value) {
             check(*value);
         }
     }
 
-    template <typename Value, std::size_t count>
-    auto check(const std::array<Value, count> &values) -> void
+    template <typename Value, std::size_t Count>
+    auto check(const std::array<Value, Count> &values) -> void
     {
-        bytes_ += overheadBytes * (1 + values.size());
+        bytes_ += overheadBytes_ * (1 + values.size());
     }
 
     template <typename Value>
     auto check(const std::vector<Value> &values) -> void
     {
         require(values.size() <= maximumEntries, "a list has too many entries");
-        bytes_ += overheadBytes;
+        bytes_ += overheadBytes_;
         for (const auto &value : values) {
             check(value);
         }
@@ -117,7 +117,7 @@
     auto check(const std::map<std::string, Value> &values) -> void
     {
         require(values.size() <= maximumEntries, "a map has too many entries");
-        bytes_ += overheadBytes;
+        bytes_ += overheadBytes_;
         for (const auto &[key, value] : values) {
             check(key);
             check(value);
