Add link: connections, listener, heartbeats and the kept peer link

Routers and agents need connections whose loss is noticed although no socket closes. Connection frames wire messages over nng's byte streams; Listener hands out connections before their Hello, which their own tasks exchange, so that a stuck client delays nobody. PeerLink is the dialling side's one task: after 1.5 s of silence it dials anew at once and reports the peer as replaced, restarted or unreachable.

nng 1.5.2 never completes an operation that starts on a closed stream: the first run of the tests had receives that slept through close() for 30 s. The start of an operation and the closing now exclude each other by a mutex.

--- /dev/null
+++ b/packages/link/include/jasminewood/link/connection.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "jasminewood/core/result.h"
+#include "jasminewood/wire/messages.h"
+
+// One TCP connection that carries messages, over nng's byte streams. docs/wire-format.md describes the bytes.
+//
+//     const auto connection = link::Connection::dial("127.0.0.1:7100", own, 500ms);
+//     if (connection) {
+//         (*connection)->send(wire::Drain {});
+//     }
+
+namespace jasminewood::link
+{
+
+// Longest time that send() takes. It equals the silence limit: a peer that takes no bytes for so long is frozen.
+constexpr auto sendDeadline = Milliseconds(1500);
+
+// No whole message arrived in time. The bytes of a partial one are kept for the next call.
+struct TimedOut
+{
+    // True if bytes arrived during the call, which shows that the peer lives.
+    const bool bytesArrived_ = false;
+
+    auto operator<=>(const TimedOut &) const = default;
+};
+
+// The connection is closed, and every later call gives the same failure.
+struct Closed
+{
+    const Failure failure_;
+
+    auto operator<=>(const Closed &) const = default;
+};
+
+using ReceiveOutcome = std::variant<wire::Message, TimedOut, Closed>;
+
+// An open connection. send() and close() may be called from any task; receive() and greet() by one task at a time.
+// Failures name the remote address as peer. The destructor closes; no call may be in progress then.
+class Connection
+{
+public:
+    // Connects to "IP:PORT" and exchanges Hellos, all within the timeout. Fails with step "dial" or "hello".
+    static auto dial(const std::string &address, const wire::Hello &own, Milliseconds timeout)
+        -> Result<std::shared_ptr<Connection>>;
+
+    ~Connection();
+    Connection(const Connection &) = delete;
+    auto operator=(const Connection &) -> Connection & = delete;
+
+    // Exchanges Hellos on an accepted connection; the accepting side calls it first, in the connection's own task.
+    // Fails with step "hello" and closes if the peer is silent, sends another message or has another version.
+    auto greet(Milliseconds timeout) -> Status;
+
+    // Sends the whole message, or fails. After a failure with step "send" the connection is closed. A failure with step
+    // "encode" means that the message breaks a limit of the format; nothing was sent and the connection stays open.
+    auto send(const wire::Message &message) -> Status;
+
+    // Waits for the next message. Bytes that are not a message close the connection.
+    auto receive(Milliseconds timeout) -> ReceiveOutcome;
+
+    // The peer's Hello. Precondition: dial() or greet() has succeeded.
+    auto peer() const -> const wire::Hello &;
+
+    // The peer's "IP:PORT".
+    auto remoteAddress() const -> const std::string &;
+
+    // Closes at once and wakes blocked calls. Repeated calls have no effect.
+    auto close() -> void;
+
+private:
+    friend class Listener;
+    struct State;
+
+    explicit Connection(std::unique_ptr<State> state);
+
+    const std::unique_ptr<State> state_;
+};
+
+} // namespace jasminewood::link
--- /dev/null
+++ b/packages/link/include/jasminewood/link/heartbeat.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+
+#include "jasminewood/core/clock.h"
+
+// When to send a heartbeat and when a connection counts as silent. Pure: time is an argument.
+//
+//     auto clock = link::HeartbeatClock(now);
+//     wait(until(clock.nextDeadline()));
+//     if (clock.due(now) == link::HeartbeatDue::SendHeartbeat) { ... }
+
+namespace jasminewood::link
+{
+
+constexpr auto heartbeatInterval = Milliseconds(500);
+// Three intervals, so that one late heartbeat does not end a connection, and half a second of the 2 s for recovery is
+// left for the new connection.
+constexpr auto silenceLimit = Milliseconds(1500);
+
+enum class HeartbeatDue : std::uint8_t
+{
+    Nothing,
+    SendHeartbeat,
+    // Nothing was received for the silence limit. Takes precedence over SendHeartbeat.
+    Silent,
+};
+
+// The times of one connection. Not thread-safe: it belongs to the connection's task.
+class HeartbeatClock
+{
+public:
+    // The connection was opened now: a heartbeat is due at once, and the silence limit starts.
+    explicit HeartbeatClock(TimePoint now);
+
+    auto received(TimePoint now) -> void;
+
+    auto sent(TimePoint now) -> void;
+
+    // The first time at which due() gives something other than Nothing.
+    auto nextDeadline() const -> TimePoint;
+
+    auto due(TimePoint now) const -> HeartbeatDue;
+
+private:
+    TimePoint heartbeatAt_;
+    TimePoint silentAt_;
+};
+
+} // namespace jasminewood::link
--- /dev/null
+++ b/packages/link/src/aio.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <new>
+#include <string>
+
+#include <nng/nng.h>
+
+#include "jasminewood/core/clock.h"
+
+// Owners of nng's handles.
+
+namespace jasminewood::link::internal
+{
+
+template <auto Function>
+struct Release
+{
+    template <typename Handle>
+    auto operator()(Handle *handle) const -> void
+    {
+        Function(handle);
+    }
+};
+
+using Aio = std::unique_ptr<nng_aio, Release<nng_aio_free>>;
+using Stream = std::shared_ptr<nng_stream>;
+using StreamDialer = std::unique_ptr<nng_stream_dialer, Release<nng_stream_dialer_free>>;
+using StreamListener = std::unique_ptr<nng_stream_listener, Release<nng_stream_listener_free>>;
+
+// Creates a handle for one operation at a time, awaited by its caller. Throws std::bad_alloc only.
+inline auto makeAio() -> Aio
+{
+    nng_aio *handle = nullptr;
+    if (nng_aio_alloc(&handle, nullptr, nullptr) != 0) {
+        throw std::bad_alloc();
+    }
+    return Aio(handle);
+}
+
+// Sets the time limit of the next operation. nng reports a timeout of zero before it tries the operation, so the least
+// is 1 ms.
+inline auto setTimeout(nng_aio *aio, Milliseconds timeout) -> void
+{
+    nng_aio_set_timeout(aio, nng_duration(std::max(timeout, Milliseconds(1)).count()));
+}
+
+// Waits for the operation and returns its error, 0 for success.
+inline auto await(nng_aio *aio) -> int
+{
+    nng_aio_wait(aio);
+    return nng_aio_result(aio);
+}
+
+} // namespace jasminewood::link::internal
--- /dev/null
+++ b/packages/link/src/backoff.cpp
@@ -0,0 +1,25 @@
+#include "jasminewood/link/backoff.h"
+
+#include <algorithm>
+
+namespace jasminewood::link
+{
+
+Backoff::Backoff(std::uint64_t seed)
+    : random_(seed)
+{
+}
+
+auto Backoff::next() -> Milliseconds
+{
+    const auto longest = ceiling_.count();
+    ceiling_ = std::min(2 * ceiling_, longestBackoff);
+    return Milliseconds(std::uniform_int_distribution(longest / 2, longest)(random_));
+}
+
+auto Backoff::reset() -> void
+{
+    ceiling_ = firstBackoff;
+}
+
+} // namespace jasminewood::link
--- /dev/null
+++ b/packages/link/src/connection.cpp
@@ -0,0 +1,137 @@
+#include "jasminewood/link/connection.h"
+
+#include <cassert>
+
+#include "connection_state.h"
+#include "jasminewood/wire/codec.h"
+
+namespace jasminewood::link
+{
+
+namespace
+{
+
+auto dialStream(const std::string &address, Milliseconds timeout) -> Result<std::shared_ptr<nng_stream>>
+{
+    const auto failed = [&address](int error) -> Failure {
+        return Failure {.step_ = "dial", .peer_ = address, .reason_ = nng_strerror(error)};
+    };
+    nng_stream_dialer *handle = nullptr;
+    if (const auto error = nng_stream_dialer_alloc(&handle, ("tcp://" + address).c_str()); error != 0) {
+        return failed(error);
+    }
+    const auto dialer = internal::StreamDialer(handle);
+    const auto dialling = internal::makeAio();
+    internal::setTimeout(dialling.get(), timeout);
+    nng_stream_dialer_dial(dialer.get(), dialling.get());
+    if (const auto error = internal::await(dialling.get()); error != 0) {
+        return failed(error);
+    }
+    return std::shared_ptr<nng_stream>(
+        static_cast<nng_stream *>(nng_aio_get_output(dialling.get(), 0)), nng_stream_free);
+}
+
+} // namespace
+
+auto Connection::dial(const std::string &address, const wire::Hello &own, Milliseconds timeout)
+    -> Result<std::shared_ptr<Connection>>
+{
+    const auto deadline = Clock::now() + timeout;
+    const auto stream = dialStream(address, timeout);
+    if (!stream) {
+        return stream.reason();
+    }
+    auto state = std::make_unique<State>(*stream, own, address);
+    auto connection = std::shared_ptr<Connection>(new Connection(std::move(state)));
+    const auto refused = connection->greet(std::chrono::ceil<Milliseconds>(deadline - Clock::now()));
+    if (refused) {
+        return *refused;
+    }
+    return connection;
+}
+
+Connection::Connection(std::unique_ptr<State> state)
+    : state_(std::move(state))
+{
+}
+
+Connection::~Connection()
+{
+    close();
+}
+
+auto Connection::greet(Milliseconds timeout) -> Status
+{
+    const auto deadline = Clock::now() + timeout;
+    if (const auto failed = send(state_->own_)) {
+        return state_->failure("hello", failed->reason_);
+    }
+    const auto refused = state_->acceptHello(receive(std::chrono::ceil<Milliseconds>(deadline - Clock::now())));
+    if (refused) {
+        state_->closeWith(*refused);
+    }
+    return refused;
+}
+
+auto Connection::send(const wire::Message &message) -> Status
+{
+    const auto deadline = Clock::now() + sendDeadline;
+    if (const auto invalid = wire::validate(message)) {
+        return state_->failure(invalid->step_, invalid->reason_);
+    }
+    const auto body = wire::encode(message);
+    const auto prefix = internal::lengthPrefix(body.size());
+    if (!state_->takeTurn(deadline)) {
+        return state_->closeWith(state_->failure("send", "the peer takes no bytes"));
+    }
+    // A message cut short would make the rest of the stream unreadable, so any error closes.
+    const auto error = state_->sendBytes({prefix, body}, deadline);
+    auto status = error == 0 ? Status() : Status(state_->closeWith(state_->failure("send", nng_strerror(error))));
+    state_->endTurn();
+    return status;
+}
+
+auto Connection::receive(Milliseconds timeout) -> ReceiveOutcome
+{
+    const auto deadline = Clock::now() + timeout;
+    auto bytesArrived = false;
+    while (true) {
+        const auto message = state_->buffer_.take();
+        if (!message) {
+            return Closed {state_->closeWith(state_->failure(message.reason().step_, message.reason().reason_))};
+        }
+        if (*message) {
+            return **message;
+        }
+        const auto remaining = std::chrono::ceil<Milliseconds>(deadline - Clock::now());
+        if (bytesArrived && remaining <= Milliseconds(0)) {
+            return TimedOut {.bytesArrived_ = true};
+        }
+        const auto error = state_->receiveBytes(remaining);
+        if (error == NNG_ETIMEDOUT) {
+            return TimedOut {.bytesArrived_ = bytesArrived};
+        }
+        if (error != 0) {
+            return Closed {state_->closeWith(state_->failure("receive", nng_strerror(error)))};
+        }
+        bytesArrived = true;
+    }
+}
+
+auto Connection::peer() const -> const wire::Hello &
+{
+    assert(state_->peer_.has_value());
+    return *state_->peer_;
+}
+
+auto Connection::remoteAddress() const -> const std::string &
+{
+    return state_->remoteAddress_;
+}
+
+auto Connection::close() -> void
+{
+    state_->closeWith(state_->failure("close", "closed by this process"));
+}
+
+} // namespace jasminewood::link
--- /dev/null
+++ b/packages/link/tests/peer_link_test.cpp
@@ -0,0 +1,164 @@
+#include "jasminewood/link/peer_link.h"
+
+#include <optional>
+
+#include "relay.h"
+#include "test_server.h"
+
+using namespace jasminewood;
+using jasminewood::link::Connection;
+using jasminewood::link::EventLog;
+using jasminewood::link::frameOf;
+using jasminewood::link::helloOf;
+using jasminewood::link::PeerHandlers;
+using jasminewood::link::PeerLink;
+using jasminewood::link::Reachability;
+using jasminewood::link::Relay;
+using jasminewood::link::Socket;
+using jasminewood::link::TestServer;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+auto nameOf(Reachability reachability) -> std::string
+{
+    switch (reachability) {
+    case Reachability::Replaced:
+        return "replaced";
+    case Reachability::Restarted:
+        return "restarted";
+    case Reachability::Unreachable:
+        break;
+    }
+    return "unreachable";
+}
+
+// Logs what the link reports; of the messages only frames, so that the number of heartbeats does not matter.
+auto logTo(EventLog &events) -> PeerHandlers
+{
+    return {.onUp_ =
+                [&events](const std::shared_ptr<Connection> &connection) {
+                    events.add("up " + toString(connection->peer().node_));
+                },
+        .onMessage_ =
+            [&events](const wire::Message &message) {
+                if (const auto *frame = std::get_if<wire::Frame>(&message)) {
+                    events.add("frame " + frame->data_);
+                }
+            },
+        .onDown_ =
+            [&events](const Failure &failure, Reachability reachability) {
+                events.add("down " + nameOf(reachability) + ": " + failure.step_);
+            }};
+}
+
+// The time for a dial is generous, so that a slow machine is not taken for an unreachable peer.
+auto linkTo(const std::string &address, EventLog &events) -> PeerLink
+{
+    return PeerLink(address, helloOf("client"), logTo(events), link::generousDeadline);
+}
+
+using Events = std::vector<std::string>;
+
+const testkit::Story story = {"a link to a peer",
+    {
+        section("that is up",
+            {
+                test("sends and receives",
+                    [] {
+                        auto server = TestServer();
+                        auto events = EventLog();
+                        auto peer = linkTo(server.address(), events);
+                        events.waitFor(1);
+                        check(!peer.send(frameOf(0, "hello")));
+                        check(events.waitFor(2) == Events {"up server@1", "frame hello"});
+                    }),
+                // Guards against heartbeats without the load that the routers choose upstreams by.
+                test("receives the peer's load",
+                    [] {
+                        auto server = TestServer();
+                        auto loads = EventLog();
+                        const auto handlers = PeerHandlers {.onUp_ = [](const std::shared_ptr<Connection> &) {},
+                            .onMessage_ =
+                                [&loads](const wire::Message &message) {
+                                    const auto &heartbeat = std::get<wire::Heartbeat>(message);
+                                    loads.add(std::to_string(heartbeat.load_->running_));
+                                },
+                            .onDown_ = [](const Failure &, Reachability) {}};
+                        auto peer = PeerLink(server.address(), helloOf("client"), handlers);
+                        check(loads.waitFor(2)[1] == "7");
+                    }),
+            }),
+        section("whose open connection goes silent while new ones work",
+            {
+                // Guards against attempts that are given up although the peer lives, and against a silence that no
+                // closed socket announces.
+                test("replaces the connection and is not reported down",
+                    [] {
+                        auto server = TestServer();
+                        auto relay = Relay(server.address());
+                        auto events = EventLog();
+                        auto peer = linkTo(relay.address(), events);
+                        events.waitFor(1);
+                        relay.silenceOpenConnections();
+                        events.waitFor(3);
+                        check(!peer.send(frameOf(0, "again")));
+                        check(events.waitFor(4)
+                            == Events {"up server@1", "down replaced: receive", "up server@1", "frame again"});
+                        const auto ends = server.ends().waitFor(1);
+                        check(ends[0].find("the connection is silent") != std::string::npos, ends[0]);
+                    }),
+            }),
+        section("that restarts",
+            {
+                // Guards against attempts that are attached to a successor that does not know them.
+                test("is reported as restarted",
+                    [] {
+                        auto server = TestServer(helloOf("server", 1));
+                        auto successor = TestServer(helloOf("server", 2));
+                        auto relay = Relay(server.address());
+                        auto events = EventLog();
+                        auto peer = linkTo(relay.address(), events);
+                        events.waitFor(1);
+                        relay.retarget(successor.address());
+                        relay.silenceOpenConnections();
+                        const auto seen = events.waitFor(3);
+                        check(seen == Events {"up server@1", "down restarted: receive", "up server@2"}, seen[1]);
+                    }),
+            }),
+        section("that is gone",
+            {
+                // Guards against a loss that is reported more than once, or not at all.
+                test("is reported unreachable once and dialled until it returns",
+                    [] {
+                        auto server = std::optional<TestServer>(std::in_place);
+                        const auto successor = TestServer();
+                        const auto nobody = Socket::reserve();
+                        auto relay = Relay(server->address());
+                        auto events = EventLog();
+                        auto peer = linkTo(relay.address(), events);
+                        events.waitFor(1);
+                        relay.retarget(nobody.address());
+                        server.reset();
+                        events.waitFor(2);
+                        const auto refused = peer.send(wire::Drain {});
+                        check(refused && refused->step_ == "send" && refused->runState_ == RunState::NotRun);
+                        relay.retarget(successor.address());
+                        check(events.waitFor(3) == Events {"up server@1", "down unreachable: hello", "up server@1"});
+                    }),
+                test("can be stopped while it waits",
+                    [] {
+                        auto events = EventLog();
+                        const auto nobody = Socket::reserve();
+                        auto peer = linkTo(nobody.address(), events);
+                        check(events.waitFor(1) == Events {"down unreachable: dial"});
+                        peer.stop();
+                        peer.stop();
+                    }),
+            }),
+    }};
+
+} // namespace
