--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -238,7 +238,8 @@
     // True if a request with this fingerprint has completed since.
     const bool cleared_ = false;
 
-    auto operator<=>(const CrashReport &) const = default;
+    // clang-tidy 14 reports the zero of a comparison of lists here as a null pointer.
+    auto operator<=>(const CrashReport &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct Suspicions
