--- /dev/null
+++ b/packages/manifest/include/jasminewood/manifest/check.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "jasminewood/ini/fault.h"
+#include "jasminewood/manifest/manifest.h"
+
+// Makes a manifest from INI text. docs: the sections and keys are
+//
+//   [account NAME] key_sha256, default_class, classes = default_class, requests_per_second, work_per_second, weight = 1
+//   [class NAME]   tier, pool, maximum_wait_ms, first_token_ms = 0, between_tokens_ms = 0, minimum_share = 0, models,
+//                  hedge = no, cost_estimate = 256
+//   [model NAME]   versions, pool
+//   [pool NAME]    kind (engine, service), concurrency, long_lane = 0, long_tokens = 1000, queue_limit = 256,
+//                  path (services only), fencing = checked (or ignored), weight_store_bytes_per_second = 0
+//   [route NAME]   pool, class, method, path, idempotent
+//
+// where "= VALUE" is the default of an optional key. Lists are separated by commas.
+
+namespace jasminewood::manifest
+{
+
+using Fault = ini::Fault;
+using Checked = std::variant<std::shared_ptr<const Manifest>, std::vector<Fault>>;
+
+// Largest text in bytes: a value of the key-value service holds at most 1 MB together with its submission.
+constexpr std::size_t maximumTextSize = 1'000'000;
+
+// Largest sum of the classes' minimum shares in percent. The other half always follows tier order.
+constexpr std::uint32_t maximumShareSum = 50;
+
+// Checks the whole text and returns all faults in the order of their lines, or the manifest if there are none. A syntax
+// error hides the faults of content. Thread-safe.
+auto check(std::string_view text, const std::string &fileName) -> Checked;
+
+} // namespace jasminewood::manifest
--- /dev/null
+++ b/packages/manifest/include/jasminewood/manifest/manifest.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jasminewood/core/clock.h"
+#include "jasminewood/core/tier.h"
+
+// The operators' configuration as a value. check.h makes it from text.
+//
+//     const auto *account = manifest.accountByKeyHash(hash);
+//     const auto *requestClass = manifest.classNamed(account->defaultClass_);
+
+namespace jasminewood::manifest
+{
+
+// clang-tidy 14 reports the implicit bodies of defaulted comparisons.
+// NOLINTBEGIN(modernize-use-nullptr)
+
+// A model that a class may use.
+struct ModelChoice
+{
+    const std::string model_;
+    // Empty if every version of the model is allowed.
+    const std::string version_;
+
+    auto operator<=>(const ModelChoice &) const = default;
+};
+
+struct Account
+{
+    const std::string name_;
+    // SHA-256 of each bearer key in lower-case hex.
+    const std::vector<std::string> keyHashes_;
+    const std::string defaultClass_;
+    // Allowed classes; includes the default class.
+    const std::vector<std::string> classes_;
+    // Limits across all routers.
+    const std::uint32_t requestsPerSecond_ = 0;
+    // In output tokens.
+    const std::uint64_t workPerSecond_ = 0;
+    // Share within a class relative to the other accounts.
+    const std::uint32_t weight_ = 1;
+
+    auto operator<=>(const Account &) const = default;
+};
+
+struct RequestClass
+{
+    const std::string name_;
+    const Tier tier_ = lowestTier;
+    // Latency targets; zero if the class has none.
+    const Milliseconds firstToken_ = Milliseconds(0);
+    const Milliseconds betweenTokens_ = Milliseconds(0);
+    // Percent of the started work that the class is due whatever its tier.
+    const std::uint32_t minimumShare_ = 0;
+    // Longest time in a queue; afterwards the request expires as not run.
+    const Milliseconds maximumWait_ = Milliseconds(0);
+    // Empty if the pool is a service.
+    const std::vector<ModelChoice> models_;
+    const std::string pool_;
+    const bool hedge_ = false;
+    // Output tokens assumed of a request until its account and class have a history.
+    const std::uint32_t costEstimate_ = 0;
+
+    auto operator<=>(const RequestClass &) const = default;
+};
+
+struct Model
+{
+    const std::string name_;
+    const std::vector<std::string> versions_;
+    const std::string pool_;
+
+    auto operator<=>(const Model &) const = default;
+};
+
+enum class PoolKind : std::uint8_t
+{
+    Engine,
+    Service,
+};
+
+// Whether the pool's upstreams refuse a command that carries an old fencing number.
+enum class Fencing : std::uint8_t
+{
+    Checked,
+    Ignored,
+};
+
+struct Pool
+{
+    const std::string name_;
+    const PoolKind kind_ = PoolKind::Engine;
+    // Attempts that run at one upstream at a time.
+    const std::uint32_t concurrency_ = 0;
+    // How many of them may be long.
+    const std::uint32_t longLane_ = 0;
+    // Output tokens after which an attempt counts as long.
+    const std::uint32_t longTokens_ = 0;
+    // Attempts that may wait at one upstream.
+    const std::uint32_t queueLimit_ = 0;
+    // Prefix of the URL paths that a service answers; empty for engines.
+    const std::string path_;
+    const Fencing fencing_ = Fencing::Checked;
+    // 0 if the pool does not load from the weight store.
+    const std::uint64_t weightStoreBytesPerSecond_ = 0;
+
+    auto operator<=>(const Pool &) const = default;
+};
+
+// Calls of a service that share a class and may or may not be repeated.
+struct Route
+{
+    const std::string name_;
+    const std::string pool_;
+    const std::string method_;
+    // Prefix that ends at a slash or at the end of the path.
+    const std::string path_;
+    const bool idempotent_ = false;
+    const std::string class_;
+
+    auto operator<=>(const Route &) const = default;
+};
+
+// NOLINTEND(modernize-use-nullptr)
+
+// Immutable and therefore thread-safe. Pointers stay valid as long as the manifest.
+struct Manifest
+{
+    const std::map<std::string, Account, std::less<>> accounts_;
+    const std::map<std::string, RequestClass, std::less<>> classes_;
+    const std::map<std::string, Model, std::less<>> models_;
+    const std::map<std::string, Pool, std::less<>> pools_;
+    const std::map<std::string, Route, std::less<>> routes_;
+    // Account names by key hash.
+    const std::map<std::string, std::string, std::less<>> accountsByKeyHash_;
+
+    auto operator<=>(const Manifest &) const = default;
+
+    // Each returns null if there is none.
+    auto accountByKeyHash(std::string_view hash) const -> const Account *;
+    auto accountNamed(std::string_view name) const -> const Account *;
+    auto classNamed(std::string_view name) const -> const RequestClass *;
+    auto modelNamed(std::string_view name) const -> const Model *;
+    auto poolNamed(std::string_view name) const -> const Pool *;
+    // The service whose path is the longest prefix of this path.
+    auto serviceFor(std::string_view path) const -> const Pool *;
+    // The route of this method whose path is the longest prefix of this path. The path has no query.
+    auto routeFor(std::string_view method, std::string_view path) const -> const Route *;
+};
+
+// Whether the account may send requests of this class.
+auto isAllowed(const Account &account, std::string_view requestClass) -> bool;
+
+// Whether the class may use this model in this version. An empty version stands for any.
+auto isAllowed(const RequestClass &requestClass, std::string_view model, std::string_view version) -> bool;
+
+// Whether a call of a service may be repeated: as its route says, or without a route if HTTP defines the method as
+// idempotent and safe (GET, HEAD, OPTIONS). Other methods without a route are not repeated.
+auto isIdempotent(const Manifest &manifest, std::string_view method, std::string_view path) -> bool;
+
+} // namespace jasminewood::manifest
--- /dev/null
+++ b/packages/manifest/src/references.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "jasminewood/manifest/manifest.h"
+#include "section_reader.h"
+
+namespace jasminewood::manifest::internal
+{
+
+// Readers by heading, for example "class quote".
+using Readers = std::map<std::string, SectionReader>;
+
+// Notes the faults that concern several sections: names that do not exist, pools of the wrong kind, keys of two
+// accounts, paths outside of their service, and too large a sum of minimum shares.
+auto checkReferences(const Manifest &manifest, Readers &readers) -> void;
+
+} // namespace jasminewood::manifest::internal
--- /dev/null
+++ b/packages/manifest/src/section_reader.cpp
@@ -0,0 +1,168 @@
+#include "section_reader.h"
+
+#include <algorithm>
+#include <map>
+
+#include <fmt/format.h>
+
+#include "jasminewood/ini/scalar.h"
+
+namespace jasminewood::manifest::internal
+{
+
+auto quoted(std::string_view text) -> std::string
+{
+    return fmt::format("\"{}\"", text);
+}
+
+SectionReader::SectionReader(const ini::Section &section, const std::string &file, std::vector<ini::Fault> &faults)
+    : section_(&section)
+    , file_(&file)
+    , faults_(&faults)
+{
+}
+
+auto SectionReader::name() const -> const std::string &
+{
+    return section_->argument_;
+}
+
+auto SectionReader::line() const -> int
+{
+    return section_->line_;
+}
+
+auto SectionReader::text(const std::string &key) -> std::string
+{
+    const auto *entry = require(key, "a value");
+    return entry == nullptr ? "" : entry->value_;
+}
+
+auto SectionReader::optionalText(const std::string &key) -> std::string
+{
+    asked_.insert(key);
+    const auto *entry = find(key);
+    return entry == nullptr ? "" : entry->value_;
+}
+
+auto SectionReader::integer(const std::string &key, Range range, std::optional<std::int64_t> fallback) -> std::int64_t
+{
+    asked_.insert(key);
+    if (fallback && !has(key)) {
+        return *fallback;
+    }
+    const auto expected = fmt::format("a number from {} to {}", range.min_, range.max_);
+    const auto *entry = require(key, expected);
+    if (entry == nullptr) {
+        return range.min_;
+    }
+    const auto number = ini::parseInteger(entry->value_);
+    if (!number || *number < range.min_ || *number > range.max_) {
+        fault(key, expected, quoted(entry->value_));
+        return range.min_;
+    }
+    return *number;
+}
+
+auto SectionReader::yesNo(const std::string &key, std::optional<bool> fallback) -> bool
+{
+    const auto position = fallback ? std::optional<std::size_t>(*fallback ? 1 : 0) : std::nullopt;
+    return choice(key, {"no", "yes"}, position) == 1;
+}
+
+auto SectionReader::choice(
+    const std::string &key, const std::vector<std::string> &choices, std::optional<std::size_t> fallback) -> std::size_t
+{
+    asked_.insert(key);
+    if (fallback && !has(key)) {
+        return *fallback;
+    }
+    const auto expected = fmt::format("one of {}", fmt::join(choices, ", "));
+    const auto *entry = require(key, expected);
+    if (entry == nullptr) {
+        return 0;
+    }
+    const auto found = std::find(choices.begin(), choices.end(), entry->value_);
+    if (found == choices.end()) {
+        fault(key, expected, quoted(entry->value_));
+        return 0;
+    }
+    return static_cast<std::size_t>(found - choices.begin());
+}
+
+auto SectionReader::list(const std::string &key) -> std::vector<std::string>
+{
+    if (require(key, "a list with commas") == nullptr) {
+        return {};
+    }
+    return optionalList(key);
+}
+
+auto SectionReader::optionalList(const std::string &key) -> std::vector<std::string>
+{
+    auto parts = ini::parseList(optionalText(key));
+    auto seen = std::set<std::string>();
+    for (const auto &part : parts) {
+        if (!seen.insert(part).second) {
+            fault(key, "each part once", quoted(part) + " twice");
+        }
+    }
+    return parts;
+}
+
+auto SectionReader::has(const std::string &key) const -> bool
+{
+    return find(key) != nullptr;
+}
+
+auto SectionReader::fault(const std::string &key, const std::string &expected, const std::string &found) -> void
+{
+    const auto *entry = find(key);
+    note(entry == nullptr ? section_->line_ : entry->line_, key, expected, found);
+}
+
+auto SectionReader::finish() -> void
+{
+    auto lines = std::map<std::string, int>();
+    for (const auto &entry : section_->entries_) {
+        const auto [first, isNew] = lines.emplace(entry.key_, entry.line_);
+        if (!asked_.contains(entry.key_)) {
+            note(entry.line_, entry.key_, "a known key", quoted(entry.key_));
+        } else if (!isNew) {
+            note(entry.line_, entry.key_, "each key once", fmt::format("a duplicate of line {}", first->second));
+        }
+    }
+}
+
+auto SectionReader::find(const std::string &key) const -> const ini::Entry *
+{
+    const auto &entries = section_->entries_;
+    const auto found = std::find_if(entries.begin(), entries.end(), [&key](const ini::Entry &entry) -> bool {
+        return entry.key_ == key;
+    });
+    return found == entries.end() ? nullptr : &*found;
+}
+
+auto SectionReader::require(const std::string &key, const std::string &expected) -> const ini::Entry *
+{
+    asked_.insert(key);
+    const auto *entry = find(key);
+    if (entry == nullptr || ini::trimmed(entry->value_).empty()) {
+        fault(key, expected, entry == nullptr ? "nothing (the key is required)" : "an empty value");
+        return nullptr;
+    }
+    return entry;
+}
+
+auto SectionReader::note(int line, const std::string &key, const std::string &expected, const std::string &found)
+    -> void
+{
+    faults_->push_back(ini::Fault {.file_ = *file_,
+        .line_ = line,
+        .section_ = ini::heading(*section_),
+        .key_ = key,
+        .expected_ = expected,
+        .found_ = found});
+}
+
+} // namespace jasminewood::manifest::internal
