--- a/packages/routing/include/jasminewood/routing/crash_suspicion.h
+++ b/packages/routing/include/jasminewood/routing/crash_suspicion.h
@@ -84,6 +84,8 @@
     };
 
     auto record(std::uint64_t fingerprint, const std::string &crashId, const Crash &crash) -> void;
+    // Leaves the suspect as it is if none of its crashes is cleared; it is refused then.
+    static auto forgetOldestCleared(Suspect &suspect) -> void;
     auto forgetExpired(TimePoint now) -> void;
     auto forgetOldest() -> void;
 
--- a/packages/routing/src/crash_suspicion.cpp
+++ b/packages/routing/src/crash_suspicion.cpp
@@ -89,11 +89,30 @@
     if (known != suspect.crashes_.end()) {
         known->second.at_ = std::min(known->second.at_, crash.at_);
         known->second.cleared_ = known->second.cleared_ || crash.cleared_;
-    } else if (suspect.crashes_.size() < maximumCrashesPerSuspect) {
+        return;
+    }
+    if (suspect.crashes_.size() >= maximumCrashesPerSuspect) {
+        forgetOldestCleared(suspect);
+    }
+    if (suspect.crashes_.size() < maximumCrashesPerSuspect) {
         suspect.crashes_.emplace(crashId, crash);
     }
 }
 
+auto CrashSuspicion::forgetOldestCleared(Suspect &suspect) -> void
+{
+    auto oldest = suspect.crashes_.end();
+    for (auto position = suspect.crashes_.begin(); position != suspect.crashes_.end(); ++position) {
+        const auto &crash = position->second;
+        if (crash.cleared_ && (oldest == suspect.crashes_.end() || crash.at_ < oldest->second.at_)) {
+            oldest = position;
+        }
+    }
+    if (oldest != suspect.crashes_.end()) {
+        suspect.crashes_.erase(oldest);
+    }
+}
+
 auto CrashSuspicion::forgetExpired(TimePoint now) -> void
 {
     for (auto &[fingerprint, suspect] : suspects_) {
