--- a/packages/claims/include/jasminewood/claims/claim_machine.h
+++ b/packages/claims/include/jasminewood/claims/claim_machine.h
@@ -15,9 +15,10 @@
 // reports its outcome as the next event, and stops at Done.
 //
 //     auto machine = claims::ClaimMachine(request);
-//     auto action = machine.step(claims::Begin{}, now());
-//     while (!std::holds_alternative<claims::Done>(action)) {
-//         action = machine.step(perform(action), now());
+//     auto action = std::optional(machine.step(claims::Begin{}, now()));
+//     while (!std::holds_alternative<claims::Done>(*action)) {
+//         const auto event = perform(*action);
+//         action.emplace(machine.step(event, now()));
 //     }
 
 namespace jasminewood::claims
