Add engine's readers and writers of chat completions

Agents read streams of engines, and routers read requests and write answers in the OpenAI format. SseReader yields the same events for any split of the bytes and bounds each line and event to 1 MiB. chat_request validates a body with a fault that names the member, reads what routing needs and adds resume, priority and stream members. chat_chunk reads chunks and builds chunks and whole answers. Bodies nested deeper than 64 are refused, as JSON is written recursively.

--- /dev/null
+++ b/packages/engine/src/json.cpp
@@ -0,0 +1,46 @@
+#include "json.h"
+
+#include "jasminewood/engine/chat_request.h"
+
+namespace jasminewood::engine::internal
+{
+
+auto parseObject(std::string_view text) -> std::optional<Json>
+{
+    auto tooDeep = false;
+    // Values too deep are dropped while parsing, and the fault is kept.
+    const auto keep = [&tooDeep](int depth, Json::parse_event_t /*event*/, Json & /*parsed*/) -> bool {
+        tooDeep = tooDeep || depth > maximumDepth;
+        return depth <= maximumDepth;
+    };
+    auto parsed = Json::parse(text.begin(), text.end(), keep, false);
+    if (tooDeep || !parsed.is_object()) {
+        return std::nullopt;
+    }
+    return parsed;
+}
+
+auto member(const Json &value, const char *name) -> const Json &
+{
+    static const auto null = Json();
+    if (!value.is_object()) {
+        return null;
+    }
+    const auto found = value.find(name);
+    return found == value.end() ? null : *found;
+}
+
+auto textOf(const Json &value) -> std::string
+{
+    return value.is_string() ? value.get<std::string>() : std::string();
+}
+
+auto unsignedOf(const Json &value, std::uint64_t maximum) -> std::optional<std::uint64_t>
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > maximum) {
+        return std::nullopt;
+    }
+    return value.get<std::uint64_t>();
+}
+
+} // namespace jasminewood::engine::internal
--- /dev/null
+++ b/packages/engine/src/sse_reader.cpp
@@ -0,0 +1,86 @@
+#include "jasminewood/engine/sse_reader.h"
+
+#include <utility>
+
+namespace jasminewood::engine
+{
+
+namespace
+{
+
+constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+constexpr std::string_view dataField = "data";
+
+} // namespace
+
+auto SseReader::feed(std::string_view bytes) -> std::vector<std::string>
+{
+    auto events = std::vector<std::string>();
+    while (!bytes.empty() && !fault_) {
+        // "\r\n" is one line end, also if a call ends between the two.
+        if (std::exchange(afterCarriageReturn_, false) && bytes.front() == '\n') {
+            bytes.remove_prefix(1);
+            continue;
+        }
+        const auto end = bytes.find_first_of("\r\n");
+        checkLimit(line_.size() + bytes.substr(0, end).size());
+        if (fault_) {
+            break;
+        }
+        line_.append(bytes.substr(0, end));
+        if (end == std::string_view::npos) {
+            break;
+        }
+        afterCarriageReturn_ = bytes[end] == '\r';
+        bytes.remove_prefix(end + 1);
+        if (endLine()) {
+            events.push_back(std::exchange(data_, {}));
+        }
+    }
+    return events;
+}
+
+auto SseReader::fault() const -> const Status &
+{
+    return fault_;
+}
+
+auto SseReader::endLine() -> bool
+{
+    if (std::exchange(firstLine_, false) && line_.starts_with(byteOrderMark)) {
+        line_.erase(0, byteOrderMark.size());
+    }
+    if (line_.empty()) {
+        return std::exchange(hasData_, false);
+    }
+    takeField();
+    line_.clear();
+    return false;
+}
+
+auto SseReader::takeField() -> void
+{
+    const auto line = std::string_view(line_);
+    const auto colon = line.find(':');
+    if (line.substr(0, colon) != dataField) {
+        return;
+    }
+    auto value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    checkLimit(data_.size() + value.size());
+    if (std::exchange(hasData_, true)) {
+        data_ += '\n';
+    }
+    data_.append(value);
+}
+
+auto SseReader::checkLimit(std::size_t bytes) -> void
+{
+    if (bytes > maximumEventBytes && !fault_) {
+        fault_.emplace(Failure {.step_ = "read", .reason_ = "an event of the stream is too long"});
+    }
+}
+
+} // namespace jasminewood::engine
