Add the chat call of the engine client

The agent needs one call that streams an engine's answer. ChatCall sets the stream, priority and resume members, reads the events and passes the text on. An answer counts as finished only with a finish reason and the end marker; every earlier end is a failure that may have run. A status other than 200 is handed back as the engine's refusal. probe() asks /health.

--- /dev/null
+++ b/packages/engine/src/chat_call.cpp
@@ -0,0 +1,90 @@
+#include "jasminewood/engine/chat_call.h"
+
+#include <fmt/format.h>
+
+#include "chat_stream.h"
+#include "jasminewood/engine/chat_request.h"
+
+namespace jasminewood::engine
+{
+
+namespace
+{
+
+auto bodyFor(const ChatCallRequest &request) -> Result<std::string>
+{
+    const auto resumed = withResume(request.body_, request.resumeText_);
+    if (!resumed) {
+        return resumed.reason();
+    }
+    const auto prioritised = withPriority(*resumed, request.tier_);
+    return prioritised ? withStream(*prioritised) : prioritised;
+}
+
+auto httpRequest(const ChatCallRequest &request, const std::string &body) -> http::ClientRequest
+{
+    return http::ClientRequest {.method_ = "POST",
+        .url_ = fmt::format("http://{}{}", request.engine_, request.path_),
+        .headers_
+        = {{.name_ = "Content-Type", .value_ = "application/json"}, {.name_ = "Accept", .value_ = "text/event-stream"}},
+        .body_ = body,
+        .timeout_ = Milliseconds(0),
+        .idleTimeout_ = request.idleTimeout_};
+}
+
+// Once the engine has answered, the request has reached it.
+auto failureAt(const std::string &engine, const Failure &failure) -> Failure
+{
+    return Failure {.step_ = failure.step_,
+        .peer_ = engine,
+        .reason_ = failure.reason_,
+        .runState_ = RunState::MayHaveRun,
+        .retryAfter_ = failure.retryAfter_};
+}
+
+} // namespace
+
+auto ChatCall::perform(const ChatCallRequest &request, const TextCallback &onText) -> Result<ChatOutcome>
+{
+    const auto body = bodyFor(request);
+    if (!body) {
+        return body.reason();
+    }
+    auto stream = internal::ChatStream(onText);
+    const auto onHeaders = [&stream](int status, const std::map<std::string, std::string> &headers) {
+        const auto type = headers.find("content-type");
+        stream.takeHeaders(status, type == headers.end() ? "" : type->second);
+    };
+    const auto onData = [&stream](std::string_view data) -> bool {
+        return stream.takeData(data);
+    };
+    const auto status = call_.perform(httpRequest(request, *body), onHeaders, onData);
+    if (stream.fault()) {
+        return failureAt(request.engine_, *stream.fault());
+    }
+    if (!status) {
+        return status.reason();
+    }
+    const auto outcome = stream.outcome();
+    return outcome ? outcome : Result<ChatOutcome>(failureAt(request.engine_, outcome.reason()));
+}
+
+auto ChatCall::cancel() -> void
+{
+    call_.cancel();
+}
+
+auto probe(const std::string &engine, Milliseconds timeout) -> Status
+{
+    const auto url = fmt::format("http://{}/health", engine);
+    const auto answer = http::fetch({.url_ = url, .connectTimeout_ = timeout, .timeout_ = timeout});
+    if (!answer) {
+        return answer.reason();
+    }
+    if (answer->status_ != 200) {
+        return Failure {.step_ = "probe", .peer_ = engine, .reason_ = fmt::format("status {}", answer->status_)};
+    }
+    return std::nullopt;
+}
+
+} // namespace jasminewood::engine
