Add the key-value and VM-list clients and their stand-ins

Cause: claims, manifests and membership rest on the platform's key-value service and VM list, whose outages, lost answers and lags the clients have to report truthfully. Conclusion: a lost answer is reported as may have run and a refused connection as not run; a POST opens a connection each time, which costs one round trip for each key-value call.

--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -87,6 +87,22 @@
                         check(closed->get_future().wait_for(patience) == std::future_status::ready);
                         close(socket);
                     }),
+                // Guards against an answer that is cut because its handler or its stream was slow, not its caller.
+                test("does not count its own pauses as idleness of the caller",
+                    [] {
+                        auto step = std::make_shared<std::atomic<int>>(0);
+                        const auto server = serve(
+                            [step](const Request &) -> Response {
+                                usleep(1'300'000);
+                                return StreamResponse {.next_ = [step]() -> StreamStep {
+                                    usleep(step->fetch_add(1) == 1 ? 1'300'000 : 0);
+                                    return *step < 4 ? StreamStep(Chunk {.data_ = "x"}) : StreamStep(EndOfStream {});
+                                }};
+                            },
+                            {.idleTimeout_ = std::chrono::seconds(1)});
+                        const auto answer = fetch({.url_ = "http://127.0.0.1:" + std::to_string(server->port()) + "/"});
+                        check(answer && answer->body_ == "xxx");
+                    }),
                 // Guards against work that goes on for a caller that has left, before and after the first byte.
                 test("sees a caller that went away",
                     [] {
--- /dev/null
+++ b/packages/platform/src/key_value.cpp
@@ -0,0 +1,289 @@
+#include "jasminewood/platform/key_value.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "key_value_codec.h"
+#include "peer.h"
+
+namespace jasminewood::platform
+{
+
+namespace
+{
+
+using internal::peerOf;
+using nlohmann::json;
+
+auto malformed(const KeyValueOptions &options, const std::string &operation, const std::string &problem) -> Failure
+{
+    return {.step_ = "kv " + operation,
+        .peer_ = peerOf(options.url_),
+        .reason_ = "malformed answer: " + problem,
+        .runState_ = RunState::MayHaveRun,
+        .retryAfter_ = options.retryAfter_};
+}
+
+// Decodes an answer with a function of its JSON; returns a failure if the call failed or the JSON has another form.
+template <typename Decoder>
+auto decoded(const KeyValueOptions &options, const std::string &operation, const Result<std::string> &body,
+    Decoder decoder) -> Result<decltype(decoder(json()))>
+{
+    if (!body) {
+        return body.reason();
+    }
+    try {
+        return decoder(json::parse(*body));
+    } catch (const json::exception &problem) {
+        return malformed(options, operation, problem.what());
+    }
+}
+
+auto refusal(const KeyValueOptions &options, const std::string &operation, const http::ClientResponse &answer)
+    -> Failure
+{
+    // The service rejects malformed and excessive requests before it performs them; a 5xx answer such as a timeout
+    // among its members leaves the outcome open.
+    const auto rejected = answer.status_ >= 400 && answer.status_ < 500;
+    return {.step_ = "kv " + operation,
+        .peer_ = peerOf(options.url_),
+        .reason_ = fmt::format("status {}: {}", answer.status_, answer.body_),
+        .runState_ = rejected ? RunState::NotRun : RunState::MayHaveRun,
+        .retryAfter_ = rejected ? std::nullopt : std::optional(options.retryAfter_)};
+}
+
+// Consumes the lines of a watch as they arrive.
+class WatchReader
+{
+public:
+    WatchReader(Revision from, const std::function<auto(const WatchEvent &)->void> &onEvent)
+        : next_(from)
+        , onEvent_(onEvent)
+    {
+    }
+
+    // Returns false to end the watch.
+    auto take(std::string_view data) -> bool
+    {
+        pending_.append(data);
+        try {
+            for (auto end = pending_.find('\n'); end != std::string::npos; end = pending_.find('\n')) {
+                const auto message = json::parse(pending_.substr(0, end));
+                pending_.erase(0, end + 1);
+                if (!takeMessage(message)) {
+                    return false;
+                }
+            }
+        } catch (const json::exception &problem) {
+            end_ = {"kv watch", std::string("malformed event: ") + problem.what()};
+            return false;
+        }
+        return true;
+    }
+
+    auto nextRevision() const -> Revision
+    {
+        return next_;
+    }
+
+    // The step and the reason if the watch ended by itself.
+    auto end() const -> const std::optional<std::pair<std::string, std::string>> &
+    {
+        return end_;
+    }
+
+private:
+    auto takeMessage(const json &message) -> bool
+    {
+        if (message.contains("error")) {
+            end_ = {"kv watch", message["error"].dump()};
+            return false;
+        }
+        const auto &result = message.at("result");
+        if (result.value("canceled", false)) {
+            const auto compacted = internal::integerOf(result, "compact_revision") > 0;
+            end_ = {compacted ? "kv compacted" : "kv watch", result.value("cancel_reason", "ended by the service")};
+            return false;
+        }
+        for (const auto &event : result.value("events", json::array())) {
+            onEvent_(internal::decodeEvent(event));
+        }
+        if (result.contains("events")) {
+            next_ = std::max(next_, internal::revisionOf(result) + 1);
+        }
+        return true;
+    }
+
+    Revision next_;
+    const std::function<auto(const WatchEvent &)->void> &onEvent_;
+    std::string pending_;
+    std::optional<std::pair<std::string, std::string>> end_;
+};
+
+} // namespace
+
+auto WatchCall::cancel() -> void
+{
+    cancelled_ = true;
+    call_.cancel();
+}
+
+KeyValueClient::KeyValueClient(const KeyValueOptions &options)
+    : options_(options)
+{
+}
+
+auto KeyValueClient::calls() const -> std::uint64_t
+{
+    return calls_;
+}
+
+auto KeyValueClient::post(const std::string &operation, const std::string &path, const std::string &body)
+    -> Result<std::string>
+{
+    ++calls_;
+    const auto answer = http::fetch({.method_ = "POST",
+        .url_ = options_.url_ + path,
+        .headers_ = {{.name_ = "Content-Type", .value_ = "application/json"}},
+        .body_ = body,
+        .connectTimeout_ = options_.connectTimeout_,
+        .timeout_ = options_.deadline_});
+    if (!answer) {
+        const auto &reason = answer.reason();
+        return Failure {.step_ = "kv " + operation,
+            .peer_ = reason.peer_,
+            .reason_ = reason.step_ + ": " + reason.reason_,
+            .runState_ = reason.runState_,
+            .retryAfter_ = options_.retryAfter_};
+    }
+    if (answer->status_ != 200) {
+        return refusal(options_, operation, *answer);
+    }
+    return answer->body_;
+}
+
+auto KeyValueClient::get(const std::string &key) -> Result<std::optional<KeyValue>>
+{
+    const auto body = post("get", "/v3/kv/range", internal::encodeRange(key, "").dump());
+    return decoded(options_, "get", body, [](const json &answer) {
+        const auto entries = internal::decodeEntries(answer);
+        return entries.empty() ? std::optional<KeyValue>() : std::optional<KeyValue>(entries.front());
+    });
+}
+
+auto KeyValueClient::getPrefix(const std::string &prefix) -> Result<Snapshot>
+{
+    const auto range = internal::encodeRange(prefix, internal::prefixEnd(prefix));
+    const auto body = post("get prefix", "/v3/kv/range", range.dump());
+    return decoded(options_, "get prefix", body, [](const json &answer) {
+        return Snapshot {.revision_ = internal::revisionOf(answer), .entries_ = internal::decodeEntries(answer)};
+    });
+}
+
+auto KeyValueClient::createIfAbsent(const std::string &key, const std::string &value, LeaseId lease)
+    -> Result<WriteOutcome>
+{
+    return conditionalWrite(KeyAbsent {.key_ = key}, PutKey {.key_ = key, .value_ = value, .lease_ = lease});
+}
+
+auto KeyValueClient::compareAndSwap(const std::string &key, Revision expectedModRevision, const std::string &value)
+    -> Result<WriteOutcome>
+{
+    return conditionalWrite(
+        ModRevisionIs {.key_ = key, .revision_ = expectedModRevision}, PutKey {.key_ = key, .value_ = value});
+}
+
+auto KeyValueClient::conditionalWrite(const Condition &condition, const PutKey &write) -> Result<WriteOutcome>
+{
+    const auto outcome = transaction(
+        {.conditions_ = {condition}, .onSuccess_ = {write}, .onFailure_ = {ReadKey {.key_ = write.key_}}});
+    if (!outcome) {
+        return outcome.reason();
+    }
+    const auto refused = !outcome->succeeded_ && !outcome->operations_.empty();
+    return WriteOutcome {.written_ = outcome->succeeded_,
+        .revision_ = outcome->revision_,
+        .present_ = refused ? outcome->operations_.front().found_ : std::nullopt};
+}
+
+auto KeyValueClient::put(const std::string &key, const std::string &value, LeaseId lease) -> Result<Revision>
+{
+    const auto request = internal::encodePut({.key_ = key, .value_ = value, .lease_ = lease});
+    return decoded(options_, "put", post("put", "/v3/kv/put", request.dump()), [](const json &answer) {
+        return internal::revisionOf(answer);
+    });
+}
+
+auto KeyValueClient::remove(const std::string &key) -> Result<bool>
+{
+    const auto body = post("delete", "/v3/kv/deleterange", internal::encodeRange(key, "").dump());
+    return decoded(options_, "delete", body, [](const json &answer) {
+        return internal::integerOf(answer, "deleted") > 0;
+    });
+}
+
+auto KeyValueClient::transaction(const Transaction &transaction) -> Result<TransactionOutcome>
+{
+    const auto body = post("txn", "/v3/kv/txn", internal::encodeTransaction(transaction).dump());
+    return decoded(options_, "txn", body, [](const json &answer) {
+        return internal::decodeTransaction(answer, internal::revisionOf(answer));
+    });
+}
+
+auto KeyValueClient::grantLease(std::chrono::seconds timeToLive) -> Result<LeaseId>
+{
+    const auto request = json {{"TTL", std::to_string(timeToLive.count())}};
+    return decoded(
+        options_, "lease grant", post("lease grant", "/v3/lease/grant", request.dump()), [](const json &answer) {
+            return internal::integerOf(answer, "ID");
+        });
+}
+
+auto KeyValueClient::keepAlive(LeaseId lease) -> Result<std::chrono::seconds>
+{
+    const auto request = json {{"ID", std::to_string(lease)}};
+    return decoded(options_, "lease keepalive", post("lease keepalive", "/v3/lease/keepalive", request.dump()),
+        [](const json &answer) {
+            return std::chrono::seconds(internal::integerOf(answer.at("result"), "TTL"));
+        });
+}
+
+auto KeyValueClient::revokeLease(LeaseId lease) -> Status
+{
+    const auto request = json {{"ID", std::to_string(lease)}};
+    const auto body = post("lease revoke", "/v3/lease/revoke", request.dump());
+    return body ? std::nullopt : Status(body.reason());
+}
+
+auto KeyValueClient::watch(const WatchRequest &request, WatchCall &call,
+    const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<Revision>
+{
+    ++calls_;
+    auto reader = WatchReader(request.fromRevision_, onEvent);
+    const auto ended = call.call_.perform({.method_ = "POST",
+                                              .url_ = options_.url_ + "/v3/watch",
+                                              .body_ = internal::encodeWatch(request).dump(),
+                                              .connectTimeout_ = options_.connectTimeout_,
+                                              .timeout_ = request.limit_},
+        nullptr, [&reader](std::string_view data) {
+            return reader.take(data);
+        });
+    const auto failure = [this](const std::string &step, const std::string &reason) {
+        return Failure {
+            .step_ = step, .peer_ = peerOf(options_.url_), .reason_ = reason, .retryAfter_ = options_.retryAfter_};
+    };
+    if (call.cancelled_) {
+        return failure("cancel", "the watch was cancelled");
+    }
+    if (reader.end()) {
+        return failure(reader.end()->first, reader.end()->second);
+    }
+    if (!ended && ended.reason().step_ == "timeout") {
+        return reader.nextRevision();
+    }
+    return failure("kv watch", ended ? "the service ended the watch" : ended.reason().reason_);
+}
+
+} // namespace jasminewood::platform
--- /dev/null
+++ b/packages/platform/src/vm_list.cpp
@@ -0,0 +1,71 @@
+#include "jasminewood/platform/vm_list.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "jasminewood/http/client.h"
+#include "peer.h"
+
+namespace jasminewood::platform
+{
+
+namespace
+{
+
+using internal::peerOf;
+using nlohmann::json;
+
+auto entryOf(const std::string &address, const json &labels) -> VmEntry
+{
+    const auto leaving = labels.value("state", "live") == "leaving";
+    return {.address_ = address,
+        .role_ = labels.value("role", ""),
+        .name_ = labels.value("name", ""),
+        .pool_ = labels.value("pool", ""),
+        .dataCentre_ = labels.value("data_centre", ""),
+        .state_ = leaving ? VmState::Leaving : VmState::Live};
+}
+
+auto decode(const std::string &body) -> std::vector<VmEntry>
+{
+    auto entries = std::vector<VmEntry>();
+    for (const auto &group : json::parse(body).get<std::vector<json>>()) {
+        for (const auto &target : group.at("targets")) {
+            entries.push_back(entryOf(target.get<std::string>(), group.value("labels", json::object())));
+        }
+    }
+    return entries;
+}
+
+} // namespace
+
+auto toString(VmState state) -> std::string_view
+{
+    return state == VmState::Leaving ? "leaving" : "live";
+}
+
+VmListClient::VmListClient(const VmListOptions &options)
+    : options_(options)
+{
+}
+
+auto VmListClient::fetchMembers() const -> Result<std::vector<VmEntry>>
+{
+    const auto failure = [this](const std::string &reason) {
+        return Failure {.step_ = "vm list", .peer_ = peerOf(options_.url_), .reason_ = reason};
+    };
+    const auto answer = http::fetch({.url_ = options_.url_, .timeout_ = options_.deadline_});
+    if (!answer) {
+        return failure(answer.reason().step_ + ": " + answer.reason().reason_);
+    }
+    if (answer->status_ != 200) {
+        return failure(fmt::format("status {}", answer->status_));
+    }
+    try {
+        return decode(answer->body_);
+    } catch (const json::exception &problem) {
+        return failure(std::string("malformed list: ") + problem.what());
+    }
+}
+
+} // namespace jasminewood::platform
--- /dev/null
+++ b/packages/platform/tests/key_value_test.cpp
@@ -0,0 +1,268 @@
+#include "jasminewood/platform/key_value.h"
+
+#include <future>
+#include <string>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "jasminewood/platform/base64.h"
+#include "jasminewood/testbench/fake_kv.h"
+#include "jasminewood/testkit/property.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace jasminewood::platform;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+using nlohmann::json;
+
+namespace
+{
+
+// Generous, because a busy machine may run the tests slowly.
+constexpr auto patience = std::chrono::seconds(30);
+
+// A service and a client of it.
+struct Pair
+{
+    std::shared_ptr<testbench::FakeKv> service_ = *testbench::FakeKv::start({});
+    std::string url_ = "http://127.0.0.1:" + std::to_string(service_->port());
+    KeyValueClient client_ = KeyValueClient({.url_ = url_, .deadline_ = Milliseconds(30'000)});
+
+    auto fault(const json &body) const -> void
+    {
+        const auto answer = http::fetch({.method_ = "POST", .url_ = url_ + "/fault", .body_ = body.dump()});
+        check(answer && answer->status_ == 200, "the fault is injected");
+    }
+};
+
+auto claim(const std::string &key, const std::string &value) -> NestedTransaction
+{
+    return {.transaction_ = std::make_shared<const Transaction>(Transaction {.conditions_ = {KeyAbsent {.key_ = key}},
+                .onSuccess_ = {PutKey {.key_ = key, .value_ = value}},
+                .onFailure_ = {ReadKey {.key_ = key}}})};
+}
+
+auto keyOf(const WatchEvent &event) -> std::string
+{
+    const auto *put = std::get_if<KeyPut>(&event);
+    return put != nullptr ? "put " + put->entry_.key_ : "delete " + std::get<KeyDeleted>(event).key_;
+}
+
+// Calls until the answer satisfies a condition or patience ends.
+template <typename Call, typename Condition>
+auto until(Call call, Condition condition) -> bool
+{
+    const auto end = Clock::now() + patience;
+    while (Clock::now() < end) {
+        if (condition(call())) {
+            return true;
+        }
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    return false;
+}
+
+const testkit::Story writes = {"a key-value client",
+    {
+        section("that writes on a condition",
+            {
+                // Guards against two claimants that both believe they won.
+                test("creates a key once and shows the present entry to the loser",
+                    [] {
+                        auto pair = Pair();
+                        const auto first = pair.client_.createIfAbsent("/c/1", "one");
+                        const auto second = pair.client_.createIfAbsent("/c/1", "two");
+                        check(first->written_ && !second->written_);
+                        check(second->present_->value_ == "one");
+                        check(second->present_->modRevision_ == first->revision_);
+                    }),
+                // Guards against a stale writer that overwrites a newer value.
+                test("swaps a value only at the expected revision",
+                    [] {
+                        auto pair = Pair();
+                        const auto created = pair.client_.put("/m", std::string("bytes\0\xff", 7));
+                        const auto swapped = pair.client_.compareAndSwap("/m", *created, "new");
+                        const auto stale = pair.client_.compareAndSwap("/m", *created, "stale");
+                        check(swapped->written_ && !stale->written_ && stale->present_->value_ == "new");
+                        check((*pair.client_.get("/m"))->modRevision_ == swapped->revision_);
+                        check(*pair.client_.remove("/m") && !*pair.client_.remove("/m"));
+                        check(!pair.client_.get("/m")->has_value());
+                    }),
+                // Guards against calls that grow with the number of claims, and against a group that fails as a whole.
+                test("decides a group of claims in one call",
+                    [] {
+                        auto pair = Pair();
+                        check(bool(pair.client_.put("/c/2", "taken")));
+                        const auto before = pair.client_.calls();
+                        const auto outcome = pair.client_.transaction(
+                            {.onSuccess_ = {claim("/c/1", "a"), claim("/c/2", "b"), claim("/c/3", "c")}});
+                        check(pair.client_.calls() == before + 1 && outcome->operations_.size() == 3);
+                        check(outcome->operations_[0].nested_->succeeded_);
+                        check(!outcome->operations_[1].nested_->succeeded_);
+                        check(outcome->operations_[1].nested_->operations_[0].found_->value_ == "taken");
+                        check(pair.client_.getPrefix("/c/")->entries_.size() == 3);
+                        const auto twice
+                            = pair.client_.transaction({.onSuccess_ = {claim("/d", "a"), claim("/d", "b")}});
+                        check(!twice && twice.reason().runState_ == RunState::NotRun);
+                    }),
+            }),
+        section("with a lease",
+            {
+                // Guards against a lease that is taken for valid after its end.
+                test("keeps it alive until it is revoked",
+                    [] {
+                        auto pair = Pair();
+                        const auto lease = pair.client_.grantLease(std::chrono::seconds(60));
+                        check(pair.client_.createIfAbsent("/l", "x", *lease)->written_);
+                        check(*pair.client_.keepAlive(*lease) == std::chrono::seconds(60));
+                        check(!pair.client_.revokeLease(*lease) && pair.client_.revokeLease(*lease).has_value());
+                        check(*pair.client_.keepAlive(*lease) == std::chrono::seconds(0));
+                        check(!pair.client_.get("/l")->has_value());
+                    }),
+            }),
+    }};
+
+const testkit::Story faults = {"a key-value client",
+    {
+        section("whose answer is lost",
+            {
+                // Guards against a claim that took effect and is reported as not run.
+                test("says may have run, and the value tells that it ran",
+                    [] {
+                        auto pair = Pair();
+                        pair.fault({{"lose_answers", 1}});
+                        const auto lost = pair.client_.createIfAbsent("/c/1", "attempt-1");
+                        check(!lost && lost.reason().runState_ == RunState::MayHaveRun);
+                        check(lost.reason().retryAfter_.has_value());
+                        const auto again = pair.client_.createIfAbsent("/c/1", "attempt-1");
+                        check(!again->written_ && again->present_->value_ == "attempt-1");
+                    }),
+            }),
+        section("whose service is down",
+            {
+                // Guards against a refused call that is reported as may have run, and against a client that stays
+                // broken after the outage.
+                test("says not run, and works again afterwards",
+                    [] {
+                        auto pair = Pair();
+                        check(bool(pair.client_.put("/k", "v")));
+                        pair.fault({{"down_ms", 1000}});
+                        check(until(
+                            [&pair] {
+                                return pair.client_.get("/k");
+                            },
+                            [](const auto &answer) {
+                                return !answer && answer.reason().runState_ == RunState::NotRun;
+                            }));
+                        check(until(
+                            [&pair] {
+                                return pair.client_.get("/k");
+                            },
+                            [](const auto &answer) {
+                                return answer && (*answer)->value_ == "v";
+                            }));
+                    }),
+            }),
+        section("whose service is frozen or slow",
+            {
+                // Guards against a call that outlives its deadline.
+                test("fails at the deadline as may have run",
+                    [] {
+                        const auto pair = Pair();
+                        auto hasty = KeyValueClient({.url_ = pair.url_, .deadline_ = Milliseconds(50)});
+                        for (const auto &fault :
+                            {json {{"slow_ms", 60'000}, {"for_ms", 60'000}}, json {{"freeze_ms", 60'000}}}) {
+                            pair.fault(fault);
+                            const auto answer = hasty.get("/k");
+                            check(!answer && answer.reason().runState_ == RunState::MayHaveRun);
+                            check(answer.reason().step_ == "kv get" && pair.url_.ends_with(answer.reason().peer_));
+                        }
+                    }),
+            }),
+    }};
+
+const testkit::Story watches = {"a key-value client",
+    {
+        section("that watches a prefix",
+            {
+                // Guards against changes lost between a snapshot and the watch.
+                test("sees all changes from a revision on, in order, until it is cancelled",
+                    [] {
+                        auto pair = Pair();
+                        check(bool(pair.client_.put("/w/0", "x")));
+                        const auto snapshot = pair.client_.getPrefix("/w/");
+                        check(bool(pair.client_.put("/w/1", "x")) && bool(pair.client_.put("/other", "x")));
+                        auto call = WatchCall();
+                        auto events = std::vector<std::string>();
+                        auto complete = std::promise<void>();
+                        const auto request
+                            = WatchRequest {.key_ = "/w/", .prefix_ = true, .fromRevision_ = snapshot->revision_ + 1};
+                        auto ended = std::async(std::launch::async, [&] {
+                            return pair.client_.watch(request, call, [&](const WatchEvent &event) {
+                                events.push_back(keyOf(event));
+                                if (events.size() == 3) {
+                                    complete.set_value();
+                                }
+                            });
+                        });
+                        check(bool(pair.client_.put("/w/2", "x")) && *pair.client_.remove("/w/0"));
+                        check(complete.get_future().wait_for(patience) == std::future_status::ready);
+                        call.cancel();
+                        const auto reason = ended.get();
+                        check(!reason && reason.reason().step_ == "cancel");
+                        check(events == std::vector<std::string> {"put /w/1", "put /w/2", "delete /w/0"});
+                    }),
+                // Guards against a watch that never notices a silent connection, and against lost or repeated events
+                // when it is renewed.
+                test("returns at its limit with the revision to go on from",
+                    [] {
+                        auto pair = Pair();
+                        const auto written = pair.client_.put("/w", "x");
+                        auto call = WatchCall();
+                        auto count = 0;
+                        const auto next
+                            = pair.client_.watch({.key_ = "/w", .fromRevision_ = *written, .limit_ = Milliseconds(200)},
+                                call, [&count](const WatchEvent &) {
+                                    ++count;
+                                });
+                        check(bool(next) && *next == *written + count);
+                    }),
+                // Guards against a watch that hangs through an outage.
+                test("fails when the service goes down",
+                    [] {
+                        auto pair = Pair();
+                        auto call = WatchCall();
+                        auto begun = std::promise<void>();
+                        auto ended = std::async(std::launch::async, [&] {
+                            return pair.client_.watch({.key_ = "/w"}, call, [&begun](const WatchEvent &) {
+                                begun.set_value();
+                            });
+                        });
+                        check(until(
+                            [&pair] {
+                                return http::fetch({.url_ = pair.url_ + "/calls"});
+                            },
+                            [](const auto &calls) {
+                                return json::parse(calls->body_).value("watch", 0) == 1;
+                            }));
+                        pair.fault({{"down_ms", 10}});
+                        const auto reason = ended.get();
+                        check(!reason && reason.reason().step_ == "kv watch");
+                    }),
+            }),
+    }};
+
+const testkit::Story encoding = {"base64",
+    {
+        // Guards against keys and values with zero bytes or of any length that change on the way.
+        testkit::property("returns the bytes that were encoded",
+            [] {
+                const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+                RC_ASSERT(decodeBase64(encodeBase64(bytes)) == bytes);
+            }),
+    }};
+
+} // namespace
--- /dev/null
+++ b/packages/platform/tests/vm_list_test.cpp
@@ -0,0 +1,80 @@
+#include "jasminewood/platform/vm_list.h"
+
+#include <chrono>
+#include <string>
+
+#include "jasminewood/http/client.h"
+#include "jasminewood/testbench/fake_vms.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace jasminewood::platform;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+constexpr auto twoVms = R"([
+    {"targets": ["10.0.0.1:7100"], "labels": {"role": "agent", "name": "vm-1", "pool": "chat", "data_centre": "lj-a",
+                                              "state": "live"}},
+    {"targets": ["10.0.0.2:7100"], "labels": {"role": "agent", "name": "vm-2", "pool": "chat", "data_centre": "lj-b",
+                                              "state": "leaving"}}])";
+
+auto urlOf(const testbench::FakeVms &list) -> std::string
+{
+    return "http://127.0.0.1:" + std::to_string(list.port()) + "/v1/targets";
+}
+
+auto put(const testbench::FakeVms &list, const std::string &body) -> int
+{
+    return http::fetch({.method_ = "PUT", .url_ = urlOf(list), .body_ = body})->status_;
+}
+
+const testkit::Story story = {"a VM list client",
+    {
+        section("whose list has members",
+            {
+                // Guards against a leaving VM that is taken for a live one.
+                test("reads them with their labels",
+                    [] {
+                        const auto list = testbench::FakeVms::start({});
+                        check(put(**list, twoVms) == 200);
+                        const auto members = VmListClient({.url_ = urlOf(**list)}).fetchMembers();
+                        check(members && members->size() == 2);
+                        check((*members)[1]
+                            == VmEntry {.address_ = "10.0.0.2:7100",
+                                .role_ = "agent",
+                                .name_ = "vm-2",
+                                .pool_ = "chat",
+                                .dataCentre_ = "lj-b",
+                                .state_ = VmState::Leaving});
+                        check((*members)[0].state_ == VmState::Live);
+                    }),
+                // Guards against a stand-in that shows changes at once, unlike the platform.
+                test("does not see a change before the lag is over",
+                    [] {
+                        const auto list = testbench::FakeVms::start({.lag_ = std::chrono::hours(1)});
+                        check(put(**list, twoVms) == 200);
+                        check(VmListClient({.url_ = urlOf(**list)}).fetchMembers()->empty());
+                    }),
+            }),
+        section("whose list is malformed or absent",
+            {
+                // Guards against a partial list that makes live VMs disappear.
+                test("fails as a whole and names the peer",
+                    [] {
+                        const auto list = testbench::FakeVms::start({});
+                        const auto client = VmListClient({.url_ = urlOf(**list)});
+                        check(put(**list, R"([{"targets": ["10.0.0.1:1"]}, {"labels": {}}])") == 200);
+                        const auto malformed = client.fetchMembers();
+                        check(!malformed && malformed.reason().step_ == "vm list");
+                        (*list)->stop();
+                        const auto absent = client.fetchMembers();
+                        check(!absent && absent.reason().peer_ == "127.0.0.1:" + std::to_string((*list)->port()));
+                    }),
+            }),
+    }};
+
+} // namespace
--- /dev/null
+++ b/packages/testbench/include/jasminewood/testbench/fake_vms.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "jasminewood/core/clock.h"
+#include "jasminewood/core/result.h"
+
+// A stand-in for the platform's VM list as Prometheus HTTP service discovery.
+//
+// GET /v1/targets answers a JSON list of {"targets": ["IP:PORT"], "labels": {"role", "name", "pool", "data_centre",
+// "state": "live" or "leaving"}}; PUT /v1/targets replaces the list, which becomes visible after the lag.
+
+namespace jasminewood::testbench
+{
+
+struct FakeVmsOptions
+{
+    const std::uint16_t port_ = 0;
+    const Milliseconds lag_ = Milliseconds(0);
+};
+
+// Thread-safe.
+class FakeVms
+{
+public:
+    // Fails as http::Server::start() does.
+    static auto start(const FakeVmsOptions &options) -> Result<std::shared_ptr<FakeVms>>;
+
+    // Stops the service as stop() does.
+    ~FakeVms();
+
+    FakeVms(const FakeVms &) = delete;
+    auto operator=(const FakeVms &) -> FakeVms & = delete;
+
+    auto port() const -> std::uint16_t;
+
+    // Closes the port. May be called twice.
+    auto stop() -> void;
+
+private:
+    class State;
+
+    explicit FakeVms(std::unique_ptr<State> state);
+
+    const std::unique_ptr<State> state_;
+};
+
+} // namespace jasminewood::testbench
--- a/packages/testbench/src/chat_request.cpp
+++ b/packages/testbench/src/chat_request.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "jasminewood/testbench/expected_output.h"
+#include "json_response.h"
 
 namespace jasminewood::testbench::internal
 {
@@ -27,12 +28,6 @@
     return text;
 }
 
-auto requestIdOf(const http::Request &request) -> std::string
-{
-    const auto found = request.headers_.find("x-request-id");
-    return found == request.headers_.end() ? "" : found->second;
-}
-
 auto maximumTokensOf(const json &body) -> std::optional<std::size_t>
 {
     for (const auto *name : {"max_completion_tokens", "max_tokens"}) {
@@ -68,7 +63,7 @@
     const auto resumed = continues ? contentOf(last) : "";
     const auto first = countTokens(resumed);
     const auto lastSpace = resumed.rfind(' ');
-    return ChatRequest {.requestId_ = requestIdOf(request),
+    return ChatRequest {.requestId_ = headerOf(request, "x-request-id"),
         .model_ = body.value("model", ""),
         .prompt_ = std::move(prompt),
         .lastUserMessage_ = user,
--- a/packages/testbench/src/fake_engine.cpp
+++ b/packages/testbench/src/fake_engine.cpp
@@ -8,6 +8,7 @@
 #include "engine_model.h"
 #include "generation.h"
 #include "jasminewood/http/server.h"
+#include "json_response.h"
 
 namespace jasminewood::testbench
 {
@@ -18,22 +19,13 @@
 using internal::Broken;
 using internal::ChatRequest;
 using internal::EngineModel;
+using internal::errorResponse;
 using internal::Finished;
 using internal::Generation;
+using internal::jsonResponse;
 using internal::Token;
 using nlohmann::json;
 
-auto jsonResponse(int status, const json &body) -> http::WholeResponse
-{
-    return {
-        .status_ = status, .headers_ = {{.name_ = "Content-Type", .value_ = "application/json"}}, .body_ = body.dump()};
-}
-
-auto errorResponse(int status, const std::string &message) -> http::WholeResponse
-{
-    return jsonResponse(status, {{"error", {{"message", message}, {"type", "invalid_request_error"}}}});
-}
-
 auto answerObject(const ChatRequest &request, const char *kind) -> json
 {
     return {{"id", "chatcmpl-" + request.requestId_}, {"object", kind}, {"created", 0}, {"model", request.model_}};
--- /dev/null
+++ b/packages/testbench/src/fake_kv.cpp
@@ -0,0 +1,360 @@
+#include "jasminewood/testbench/fake_kv.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "fault_gate.h"
+#include "jasminewood/http/server.h"
+#include "json_response.h"
+#include "kv_codec.h"
+#include "kv_store.h"
+
+namespace jasminewood::testbench
+{
+
+namespace
+{
+
+using internal::FaultGate;
+using internal::jsonResponse;
+using internal::KvStore;
+using internal::KvWatch;
+using nlohmann::json;
+
+// The size from which etcd refuses a request with its default settings.
+constexpr std::size_t maximumRequestBytes = std::size_t(3) << 19U;
+// Attempts to listen again after an outage, in case the system has given the port away for a moment.
+constexpr int rebindAttempts = 100;
+constexpr auto rebindPause = Milliseconds(20);
+// Limit for the calls that were cut off to end.
+constexpr auto cutTime = std::chrono::seconds(10);
+
+auto etcdError(int status, int code, const std::string &message) -> http::WholeResponse
+{
+    return jsonResponse(status, {{"error", message}, {"message", message}, {"code", code}});
+}
+
+// Produces the lines of one watch.
+class WatchStream
+{
+public:
+    WatchStream(KvStore &store, FaultGate &gate, const KvWatch &watch, std::function<auto()->bool> callerGone)
+        : store_(store)
+        , gate_(gate)
+        , span_(watch.span_)
+        , callerGone_(std::move(callerGone))
+        , next_(watch.startRevision_ > 0 ? watch.startRevision_ : store.revision() + 1)
+    {
+    }
+
+    auto next() -> http::StreamStep
+    {
+        if (ended_) {
+            return http::EndOfStream {};
+        }
+        if (!std::exchange(created_, true)) {
+            const auto result = json {{"header", internal::headerJson(store_.revision())}, {"created", true}};
+            return line({{"result", result}});
+        }
+        const auto events = store_.waitForEvents(span_, next_, [this] {
+            return gate_.cut() || callerGone_();
+        });
+        if (!gate_.pass() || callerGone_()) {
+            return http::AbortStream {};
+        }
+        next_ = events.revision_ + 1;
+        ended_ = events.compactRevision_ != 0;
+        return line(internal::encodeEvents(events));
+    }
+
+private:
+    static auto line(const json &message) -> http::StreamStep
+    {
+        return http::Chunk {.data_ = message.dump() + "\n"};
+    }
+
+    KvStore &store_;
+    FaultGate &gate_;
+    const internal::KvSpan span_;
+    const std::function<auto()->bool> callerGone_;
+    std::int64_t next_;
+    bool created_ = false;
+    bool ended_ = false;
+};
+
+} // namespace
+
+class FakeKv::State
+{
+public:
+    auto run(const FakeKvOptions &options) -> Status
+    {
+        if (const auto failure = listen(options.port_)) {
+            return failure;
+        }
+        port_ = server_->port();
+        outages_ = std::thread([this] {
+            runOutages();
+        });
+        return std::nullopt;
+    }
+
+    ~State()
+    {
+        stop();
+    }
+
+    auto port() const -> std::uint16_t
+    {
+        return port_;
+    }
+
+    auto stop() -> void
+    {
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            stopped_ = true;
+            changed_.notify_all();
+        }
+        if (outages_.joinable()) {
+            outages_.join();
+        }
+        if (server_) {
+            cutOff();
+        }
+    }
+
+private:
+    auto listen(std::uint16_t port) -> Status
+    {
+        const auto server = http::Server::start({.port_ = port}, [this](const http::Request &request) {
+            return handle(request);
+        });
+        if (!server) {
+            return server.reason();
+        }
+        server_ = *server;
+        return std::nullopt;
+    }
+
+    // Ends all calls and closes the port.
+    auto cutOff() -> void
+    {
+        gate_.setDown(true);
+        store_.wake();
+        server_->quiesce();
+        server_->waitIdle(cutTime);
+        server_->stop();
+    }
+
+    // Task that takes the service down and brings it back, apart from the connections that it closes.
+    auto runOutages() -> void
+    {
+        auto lock = std::unique_lock(mutex_);
+        while (true) {
+            changed_.wait(lock, [this] {
+                return stopped_ || outage_.has_value();
+            });
+            if (stopped_) {
+                return;
+            }
+            const auto end = Clock::now() + *std::exchange(outage_, std::nullopt);
+            lock.unlock();
+            cutOff();
+            lock.lock();
+            changed_.wait_until(lock, end, [this] {
+                return stopped_;
+            });
+            gate_.setDown(false);
+            for (auto attempt = 0; attempt < rebindAttempts && !stopped_ && listen(port_); ++attempt) {
+                changed_.wait_for(lock, rebindPause);
+            }
+        }
+    }
+
+    auto handle(const http::Request &request) -> http::Response
+    {
+        try {
+            return route(request);
+        } catch (const json::exception &problem) {
+            return etcdError(400, 3, problem.what());
+        }
+    }
+
+    auto route(const http::Request &request) -> http::Response
+    {
+        if (request.path_ == "/fault") {
+            return inject(json::parse(request.body_));
+        }
+        if (request.path_ == "/calls") {
+            const auto lock = std::scoped_lock(mutex_);
+            return jsonResponse(200, calls_);
+        }
+        if (!gate_.pass()) {
+            return http::WholeResponse {.status_ = http::noAnswer};
+        }
+        if (request.body_.size() > maximumRequestBytes) {
+            return etcdError(400, 3, "etcdserver: request is too large");
+        }
+        const auto body = json::parse(request.body_);
+        if (request.path_ == "/v3/watch") {
+            return watch(request, body);
+        }
+        return request.path_.starts_with("/v3/lease/") ? lease(request.path_, body) : perform(request.path_, body);
+    }
+
+    auto perform(const std::string &path, const json &body) -> http::Response
+    {
+        if (path == "/v3/kv/range") {
+            return apply("range", internal::decodeRange(body), false);
+        }
+        if (path == "/v3/kv/put") {
+            return apply("put", internal::decodePut(body), true);
+        }
+        if (path == "/v3/kv/deleterange") {
+            return apply("deleterange", internal::decodeDelete(body), true);
+        }
+        if (path == "/v3/kv/txn") {
+            return apply("txn", internal::decodeTransaction(body), true);
+        }
+        return etcdError(404, 5, "Not Found");
+    }
+
+    auto apply(const std::string &kind, const internal::KvOperation &operation, bool writes) -> http::Response
+    {
+        count(kind);
+        const auto outcome = store_.apply(operation);
+        if (writes && gate_.takeLoss()) {
+            return http::WholeResponse {.status_ = http::noAnswer};
+        }
+        if (!outcome) {
+            return etcdError(400, 3, outcome.reason().reason_);
+        }
+        return jsonResponse(200, internal::encodeOutcome(*outcome));
+    }
+
+    auto lease(const std::string &path, const json &body) -> http::Response
+    {
+        const auto id = internal::integerOf(body, "ID");
+        if (path == "/v3/lease/grant") {
+            count("lease_grant");
+            const auto timeToLive = std::chrono::seconds(internal::integerOf(body, "TTL"));
+            const auto granted = store_.grant(id, timeToLive);
+            return granted ? leaseAnswer(*granted, timeToLive) : etcdError(400, 9, "etcdserver: lease already exists");
+        }
+        if (path == "/v3/lease/keepalive") {
+            count("lease_keepalive");
+            return jsonResponse(200, {{"result", leaseJson(id, store_.keepAlive(id))}});
+        }
+        if (path == "/v3/lease/revoke") {
+            count("lease_revoke");
+            return store_.revoke(id) ? jsonResponse(200, {{"header", internal::headerJson(store_.revision())}})
+                                     : etcdError(404, 5, "etcdserver: requested lease not found");
+        }
+        return etcdError(404, 5, "Not Found");
+    }
+
+    auto leaseJson(std::int64_t id, std::chrono::seconds timeToLive) -> json
+    {
+        auto answer = json {{"header", internal::headerJson(store_.revision())}, {"ID", std::to_string(id)}};
+        if (timeToLive.count() > 0) {
+            answer["TTL"] = std::to_string(timeToLive.count());
+        }
+        return answer;
+    }
+
+    auto leaseAnswer(std::int64_t id, std::chrono::seconds timeToLive) -> http::WholeResponse
+    {
+        if (gate_.takeLoss()) {
+            return {.status_ = http::noAnswer};
+        }
+        return jsonResponse(200, leaseJson(id, timeToLive));
+    }
+
+    auto watch(const http::Request &request, const json &body) -> http::Response
+    {
+        count("watch");
+        const auto stream
+            = std::make_shared<WatchStream>(store_, gate_, internal::decodeWatch(body), request.callerGone_);
+        return http::StreamResponse {
+            .headers_ = {{.name_ = "Content-Type", .value_ = "application/json"}}, .next_ = [stream] {
+                return stream->next();
+            }};
+    }
+
+    auto count(const std::string &kind) -> void
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        ++calls_[kind];
+    }
+
+    auto inject(const json &fault) -> http::Response
+    {
+        const auto time = [&fault](const char *name) {
+            return Milliseconds(internal::integerOf(fault, name));
+        };
+        if (fault.contains("down_ms")) {
+            const auto lock = std::scoped_lock(mutex_);
+            outage_ = time("down_ms");
+            changed_.notify_all();
+        }
+        if (fault.contains("slow_ms")) {
+            gate_.slow(time("slow_ms"), time("for_ms"));
+        }
+        if (fault.contains("freeze_ms")) {
+            gate_.freeze(time("freeze_ms"));
+        }
+        if (fault.contains("lose_answers")) {
+            gate_.loseAnswers(fault["lose_answers"].get<std::size_t>());
+        }
+        return jsonResponse(200, json::object());
+    }
+
+    KvStore store_;
+    FaultGate gate_;
+    std::shared_ptr<http::Server> server_;
+    std::uint16_t port_ = 0;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool stopped_ = false;
+    std::optional<Milliseconds> outage_;
+    std::map<std::string, std::size_t> calls_;
+    std::thread outages_;
+};
+
+auto FakeKv::start(const FakeKvOptions &options) -> Result<std::shared_ptr<FakeKv>>
+{
+    auto state = std::make_unique<State>();
+    if (const auto failure = state->run(options)) {
+        return *failure;
+    }
+    return std::shared_ptr<FakeKv>(new FakeKv(std::move(state)));
+}
+
+FakeKv::FakeKv(std::unique_ptr<State> state)
+    : state_(std::move(state))
+{
+}
+
+FakeKv::~FakeKv()
+{
+    stop();
+}
+
+auto FakeKv::port() const -> std::uint16_t
+{
+    return state_->port();
+}
+
+auto FakeKv::stop() -> void
+{
+    state_->stop();
+}
+
+} // namespace jasminewood::testbench
--- a/packages/testbench/tests/engine_model_test.cpp
+++ b/packages/testbench/tests/engine_model_test.cpp
@@ -29,6 +29,14 @@
     return started.get();
 }
 
+template <typename Step>
+auto timeOf(Step step) -> Clock::duration
+{
+    const auto start = Clock::now();
+    check(step());
+    return Clock::now() - start;
+}
+
 const testkit::Story story = {"an engine model",
     {
         section("with all slots taken",
@@ -63,6 +71,32 @@
                         check(!started.get() && !model.decodeToken(*running));
                     }),
             }),
+        section("that is loaded or slowed",
+            {
+                // Guards against a batch, a prompt or a fault without a price, which would hide stragglers.
+                test("takes at least the time of its model",
+                    [] {
+                        auto model = EngineModel({.baseTokenMs_ = 4.0,
+                            .batchSlowdown_ = 1.0,
+                            .prefillMicrosecondsPerByte_ = 1000.0,
+                            .timeScale_ = 0.5});
+                        const auto first = model.queue(0);
+                        const auto second = model.queue(0);
+                        check(timeOf([&] {
+                            return model.decodeToken(*first);
+                        }) >= Milliseconds(6));
+                        const auto prompt = std::string(512, 'p');
+                        check(timeOf([&] {
+                            return model.prefill(*first, prompt);
+                        }) >= Milliseconds(256));
+                        model.slow(10.0, std::nullopt);
+                        check(timeOf([&] {
+                            return model.decodeToken(*second);
+                        }) >= Milliseconds(60));
+                        model.slow(1e9, Milliseconds(0));
+                        check(model.decodeToken(*second));
+                    }),
+            }),
         section("that reports late",
             {
                 // Guards against figures fresher than the lag, which would hide the router's dependence on them.
