Build fault texts only for faults and avoid a null copy in ini

The undefined-behaviour sanitizer reported memcpy from a null pointer for empty lines in ini_test, and every number of a manifest formatted the text of a fault that it did not have. Lines are now copied with std::copy and fault texts built when needed.

--- a/packages/ini/src/document.cpp
+++ b/packages/ini/src/document.cpp
@@ -1,9 +1,10 @@
 #include "jasminewood/ini/document.h"
 
 #include <algorithm>
-#include <cstring>
+#include <iterator>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 #include <fmt/format.h>
 #include <ini.h>
@@ -122,8 +123,7 @@
     if (content.starts_with('[') && !isContinuation(parse)) {
         openSection(parse, content);
     }
-    std::memcpy(target, line.data(), line.size());
-    target[line.size()] = '\0';
+    *std::copy(line.begin(), line.end(), target) = '\0';
     return target;
 }
 
@@ -147,15 +147,18 @@
     return 1;
 }
 
-auto finishedSection(const PendingSection &pending) -> Section
+auto finishedSection(PendingSection &pending) -> Section
 {
     auto entries = std::vector<Entry>();
     entries.reserve(pending.entries_.size());
-    for (const auto &entry : pending.entries_) {
-        entries.push_back(Entry {.key_ = entry.key_, .value_ = entry.value_, .line_ = entry.line_});
-    }
-    return Section {
-        .name_ = pending.name_, .argument_ = pending.argument_, .line_ = pending.line_, .entries_ = std::move(entries)};
+    for (auto &entry : pending.entries_) {
+        entries.push_back(
+            Entry {.key_ = std::move(entry.key_), .value_ = std::move(entry.value_), .line_ = entry.line_});
+    }
+    return Section {.name_ = std::move(pending.name_),
+        .argument_ = std::move(pending.argument_),
+        .line_ = pending.line_,
+        .entries_ = std::move(entries)};
 }
 
 // The limits of inih are variables of the library; they are set once, before the first parse.
--- a/packages/ini/tests/document_test.cpp
+++ b/packages/ini/tests/document_test.cpp
@@ -44,6 +44,14 @@
                         check(document->sections_[0].argument_ == name);
                         check(document->sections_[0].entries_[0].value_ == value);
                     }),
+                // Guards against a file from an editor that begins with a byte order mark, or indents its headings.
+                test("may begin with a byte order mark and indent a heading after an empty section",
+                    [] {
+                        const auto document = ini::parse("\xEF\xBB\xBF[a]\n  [b]\n  k = 1 ; remark\n", "f.ini");
+                        check(bool(document) && document->sections_.size() == 2);
+                        check(document->sections_[1].name_ == "b" && document->sections_[1].line_ == 2);
+                        check(document->sections_[1].entries_[0].value_ == "1");
+                    }),
                 // Guards against line numbers that drift after a continuation, and against a repeated key that is
                 // mistaken for one.
                 test("joins continuation lines and keeps repeated keys apart",
--- a/packages/manifest/include/jasminewood/manifest/check.h
+++ b/packages/manifest/include/jasminewood/manifest/check.h
@@ -9,7 +9,7 @@
 #include "jasminewood/ini/fault.h"
 #include "jasminewood/manifest/manifest.h"
 
-// Makes a manifest from INI text. docs: the sections and keys are
+// Makes a manifest from INI text. The sections and keys are
 //
 //   [account NAME] key_sha256, default_class, classes = default_class, requests_per_second, work_per_second, weight = 1
 //   [class NAME]   tier, pool, maximum_wait_ms, first_token_ms = 0, between_tokens_ms = 0, minimum_share = 0, models,
--- a/packages/manifest/src/section_reader.cpp
+++ b/packages/manifest/src/section_reader.cpp
@@ -48,20 +48,16 @@
 auto SectionReader::integer(const std::string &key, Range range, std::optional<std::int64_t> fallback) -> std::int64_t
 {
     asked_.insert(key);
-    if (fallback && !has(key)) {
+    const auto *entry = find(key);
+    if (fallback && entry == nullptr) {
         return *fallback;
     }
-    const auto expected = fmt::format("a number from {} to {}", range.min_, range.max_);
-    const auto *entry = require(key, expected);
-    if (entry == nullptr) {
-        return range.min_;
-    }
-    const auto number = ini::parseInteger(entry->value_);
-    if (!number || *number < range.min_ || *number > range.max_) {
-        fault(key, expected, quoted(entry->value_));
-        return range.min_;
+    const auto number = entry == nullptr ? std::nullopt : ini::parseInteger(entry->value_);
+    if (number && *number >= range.min_ && *number <= range.max_) {
+        return *number;
     }
-    return *number;
+    faultOfValue(key, fmt::format("a number from {} to {}", range.min_, range.max_));
+    return range.min_;
 }
 
 auto SectionReader::yesNo(const std::string &key, std::optional<bool> fallback) -> bool
@@ -74,20 +70,16 @@
     const std::string &key, const std::vector<std::string> &choices, std::optional<std::size_t> fallback) -> std::size_t
 {
     asked_.insert(key);
-    if (fallback && !has(key)) {
+    const auto *entry = find(key);
+    if (fallback && entry == nullptr) {
         return *fallback;
     }
-    const auto expected = fmt::format("one of {}", fmt::join(choices, ", "));
-    const auto *entry = require(key, expected);
-    if (entry == nullptr) {
-        return 0;
-    }
-    const auto found = std::find(choices.begin(), choices.end(), entry->value_);
-    if (found == choices.end()) {
-        fault(key, expected, quoted(entry->value_));
-        return 0;
+    const auto found = entry == nullptr ? choices.end() : std::find(choices.begin(), choices.end(), entry->value_);
+    if (found != choices.end()) {
+        return static_cast<std::size_t>(found - choices.begin());
     }
-    return static_cast<std::size_t>(found - choices.begin());
+    faultOfValue(key, fmt::format("one of {}", fmt::join(choices, ", ")));
+    return 0;
 }
 
 auto SectionReader::list(const std::string &key) -> std::vector<std::string>
@@ -148,12 +140,22 @@
     asked_.insert(key);
     const auto *entry = find(key);
     if (entry == nullptr || ini::trimmed(entry->value_).empty()) {
-        fault(key, expected, entry == nullptr ? "nothing (the key is required)" : "an empty value");
+        faultOfValue(key, expected);
         return nullptr;
     }
     return entry;
 }
 
+auto SectionReader::faultOfValue(const std::string &key, const std::string &expected) -> void
+{
+    const auto *entry = find(key);
+    if (entry == nullptr) {
+        fault(key, expected, "nothing (the key is required)");
+    } else {
+        fault(key, expected, entry->value_.empty() ? "an empty value" : quoted(entry->value_));
+    }
+}
+
 auto SectionReader::note(int line, const std::string &key, const std::string &expected, const std::string &found)
     -> void
 {
--- a/packages/manifest/src/section_reader.h
+++ b/packages/manifest/src/section_reader.h
@@ -58,6 +58,8 @@
 private:
     auto find(const std::string &key) const -> const ini::Entry *;
     auto require(const std::string &key, const std::string &expected) -> const ini::Entry *;
+    // Notes that the key is missing or its value is not the expected one.
+    auto faultOfValue(const std::string &key, const std::string &expected) -> void;
     auto note(int line, const std::string &key, const std::string &expected, const std::string &found) -> void;
 
     const ini::Section *section_;
