Let the weighted policy compare more upstreams and trust reports less

Weighted now carries the number of draws and the weight of reported queues; the defaults stay at the design's two and one.

--- a/packages/routing/include/jasminewood/routing/policy.h
+++ b/packages/routing/include/jasminewood/routing/policy.h
@@ -64,10 +64,17 @@
     auto operator<=>(const LeastOutstanding &) const = default;
 };
 
-// The better of two random upstreams by score(), unless the prefix's preferred upstream is below its load bound and has
+// The best of a few random upstreams by score(), unless the prefix's preferred upstream is below its load bound and has
 // a free slot, or no upstream has one.
 struct Weighted
 {
+    // Upstreams that are compared, at least 1. Two keep many routers that see the same reports from herding; a few
+    // routers that send most of the load know it from their own attempts and spread it better with more.
+    const std::uint32_t draws_ = 2;
+    // Weight of Candidate::queuedAhead_, 0 to 1. Reports lag, and with more draws a full weight makes all routers react
+    // to the same old report.
+    const double queuedWeight_ = 1;
+
     auto operator<=>(const Weighted &) const = default;
 };
 
@@ -80,8 +87,8 @@
 // When a request without any eligible upstream may be sent again.
 constexpr Milliseconds noUpstreamRetryAfter = Milliseconds(1000);
 
-// Returns (outstanding + queued ahead + 1) * slowness; smaller is better.
-auto score(const Candidate &candidate) -> double;
+// Returns (outstanding + queuedWeight * queued ahead + 1) * slowness; smaller is better.
+auto score(const Candidate &candidate, double queuedWeight = 1) -> double;
 
 // Returns the position of the upstream that the prefix prefers by rendezvous hash, so that a change of the candidates
 // moves only the prefixes of the upstreams that came or went. Depends on names and not on incarnations. Precondition:
@@ -106,7 +113,8 @@
         -> std::size_t;
     auto pick(const Weighted &policy, const Request &request, const std::vector<Candidate> &eligible) -> std::size_t;
     auto randomBelow(std::size_t bound) -> std::size_t;
-    auto better(const Candidate &left, const Candidate &right) const -> bool;
+    auto bestDraw(const Weighted &policy, const std::vector<Candidate> &eligible) -> std::size_t;
+    auto better(const Weighted &policy, const Candidate &left, const Candidate &right) const -> bool;
 
     std::mt19937_64 random_;
     std::string dataCentre_;
--- a/packages/routing/src/policy.cpp
+++ b/packages/routing/src/policy.cpp
@@ -20,30 +20,32 @@
     return !tried && !(request.suspect_ && candidate.suspectRunning_);
 }
 
-auto averageScore(const std::vector<Candidate> &candidates) -> double
+auto averageScore(const std::vector<Candidate> &candidates, double queuedWeight) -> double
 {
-    const auto total
-        = std::accumulate(candidates.begin(), candidates.end(), 0.0, [](double sum, const Candidate &candidate) {
-              return sum + score(candidate);
-          });
+    const auto add = [&](double sum, const Candidate &candidate) -> double {
+        return sum + score(candidate, queuedWeight);
+    };
+    const auto total = std::accumulate(candidates.begin(), candidates.end(), 0.0, add);
     return total / static_cast<double>(candidates.size());
 }
 
-auto withinAffinityBound(const Candidate &preferred, const std::vector<Candidate> &candidates) -> bool
+auto withinAffinityBound(const Candidate &preferred, const std::vector<Candidate> &candidates, double queuedWeight)
+    -> bool
 {
     // A wait for a slot costs more than a cached prefix saves, unless the request waits wherever it goes.
     const auto slotElsewhere = preferred.freeSlots_ == 0
         && std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) {
                return candidate.freeSlots_ > 0;
            });
-    return !slotElsewhere && score(preferred) <= affinityLoadFactor * averageScore(candidates);
+    return !slotElsewhere
+        && score(preferred, queuedWeight) <= affinityLoadFactor * averageScore(candidates, queuedWeight);
 }
 
 } // namespace
 
-auto score(const Candidate &candidate) -> double
+auto score(const Candidate &candidate, double queuedWeight) -> double
 {
-    return (static_cast<double>(candidate.outstanding_) + candidate.queuedAhead_ + 1) * candidate.slowness_;
+    return (candidate.outstanding_ + queuedWeight * candidate.queuedAhead_ + 1) * candidate.slowness_;
 }
 
 auto preferredUpstream(std::uint64_t prefixHash, const std::vector<Candidate> &candidates) -> std::size_t
@@ -112,23 +114,33 @@
     return least[randomBelow(least.size())];
 }
 
-auto Chooser::pick(const Weighted & /*policy*/, const Request &request, const std::vector<Candidate> &eligible)
+auto Chooser::pick(const Weighted &policy, const Request &request, const std::vector<Candidate> &eligible)
     -> std::size_t
 {
-    if (eligible.size() == 1) {
-        return 0;
-    }
     if (request.prefixHash_ != 0) {
         const auto preferred = preferredUpstream(request.prefixHash_, eligible);
-        if (withinAffinityBound(eligible[preferred], eligible)) {
+        if (withinAffinityBound(eligible[preferred], eligible, policy.queuedWeight_)) {
             return preferred;
         }
     }
-    const auto first = randomBelow(eligible.size());
-    // Drawn from the others, so that the two candidates are distinct.
-    const auto offset = 1 + randomBelow(eligible.size() - 1);
-    const auto second = (first + offset) % eligible.size();
-    return better(eligible[second], eligible[first]) ? second : first;
+    return bestDraw(policy, eligible);
+}
+
+auto Chooser::bestDraw(const Weighted &policy, const std::vector<Candidate> &eligible) -> std::size_t
+{
+    // The drawn upstreams are distinct: each draw moves to the front and the next one comes from the rest.
+    auto order = std::vector<std::size_t>(eligible.size());
+    std::iota(order.begin(), order.end(), std::size_t(0));
+    const auto draws = std::clamp<std::size_t>(policy.draws_, 1, eligible.size());
+    auto best = std::size_t(0);
+    for (auto draw = std::size_t(0); draw < draws; ++draw) {
+        std::swap(order[draw], order[draw + randomBelow(eligible.size() - draw)]);
+        const auto drawn = order[draw];
+        if (draw == 0 || better(policy, eligible[drawn], eligible[best])) {
+            best = drawn;
+        }
+    }
+    return best;
 }
 
 auto Chooser::randomBelow(std::size_t bound) -> std::size_t
@@ -136,10 +148,11 @@
     return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
 }
 
-auto Chooser::better(const Candidate &left, const Candidate &right) const -> bool
+auto Chooser::better(const Weighted &policy, const Candidate &left, const Candidate &right) const -> bool
 {
     const auto rank = [&](const Candidate &candidate) -> std::tuple<double, bool, bool> {
-        return {score(candidate), candidate.freeSlots_ == 0, candidate.dataCentre_ != dataCentre_};
+        return {
+            score(candidate, policy.queuedWeight_), candidate.freeSlots_ == 0, candidate.dataCentre_ != dataCentre_};
     };
     return rank(left) < rank(right);
 }
--- a/packages/routing/tests/policy_test.cpp
+++ b/packages/routing/tests/policy_test.cpp
@@ -159,6 +159,24 @@
                             Candidate {.node_ = node(1), .dataCentre_ = "lj-a"}));
                     }),
             }),
+        section("that compares more upstreams",
+            {
+                // Guards against draws that repeat an upstream, and against a weight that has no effect.
+                property("finds the best of all by the weighted score",
+                    [] {
+                        const auto candidates = loadedPool(*rc::gen::inRange<std::size_t>(1, 8));
+                        const auto policy = Weighted {.draws_ = 8, .queuedWeight_ = *rc::gen::element(0.0, 0.3, 1.0)};
+                        const auto chosen
+                            = *Chooser(*rc::gen::arbitrary<std::uint64_t>()).choose(policy, Request {}, candidates);
+                        const auto found
+                            = std::find_if(candidates.begin(), candidates.end(), [&](const auto &candidate) {
+                                  return candidate.node_ == chosen;
+                              });
+                        for (const auto &candidate : candidates) {
+                            RC_ASSERT(score(*found, policy.queuedWeight_) <= score(candidate, policy.queuedWeight_));
+                        }
+                    }),
+            }),
         section("with a prompt prefix",
             {
                 // Guards against a prefix that is computed again at each upstream.
