Reserve free slots for recalls and place refused requests only where room can be made

Cause: each queued request recalled itself for any free slot, so one freed slot drew all that waited; a refused request tried 4 upstreams blindly although another one held a lower tier; the agent's ledger kept every refused attempt for good and refused bookings once it was full. Change: a free slot of a load report is given to one attempt; after a refusal only upstreams with a free slot or a lower tier to evict are tried; the ledger forgets after 25 h, one more than a claim lives; attach no longer sends under the gate's mutex; a suspect falls back to an upstream that has one.

--- a/packages/agent/include/jasminewood/agent/attempt_ledger.h
+++ b/packages/agent/include/jasminewood/agent/attempt_ledger.h
@@ -2,10 +2,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
-#include <set>
+#include <utility>
 #include <variant>
 
+#include "jasminewood/core/clock.h"
 #include "jasminewood/core/failure.h"
 #include "jasminewood/core/ids.h"
 
@@ -21,6 +23,8 @@
 namespace jasminewood::agent
 {
 
+// A claim lives for 24 h in the key-value service; until then any router may ask for its attempt.
+constexpr std::chrono::hours attemptRetention = std::chrono::hours(25);
 // About 100 bytes each: 20 MB when full, within the 64 MB that a node may use for control.
 constexpr std::size_t maximumRememberedAttempts = 200'000;
 
@@ -61,7 +65,8 @@
 
     // Decides on a dispatch. An attempt meant for another incarnation, or one that is voided, is rejected as not run.
     // Once the ledger is full it rejects new attempts whose answer "not run" could later be wrong.
-    auto dispatch(const AttemptId &attempt, std::uint64_t expectedIncarnation, bool idempotent) -> DispatchVerdict;
+    auto dispatch(const AttemptId &attempt, std::uint64_t expectedIncarnation, bool idempotent, TimePoint now)
+        -> DispatchVerdict;
 
     // Returns whether the attempt may start now: it is queued and was not voided.
     auto start(const AttemptId &attempt) -> bool;
@@ -73,17 +78,22 @@
     auto ended(const AttemptId &attempt, RunState runState) -> void;
 
     // Makes sure that an attempt that has not started never will, and returns its state afterwards.
-    auto voidAttempt(const AttemptId &attempt) -> AttemptState;
+    auto voidAttempt(const AttemptId &attempt, TimePoint now) -> AttemptState;
 
     // Forgets an idempotent attempt that is over; nobody asks for its run state again.
     auto forget(const AttemptId &attempt) -> void;
 
+    // Forgets attempts that were first seen longer than attemptRetention ago and do not run.
+    auto expire(TimePoint now) -> void;
+
     auto size() const -> std::size_t;
 
 private:
     const NodeId self_;
     const std::size_t capacity_;
     std::map<AttemptId, AttemptState> states_;
+    // Attempts that are kept until they expire, by the time at which they were first seen.
+    std::deque<std::pair<TimePoint, AttemptId>> kept_;
 };
 
 } // namespace jasminewood::agent
--- a/packages/agent/src/attempt_ledger.cpp
+++ b/packages/agent/src/attempt_ledger.cpp
@@ -13,8 +13,8 @@
 {
 }
 
-auto AttemptLedger::dispatch(const AttemptId &attempt, std::uint64_t expectedIncarnation, bool idempotent)
-    -> DispatchVerdict
+auto AttemptLedger::dispatch(
+    const AttemptId &attempt, std::uint64_t expectedIncarnation, bool idempotent, TimePoint now) -> DispatchVerdict
 {
     const auto reject = [this](const std::string &reason) {
         return Rejected {.failure_ = Failure {.step_ = "dispatch", .peer_ = toString(self_), .reason_ = reason}};
@@ -33,6 +33,9 @@
         return reject("the record of non-idempotent attempts is full");
     }
     states_.emplace(attempt, AttemptState::Queued);
+    if (!idempotent) {
+        kept_.emplace_back(now, attempt);
+    }
     return Accepted {};
 }
 
@@ -56,9 +59,12 @@
     states_.insert_or_assign(attempt, runState == RunState::NotRun ? AttemptState::Voided : AttemptState::Ran);
 }
 
-auto AttemptLedger::voidAttempt(const AttemptId &attempt) -> AttemptState
+auto AttemptLedger::voidAttempt(const AttemptId &attempt, TimePoint now) -> AttemptState
 {
-    const auto entry = states_.try_emplace(attempt, AttemptState::Voided).first;
+    const auto [entry, unknown] = states_.try_emplace(attempt, AttemptState::Voided);
+    if (unknown) {
+        kept_.emplace_back(now, attempt);
+    }
     if (entry->second == AttemptState::Queued) {
         entry->second = AttemptState::Voided;
     }
@@ -70,6 +76,17 @@
     states_.erase(attempt);
 }
 
+auto AttemptLedger::expire(TimePoint now) -> void
+{
+    while (!kept_.empty() && now - kept_.front().first > attemptRetention) {
+        const auto known = states_.find(kept_.front().second);
+        if (known != states_.end() && known->second != AttemptState::Running) {
+            states_.erase(known);
+        }
+        kept_.pop_front();
+    }
+}
+
 auto AttemptLedger::size() const -> std::size_t
 {
     return states_.size();
--- a/packages/agent/src/gate.cpp
+++ b/packages/agent/src/gate.cpp
@@ -118,7 +118,7 @@
     if (leaving_) {
         return wire::Failed {.attempt_ = message.attempt_, .failure_ = refusal("the upstream is leaving")};
     }
-    const auto verdict = ledger_->dispatch(message.attempt_, message.expectedIncarnation_, message.idempotent_);
+    const auto verdict = ledger_->dispatch(message.attempt_, message.expectedIncarnation_, message.idempotent_, now);
     if (const auto *rejected = std::get_if<Rejected>(&verdict)) {
         return wire::Failed {.attempt_ = message.attempt_, .failure_ = rejected->failure_};
     }
@@ -128,6 +128,9 @@
     const auto admission = queue_.enqueue(entryOf(message, now), now);
     if (const auto *refused = std::get_if<scheduling::Refused>(&admission)) {
         ledger_->neverStarted(message.attempt_);
+        if (message.idempotent_) {
+            ledger_->forget(message.attempt_);
+        }
         return wire::Failed {.attempt_ = message.attempt_, .failure_ = refused->failure_};
     }
     runs_.emplace(message.attempt_, std::make_shared<AttemptRun>(message, router));
@@ -189,7 +192,7 @@
             neverStart(message.attempt_, "cancelled before it started", refusals);
         } else if (!run) {
             // Also an attempt that is still on its way must not start after this answer.
-            unknown = runStateOf(ledger_->voidAttempt(message.attempt_));
+            unknown = runStateOf(ledger_->voidAttempt(message.attempt_, Clock::now()));
         } else if (run->dispatch().idempotent_) {
             run->call().cancel();
         }
@@ -203,17 +206,19 @@
 
 auto Gate::attach(const wire::Attach &message, const Router &router) -> void
 {
+    auto run = std::shared_ptr<AttemptRun>();
     auto unknown = RunState::NotRun;
     {
-        const auto lock = std::unique_lock(mutex_);
-        if (const auto run = find(message.attempt_)) {
-            environment_->event(message.attempt_, "attach", router->peer().node_.name_);
-            run->attach(router, message.offset_);
-            return;
-        }
-        unknown = runStateOf(ledger_->voidAttempt(message.attempt_));
+        const auto lock = std::lock_guard(mutex_);
+        run = find(message.attempt_);
+        unknown = run ? unknown : runStateOf(ledger_->voidAttempt(message.attempt_, Clock::now()));
+    }
+    if (!run) {
+        sendUnknown(message.attempt_, "attach", unknown, router);
+        return;
     }
-    sendUnknown(message.attempt_, "attach", unknown, router);
+    environment_->event(message.attempt_, "attach", router->peer().node_.name_);
+    run->attach(router, message.offset_);
 }
 
 auto Gate::sendUnknown(const AttemptId &attempt, const std::string &step, RunState runState, const Router &router) const
@@ -236,7 +241,7 @@
         if (queue_.remove(message.attempt_)) {
             neverStart(message.attempt_, "voided by another router", refusals);
         }
-        runState = runStateOf(ledger_->voidAttempt(message.attempt_));
+        runState = runStateOf(ledger_->voidAttempt(message.attempt_, Clock::now()));
         run = find(message.attempt_);
     }
     deliver(refusals);
@@ -425,6 +430,7 @@
 
 auto Gate::forgetOldRuns(TimePoint now) -> void
 {
+    ledger_->expire(now);
     std::erase_if(runs_, [&](const auto &entry) {
         const auto endedAt = entry.second->endedAt();
         const auto old = endedAt && now - *endedAt > outputRetention;
--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -29,8 +29,7 @@
     const std::string name_;
     const std::string value_;
 
-    // clang-tidy 14 takes the 0 of the generated comparison for a null pointer.
-    auto operator<=>(const Header &) const = default; // NOLINT(modernize-use-nullptr)
+    auto operator<=>(const Header &) const = default;
 };
 
 // A request whose body has arrived completely.
--- a/packages/ini/include/jasminewood/ini/document.h
+++ b/packages/ini/include/jasminewood/ini/document.h
@@ -26,7 +26,6 @@
     // Line on which the key stands, counted from 1.
     const int line_ = 0;
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 reports the implicit body of a defaulted comparison
     auto operator<=>(const Entry &) const = default;
 };
 
@@ -39,7 +38,6 @@
     const int line_ = 0;
     const std::vector<Entry> entries_;
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 reports the implicit body of a defaulted comparison
     auto operator<=>(const Section &) const = default;
 };
 
--- a/packages/manifest/include/jasminewood/manifest/manifest.h
+++ b/packages/manifest/include/jasminewood/manifest/manifest.h
@@ -18,9 +18,6 @@
 namespace jasminewood::manifest
 {
 
-// clang-tidy 14 reports the implicit bodies of defaulted comparisons.
-// NOLINTBEGIN(modernize-use-nullptr)
-
 // A model that a class may use.
 struct ModelChoice
 {
@@ -127,8 +124,6 @@
     auto operator<=>(const Route &) const = default;
 };
 
-// NOLINTEND(modernize-use-nullptr)
-
 // Immutable and therefore thread-safe. Pointers stay valid as long as the manifest.
 struct Manifest
 {
--- a/packages/platform/include/jasminewood/platform/key_value.h
+++ b/packages/platform/include/jasminewood/platform/key_value.h
@@ -42,8 +42,7 @@
     const Revision modRevision_ = 0;
     const LeaseId lease_ = noLease;
 
-    // clang-tidy 14 takes the 0 of the generated comparison for a null pointer.
-    auto operator<=>(const KeyValue &) const = default; // NOLINT(modernize-use-nullptr)
+    auto operator<=>(const KeyValue &) const = default;
 };
 
 // The keys of a prefix, in order, at one revision. A watch from revision_ + 1 misses nothing.
--- a/packages/router/include/jasminewood/router/request_run.h
+++ b/packages/router/include/jasminewood/router/request_run.h
@@ -85,8 +85,9 @@
 
 using RunStep = std::variant<Output, Completed, Broken>;
 
-// Upstreams tried for a request that none of them has started.
-constexpr std::uint32_t maximumPlacements = 4;
+// Upstreams tried for a request that none of them has started. After the first refusal only upstreams that could make
+// room are tried, so few requests come near it.
+constexpr std::uint32_t maximumPlacements = 16;
 // Upstreams that may start a request, counting the first.
 constexpr std::uint32_t maximumStarts = 4;
 // How often a waiting request looks for a caller that went away and for a free slot elsewhere.
@@ -119,8 +120,8 @@
         TimePoint dispatchedAt_;
         std::optional<TimePoint> startedAt_;
         std::optional<TimePoint> lastOutputAt_;
-        // Cancelled to be sent elsewhere, since it was still queued.
-        bool recalled_ = false;
+        // Cancelled while it was queued, to be sent to this upstream.
+        std::optional<NodeId> recalledTo_;
     };
 
     using Step = std::optional<RunStep>;
@@ -137,6 +138,8 @@
     auto attemptFailed(const Flight &flight, const Failure &failure) -> Step;
     auto mayTryAgain(const Failure &failure) -> bool;
     auto broken(const Failure &failure) const -> RunStep;
+    auto place() -> Result<NodeId>;
+    auto nextReview() const -> TimePoint;
     auto review() -> Step;
     auto recall(Flight &flight, TimePoint now) -> void;
     auto hedge(TimePoint now) -> void;
@@ -161,6 +164,8 @@
     std::uint32_t placements_ = 0;
     std::uint32_t starts_ = 0;
     bool hedged_ = false;
+    // Where a recalled attempt goes next.
+    std::optional<NodeId> reserved_;
     std::optional<Failure> lastFailure_;
 };
 
--- a/packages/router/include/jasminewood/router/upstreams.h
+++ b/packages/router/include/jasminewood/router/upstreams.h
@@ -58,8 +58,12 @@
     // Chooses the upstream for one attempt; fails as not run if the pool has none that takes it.
     auto choose(const std::string &pool, const routing::Request &request) -> Result<NodeId>;
 
-    // Returns whether another upstream of the pool has a free slot, for an attempt that is queued at this one.
-    auto freeElsewhere(const std::string &pool, const NodeId &agent) const -> bool;
+    // As choose(), but only among upstreams that have a free slot or a queued attempt of a lower tier to evict.
+    auto chooseWithRoom(const std::string &pool, const routing::Request &request) -> Result<NodeId>;
+
+    // Reserves a free slot of another upstream of the pool for an attempt that is queued at this one. Each slot of a
+    // load report is given to one attempt only, so that a freed slot does not draw all that wait.
+    auto reserveFreeSlot(const std::string &pool, const NodeId &agent) -> std::optional<NodeId>;
 
     // Registers the attempt: its events go to the mailbox until close().
     auto open(const AttemptId &attempt, const NodeId &agent, bool suspect, std::shared_ptr<Mailbox> mailbox) -> void;
@@ -107,6 +111,8 @@
     auto tellAttempts(const NodeId &agent, const std::optional<Failure> &lost) -> void;
     auto candidates(const std::string &pool, Tier tier, TimePoint now) const -> std::vector<routing::Candidate>;
     auto outstanding(const NodeId &agent) const -> std::uint32_t;
+    auto useFreeSlot(const std::string &name) -> void;
+    auto hasRoom(const NodeId &agent, Tier tier) const -> bool;
     auto healthOf(const NodeId &agent) -> routing::UpstreamHealth &;
 
     const routing::Policy policy_;
--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -42,7 +42,7 @@
             }
             continue;
         }
-        const auto event = mailbox_->receive(Clock::now() + reviewInterval);
+        const auto event = mailbox_->receive(nextReview());
         const auto step = event ? std::visit(
                               [this](const auto &arrived) -> Step {
                                   return on(arrived);
@@ -63,11 +63,7 @@
             .reason_ = "this request crashed the upstreams that ran it",
             .runState_ = tracker_.runState()});
     }
-    const auto chosen = upstreams_->choose(request_.pool_,
-        routing::Request {.prefixHash_ = request_.prefixHash_,
-            .tier_ = request_.tier_,
-            .suspect_ = verdict == routing::Verdict::Suspect,
-            .excluded_ = tried_});
+    const auto chosen = place();
     if (!chosen) {
         return broken(lastFailure_ ? *lastFailure_ : chosen.reason());
     }
@@ -78,6 +74,26 @@
     return std::nullopt;
 }
 
+auto RequestRun::place() -> Result<NodeId>
+{
+    if (reserved_) {
+        const auto reserved = *reserved_;
+        reserved_.reset();
+        return reserved;
+    }
+    const auto suspect = limits_->verdict(request_.fingerprint_) == routing::Verdict::Suspect;
+    const auto wanted = routing::Request {
+        .prefixHash_ = request_.prefixHash_, .tier_ = request_.tier_, .suspect_ = suspect, .excluded_ = tried_};
+    auto chosen = placements_ == 0 ? upstreams_->choose(request_.pool_, wanted)
+                                   : upstreams_->chooseWithRoom(request_.pool_, wanted);
+    if (chosen || !suspect) {
+        return chosen;
+    }
+    // All upstreams have a suspect; the gate of each starts them one after the other.
+    return upstreams_->choose(request_.pool_,
+        routing::Request {.prefixHash_ = request_.prefixHash_, .tier_ = request_.tier_, .excluded_ = tried_});
+}
+
 auto RequestRun::dispatch(const NodeId &agent, bool isHedge) -> Status
 {
     const auto now = Clock::now();
@@ -241,9 +257,11 @@
     if (!flights_.empty()) {
         return std::nullopt;
     }
-    if (!failedFlight.recalled_) {
-        tried_.push_back(failedFlight.agent_);
+    if (failedFlight.recalledTo_ && failure.runState_ == RunState::NotRun) {
+        reserved_.emplace(*failedFlight.recalledTo_);
+        return std::nullopt;
     }
+    tried_.push_back(failedFlight.agent_);
     if (mayTryAgain(failure)) {
         return std::nullopt;
     }
@@ -274,6 +292,17 @@
                        .retryAfter_ = retryAfter}};
 }
 
+auto RequestRun::nextReview() const -> TimePoint
+{
+    const auto now = Clock::now();
+    auto next = now + reviewInterval;
+    const auto after = request_.hedge_ && !hedged_ ? limits_->hedgeAfter(request_.requestClass_) : std::nullopt;
+    if (after && arrivedAt_ + *after > now) {
+        next = std::min(next, arrivedAt_ + *after);
+    }
+    return next;
+}
+
 auto RequestRun::review() -> Step
 {
     if (request_.callerGone_ && request_.callerGone_()) {
@@ -295,10 +324,12 @@
 
 auto RequestRun::recall(Flight &running, TimePoint now) -> void
 {
-    const auto queued = !running.startedAt_ && !running.recalled_;
-    if (queued && now - running.dispatchedAt_ > recallAfter
-        && upstreams_->freeElsewhere(request_.pool_, running.agent_)) {
-        running.recalled_ = true;
+    const auto queued = !running.startedAt_ && !running.recalledTo_;
+    if (!queued || now - running.dispatchedAt_ < recallAfter) {
+        return;
+    }
+    if (const auto free = upstreams_->reserveFreeSlot(request_.pool_, running.agent_)) {
+        running.recalledTo_.emplace(*free);
         cancel(running);
     }
 }
--- a/packages/router/src/upstreams.cpp
+++ b/packages/router/src/upstreams.cpp
@@ -279,13 +279,63 @@
     return found;
 }
 
-auto Upstreams::freeElsewhere(const std::string &pool, const NodeId &agent) const -> bool
+auto Upstreams::chooseWithRoom(const std::string &pool, const routing::Request &request) -> Result<NodeId>
+{
+    const auto lock = std::lock_guard(mutex_);
+    auto withRoom = std::vector<routing::Candidate>();
+    for (const auto &candidate : candidates(pool, request.tier_, Clock::now())) {
+        if (hasRoom(candidate.node_, request.tier_)) {
+            withRoom.push_back(candidate);
+        }
+    }
+    return chooser_.choose(policy_, request, withRoom);
+}
+
+auto Upstreams::hasRoom(const NodeId &agent, Tier tier) const -> bool
+{
+    const auto found = agents_.find(agent.name_);
+    if (found == agents_.end() || !found->second->load_) {
+        return false;
+    }
+    const auto &load = *found->second->load_;
+    auto lower = std::uint32_t(0);
+    for (auto other = std::size_t(tier) + 1; other < load.queuedByTier_.size(); ++other) {
+        lower += load.queuedByTier_.at(other);
+    }
+    return load.freeSlots_ > 0 || lower > 0;
+}
+
+auto Upstreams::reserveFreeSlot(const std::string &pool, const NodeId &agent) -> std::optional<NodeId>
 {
     const auto lock = std::lock_guard(mutex_);
     const auto all = candidates(pool, highestTier, Clock::now());
-    return std::any_of(all.begin(), all.end(), [&](const routing::Candidate &candidate) -> bool {
-        return candidate.node_ != agent && candidate.freeSlots_ > 0;
-    });
+    auto best = all.end();
+    for (auto candidate = all.begin(); candidate != all.end(); ++candidate) {
+        const auto free = candidate->node_ != agent && candidate->freeSlots_ > 0;
+        if (free && (best == all.end() || routing::score(*candidate) < routing::score(*best))) {
+            best = candidate;
+        }
+    }
+    if (best == all.end()) {
+        return std::nullopt;
+    }
+    useFreeSlot(best->node_.name_);
+    return best->node_;
+}
+
+auto Upstreams::useFreeSlot(const std::string &name) -> void
+{
+    const auto agent = agents_.find(name);
+    if (agent == agents_.end() || !agent->second->load_ || agent->second->load_->freeSlots_ == 0) {
+        return;
+    }
+    const auto load = *agent->second->load_;
+    agent->second->load_.emplace(wire::LoadReport {.running_ = load.running_ + 1,
+        .freeSlots_ = load.freeSlots_ - 1,
+        .queuedByTier_ = load.queuedByTier_,
+        .firstToken_ = load.firstToken_,
+        .betweenTokens_ = load.betweenTokens_,
+        .leaving_ = load.leaving_});
 }
 
 auto Upstreams::open(const AttemptId &attempt, const NodeId &agent, bool suspect, std::shared_ptr<Mailbox> mailbox)
@@ -294,6 +344,7 @@
     const auto lock = std::lock_guard(mutex_);
     open_.emplace(attempt, Open {.agent_ = agent, .suspect_ = suspect, .mailbox_ = std::move(mailbox)});
     ++outstanding_[agent];
+    useFreeSlot(agent.name_);
     if (suspect) {
         ++suspects_[agent];
     }
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -238,8 +238,7 @@
     // True if a request with this fingerprint has completed since.
     const bool cleared_ = false;
 
-    // clang-tidy 14 reports the zero of a comparison of lists here as a null pointer.
-    auto operator<=>(const CrashReport &) const = default; // NOLINT(modernize-use-nullptr)
+    auto operator<=>(const CrashReport &) const = default;
 };
 
 struct Suspicions
