Drop idle HTTP connections after any call that timed out

Cause: only whole calls told the connection pool of a timeout, so a stream that fell silent left the other kept connections in use, each of which could cost one more timeout. No test covered the rule. Change: StreamCall reports its timeouts as well; a test that the next call opens a new connection.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -120,6 +120,9 @@
 {
     auto status = state_->transfer_->run(request, onHeaders, onData);
     state_->complete_ = bool(status);
+    if (!status) {
+        pool().noteFailure(status.reason());
+    }
     return status;
 }
 
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -92,6 +92,28 @@
                         check(*posts == 1 && *connections == 1);
                     }),
             }),
+        section("to a peer that falls silent",
+            {
+                // Guards against one more timeout for each kept connection after the network went silent.
+                test("makes later calls open new connections",
+                    [] {
+                        auto connections = std::make_shared<std::atomic<int>>(0);
+                        const auto peer = RawServer([connections](int socket) {
+                            ++*connections;
+                            while (!readUntil(socket, "\r\n\r\n").empty()) {
+                                sendText(socket, std::string(headersOnly) + "0123456789");
+                            }
+                        });
+                        const auto silent = RawServer([](int socket) {
+                            readUntil(socket, "never sent");
+                        });
+                        auto call = StreamCall();
+                        check(bool(fetch({.url_ = peer.url()})) && bool(fetch({.url_ = peer.url()})));
+                        check(*connections == 1);
+                        check(!call.perform({.url_ = silent.url(), .timeout_ = Milliseconds(50)}, nullptr, nullptr));
+                        check(bool(fetch({.url_ = peer.url()})) && *connections == 2);
+                    }),
+            }),
         section("whose answer streams",
             {
                 // Guards against data that arrives only with the end, and against a cancel that waits for data.
