--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -74,7 +74,9 @@
                 test("is not sent twice",
                     [] {
                         auto posts = std::make_shared<std::atomic<int>>(0);
-                        const auto peer = RawServer([posts](int socket) {
+                        auto connections = std::make_shared<std::atomic<int>>(0);
+                        const auto peer = RawServer([posts, connections](int socket) {
+                            ++*connections;
                             for (auto text = readUntil(socket, "\r\n\r\n"); !text.empty();
                                  text = readUntil(socket, "\r\n\r\n")) {
                                 if (text.starts_with("POST")) {
@@ -87,7 +89,29 @@
                         check(fetch({.url_ = peer.url()})->body_ == "0123456789");
                         const auto answer = fetch({.method_ = "POST", .url_ = peer.url()});
                         check(!answer && answer.reason().runState_ == RunState::MayHaveRun);
-                        check(*posts == 1);
+                        check(*posts == 1 && *connections == 1);
+                    }),
+            }),
+        section("to a peer that falls silent",
+            {
+                // Guards against one more timeout for each kept connection after the network went silent.
+                test("makes later calls open new connections",
+                    [] {
+                        auto connections = std::make_shared<std::atomic<int>>(0);
+                        const auto peer = RawServer([connections](int socket) {
+                            ++*connections;
+                            while (!readUntil(socket, "\r\n\r\n").empty()) {
+                                sendText(socket, std::string(headersOnly) + "0123456789");
+                            }
+                        });
+                        const auto silent = RawServer([](int socket) {
+                            readUntil(socket, "never sent");
+                        });
+                        auto call = StreamCall();
+                        check(bool(fetch({.url_ = peer.url()})) && bool(fetch({.url_ = peer.url()})));
+                        check(*connections == 1);
+                        check(!call.perform({.url_ = silent.url(), .timeout_ = Milliseconds(50)}, nullptr, nullptr));
+                        check(bool(fetch({.url_ = peer.url()})) && *connections == 2);
                     }),
             }),
         section("whose answer streams",
