Report a lost connection before its replacement can be used

PeerLink made the new connection current before it called onDown_, so a message sent in between went out on the new connection and was then taken for lost with the old one. The loss is now reported while send() still fails as not run, and the connection becomes current just before onUp_. Found by reading; link_test passes its 28 tests three times in a row.

--- a/packages/link/src/peer_link.cpp
+++ b/packages/link/src/peer_link.cpp
@@ -71,10 +71,11 @@
             pause = backoff.next();
             continue;
         }
+        // The loss is reported while send() still fails, so that nothing sent on the new connection counts as lost.
+        reportLoss(**connection);
         if (!publish(*connection)) {
             return;
         }
-        reportLoss(**connection);
         const auto opened = Clock::now();
         handlers_.onUp_(*connection);
         lost_.emplace(internal::runConnection(**connection, handlers_.onMessage_, nullptr));
