Use the engine client in the agent, count prompt tokens and lower max_tokens on a continuation

Cause: the agent read server-sent events itself although package engine does; callers saw 0 prompt tokens; a continued answer could exceed the caller's max_tokens, because engines count it anew. Change: performChat() takes the stream call that the gate cancels; Dispatch carries the delivered tokens, Finished the prompt tokens. Conclusion: one reader of engine streams; the limit holds over continuations.

--- a/packages/agent/include/jasminewood/agent/attempt_run.h
+++ b/packages/agent/include/jasminewood/agent/attempt_run.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "jasminewood/agent/upstream.h"
 #include "jasminewood/core/clock.h"
 #include "jasminewood/delivery/output_buffer.h"
 #include "jasminewood/http/client.h"
@@ -36,8 +37,7 @@
     auto append(std::string_view data) -> Status;
 
     // Ends the attempt with a complete answer or a failure.
-    auto complete(std::uint16_t status, const std::string &contentType, const std::string &finishReason,
-        std::uint32_t outputTokens, TimePoint now) -> void;
+    auto complete(const CallComplete &outcome, TimePoint now) -> void;
     auto fail(const Failure &failure, const std::string &crash, std::uint32_t wastedTokens, TimePoint now) -> void;
 
     // Sends everything from the offset on over this connection, and all that follows.
--- a/packages/agent/include/jasminewood/agent/upstream.h
+++ b/packages/agent/include/jasminewood/agent/upstream.h
@@ -49,6 +49,7 @@
     const std::string contentType_;
     // The engine's reason, for example "stop" or "length"; empty for services.
     const std::string finishReason_;
+    const std::uint32_t promptTokens_ = 0;
     const std::uint32_t outputTokens_ = 0;
 
     auto operator<=>(const CallComplete &) const = default;
@@ -99,8 +100,7 @@
         const OutputHandler &onOutput) -> CallOutcome;
     auto call(const ServiceUpstream &service, const wire::Dispatch &dispatch, http::StreamCall &call,
         const OutputHandler &onOutput) -> CallOutcome;
-    auto request(const std::string &baseUrl, const wire::Dispatch &dispatch, std::string body) const
-        -> http::ClientRequest;
+    auto serviceRequest(const std::string &baseUrl, const wire::Dispatch &dispatch) const -> http::ClientRequest;
     auto broken(const std::string &baseUrl, const Failure &failure, std::uint32_t outputTokens) const -> CallBroken;
     auto crashName() const -> std::string;
     auto measureFirst(Microseconds elapsed) -> void;
--- a/packages/agent/src/attempt_run.cpp
+++ b/packages/agent/src/attempt_run.cpp
@@ -39,18 +39,18 @@
     return std::nullopt;
 }
 
-auto AttemptRun::complete(std::uint16_t status, const std::string &contentType, const std::string &finishReason,
-    std::uint32_t outputTokens, TimePoint now) -> void
+auto AttemptRun::complete(const CallComplete &outcome, TimePoint now) -> void
 {
     const auto lock = std::lock_guard(mutex_);
     const auto end = output_.end();
     finished_.emplace(wire::Finished {.attempt_ = dispatch_.attempt_,
         .length_ = end.length_,
         .digest_ = end.digest_,
-        .status_ = status,
-        .contentType_ = contentType,
-        .finishReason_ = finishReason,
-        .outputTokens_ = outputTokens});
+        .status_ = outcome.status_,
+        .contentType_ = outcome.contentType_,
+        .finishReason_ = outcome.finishReason_,
+        .promptTokens_ = outcome.promptTokens_,
+        .outputTokens_ = outcome.outputTokens_});
     endedAt_ = now;
     send(*finished_);
     tellWaiting();
--- a/packages/agent/src/gate.cpp
+++ b/packages/agent/src/gate.cpp
@@ -404,7 +404,7 @@
 auto Gate::finish(AttemptRun &run, const CallComplete &outcome) -> void
 {
     environment_->event(run.dispatch().attempt_, observe::finishStep, "", std::to_string(outcome.status_));
-    run.complete(outcome.status_, outcome.contentType_, outcome.finishReason_, outcome.outputTokens_, Clock::now());
+    run.complete(outcome, Clock::now());
 }
 
 auto Gate::finish(AttemptRun &run, const CallBroken &outcome) -> void
--- a/packages/agent/src/upstream.cpp
+++ b/packages/agent/src/upstream.cpp
@@ -3,9 +3,7 @@
 #include <utility>
 
 #include "jasminewood/core/overloaded.h"
-#include "jasminewood/engine/chat_chunk.h"
-#include "jasminewood/engine/chat_request.h"
-#include "jasminewood/engine/sse_reader.h"
+#include "jasminewood/engine/chat_call.h"
 
 namespace jasminewood::agent
 {
@@ -16,7 +14,7 @@
 // Weight of the newest sample in the moving averages.
 constexpr double sampleWeight = 0.1;
 constexpr auto healthTimeout = Milliseconds(1000);
-constexpr auto firstErrorStatus = 400;
+constexpr auto okStatus = std::uint16_t(200);
 
 auto blend(double average, Microseconds sample) -> double
 {
@@ -29,19 +27,6 @@
     return std::chrono::duration_cast<Microseconds>(Clock::now() - start);
 }
 
-// Returns the body for the engine: streamed, with the tier as priority, and continued after what was delivered before.
-auto engineBody(const wire::Dispatch &dispatch) -> Result<std::string>
-{
-    const auto streamed = engine::withStream(dispatch.body_);
-    const auto prioritised = streamed ? engine::withPriority(*streamed, dispatch.tier_) : streamed;
-    return prioritised ? engine::withResume(*prioritised, dispatch.resumeText_) : prioritised;
-}
-
-auto ranBut(const std::string &peer, const std::string &reason) -> Failure
-{
-    return Failure {.step_ = "receive", .peer_ = peer, .reason_ = reason, .runState_ = RunState::Ran};
-}
-
 } // namespace
 
 Upstream::Upstream(UpstreamKind kind, Milliseconds connectTimeout, Milliseconds idleTimeout)
@@ -70,8 +55,45 @@
         kind_);
 }
 
-auto Upstream::request(const std::string &baseUrl, const wire::Dispatch &dispatch, std::string body) const
-    -> http::ClientRequest
+auto Upstream::call(const EngineUpstream &engine, const wire::Dispatch &dispatch, http::StreamCall &call,
+    const OutputHandler &onOutput) -> CallOutcome
+{
+    auto tokens = std::uint32_t(0);
+    auto last = Clock::now();
+    const auto outcome = engine::performChat(call,
+        engine::ChatCallRequest {.engineUrl_ = engine.baseUrl_,
+            .path_ = dispatch.path_,
+            .body_ = dispatch.body_,
+            .tier_ = dispatch.tier_,
+            .resumeText_ = dispatch.resumeText_,
+            .resumeTokens_ = dispatch.resumeTokens_,
+            .requestId_ = dispatch.attempt_.request_,
+            .connectTimeout_ = connectTimeout_,
+            .idleTimeout_ = idleTimeout_},
+        [&](std::string_view text) -> bool {
+            tokens == 0 ? measureFirst(since(last)) : measureBetween(since(last));
+            last = Clock::now();
+            return onOutput(text, ++tokens);
+        });
+    if (!outcome) {
+        return broken(engine.baseUrl_, outcome.reason(), tokens);
+    }
+    return std::visit(Overloaded {[](const engine::ChatFinished &finished) -> CallOutcome {
+                                      return CallComplete {.status_ = okStatus,
+                                          .contentType_ = "text/event-stream",
+                                          .finishReason_ = finished.finishReason_,
+                                          .promptTokens_ = finished.usage_.promptTokens_,
+                                          .outputTokens_ = finished.usage_.completionTokens_};
+                                  },
+                          [&](const engine::ChatRefused &refused) -> CallOutcome {
+                              onOutput(refused.body_, 0);
+                              return CallComplete {.status_ = static_cast<std::uint16_t>(refused.status_),
+                                  .contentType_ = refused.contentType_};
+                          }},
+        *outcome);
+}
+
+auto Upstream::serviceRequest(const std::string &baseUrl, const wire::Dispatch &dispatch) const -> http::ClientRequest
 {
     auto headers = std::vector<http::Header>();
     headers.push_back({.name_ = "Content-Type", .value_ = dispatch.contentType_});
@@ -82,88 +104,19 @@
     return http::ClientRequest {.method_ = dispatch.method_,
         .url_ = baseUrl + dispatch.path_,
         .headers_ = std::move(headers),
-        .body_ = std::move(body),
+        .body_ = dispatch.body_,
         .connectTimeout_ = connectTimeout_,
         .timeout_ = Milliseconds(0),
         .idleTimeout_ = idleTimeout_};
 }
 
-auto Upstream::call(const EngineUpstream &engine, const wire::Dispatch &dispatch, http::StreamCall &call,
-    const OutputHandler &onOutput) -> CallOutcome
-{
-    const auto body = engineBody(dispatch);
-    if (!body) {
-        return CallBroken {.failure_ = body.reason()};
-    }
-    auto reader = engine::SseReader();
-    auto errorBody = std::string();
-    auto finishReason = std::string();
-    auto tokens = std::uint32_t(0);
-    auto done = false;
-    auto fault = Status();
-    auto status = 0;
-    auto last = Clock::now();
-    const auto onEvent = [&](const std::string &data) -> bool {
-        if (data == engine::doneMarker) {
-            done = true;
-            return true;
-        }
-        const auto chunk = engine::parseChunk(data);
-        if (!chunk) {
-            fault.emplace(chunk.reason());
-            return false;
-        }
-        finishReason = chunk->finishReason_.value_or(finishReason);
-        if (chunk->text_.empty()) {
-            return true;
-        }
-        tokens == 0 ? measureFirst(since(last)) : measureBetween(since(last));
-        last = Clock::now();
-        return onOutput(chunk->text_, ++tokens);
-    };
-    const auto ended = call.perform(
-        request(engine.baseUrl_, dispatch, *body),
-        [&](int received, const std::map<std::string, std::string> & /*headers*/) -> void {
-            status = received;
-        },
-        [&](std::string_view data) -> bool {
-            if (status >= firstErrorStatus) {
-                errorBody.append(data);
-                return true;
-            }
-            for (const auto &event : reader.feed(data)) {
-                if (!onEvent(event)) {
-                    return false;
-                }
-            }
-            return true;
-        });
-    if (fault || reader.fault()) {
-        return broken(engine.baseUrl_, ranBut(engine.baseUrl_, (fault ? fault : reader.fault())->reason_), tokens);
-    }
-    if (!ended) {
-        return broken(engine.baseUrl_, ended.reason(), tokens);
-    }
-    if (status >= firstErrorStatus) {
-        onOutput(errorBody, 0);
-        return CallComplete {.status_ = static_cast<std::uint16_t>(status), .contentType_ = "application/json"};
-    }
-    if (!done) {
-        return broken(engine.baseUrl_, ranBut(engine.baseUrl_, "the engine's stream has no end"), tokens);
-    }
-    return CallComplete {.status_ = static_cast<std::uint16_t>(status),
-        .contentType_ = "text/event-stream",
-        .finishReason_ = finishReason,
-        .outputTokens_ = tokens};
-}
-
 auto Upstream::call(const ServiceUpstream &service, const wire::Dispatch &dispatch, http::StreamCall &call,
     const OutputHandler &onOutput) -> CallOutcome
 {
     auto contentType = std::string("application/octet-stream");
     const auto begun = Clock::now();
     const auto ended = call.perform(
-        request(service.baseUrl_, dispatch, dispatch.body_),
+        serviceRequest(service.baseUrl_, dispatch),
         [&](int /*status*/, const std::map<std::string, std::string> &headers) -> void {
             const auto found = headers.find("content-type");
             contentType = found == headers.end() ? contentType : found->second;
@@ -185,8 +138,8 @@
     if (failure.step_ == "cancel") {
         return CallBroken {.failure_ = failure, .outputTokens_ = outputTokens};
     }
-    const auto alive = http::fetch(http::ClientRequest {.url_ = baseUrl + "/health", .timeout_ = healthTimeout});
-    const auto refused = !alive && alive.reason().step_ == "connect";
+    const auto unhealthy = engine::probe(baseUrl, healthTimeout);
+    const auto refused = unhealthy && unhealthy->step_ == "connect";
     const auto began = failure.runState_ != RunState::NotRun;
     return CallBroken {
         .failure_ = failure, .crash_ = refused && began ? crashName() : std::string(), .outputTokens_ = outputTokens};
--- a/packages/engine/include/jasminewood/engine/chat_call.h
+++ b/packages/engine/include/jasminewood/engine/chat_call.h
@@ -16,24 +16,30 @@
 
 // One chat completion at a model engine, streamed by the OpenAI HTTP interface.
 //
-//     auto call = engine::ChatCall();
-//     const auto outcome = call.perform({.engine_ = "127.0.0.1:8000", .body_ = body}, [](std::string_view text) {
-//         return forward(text);
-//     });
+//     auto stream = http::StreamCall();
+//     const auto outcome = engine::performChat(stream, {.engineUrl_ = "http://127.0.0.1:8000", .body_ = body},
+//         [](std::string_view text) -> bool {
+//             return forward(text);
+//         });
 
 namespace jasminewood::engine
 {
 
 struct ChatCallRequest
 {
-    // The engine's "IP:PORT".
-    const std::string engine_;
+    // For example "http://10.0.0.8:8000".
+    const std::string engineUrl_;
     const std::string path_ = "/v1/chat/completions";
     // The caller's body; stream, priority and resume members are set in it.
     const std::string body_;
     const Tier tier_ = lowestTier;
     // Output that the caller already has; the engine continues after it.
     const std::string resumeText_;
+    // Output tokens of that text, which count against the caller's limit.
+    const std::uint32_t resumeTokens_ = 0;
+    // Sent as X-Request-Id if it is not empty.
+    const std::string requestId_;
+    const Milliseconds connectTimeout_ = Milliseconds(2'000);
     // Longest time without a byte from the engine; 0 means no limit.
     const Milliseconds idleTimeout_ = Milliseconds(30'000);
 
@@ -68,25 +74,15 @@
 // Takes the next output text; returning false cancels the call.
 using TextCallback = std::function<auto(std::string_view text)->bool>;
 
-// One call; perform() is used once and by one task, cancel() by any.
-class ChatCall
-{
-public:
-    // Performs the call; onText runs in the calling task. Only a stream with a finish reason and its end marker is
-    // finished. Fails with the steps of http::StreamCall, with "engine" if the engine reports an error in the stream,
-    // with "read" if the stream is malformed or ends too early, and with the steps of chat_request.h if the body cannot
-    // be changed. The run state is NotRun only if nothing reached the engine.
-    auto perform(const ChatCallRequest &request, const TextCallback &onText) -> Result<ChatOutcome>;
-
-    // Ends the call at once, also if perform() starts later.
-    auto cancel() -> void;
-
-private:
-    http::StreamCall call_;
-};
+// Performs the call; onText runs in the calling task, and the stream call's cancel() ends it from any task. Only a
+// stream with a finish reason and its end marker is finished. Fails with the steps of http::StreamCall, with "engine"
+// if the engine reports an error in the stream, with "read" if the stream is malformed or ends too early, and with the
+// steps of chat_request.h if the body cannot be changed. The run state is NotRun only if nothing reached the engine.
+auto performChat(http::StreamCall &call, const ChatCallRequest &request, const TextCallback &onText)
+    -> Result<ChatOutcome>;
 
-// Asks "GET /health" of the engine at "IP:PORT"; nothing means healthy. Fails with step "probe" for another status than
+// Asks "GET /health" of the engine at this URL; nothing means healthy. Fails with step "probe" for another status than
 // 200 and with the steps of http::fetch.
-auto probe(const std::string &engine, Milliseconds timeout) -> Status;
+auto probe(const std::string &engineUrl, Milliseconds timeout) -> Status;
 
 } // namespace jasminewood::engine
--- a/packages/engine/include/jasminewood/engine/chat_request.h
+++ b/packages/engine/include/jasminewood/engine/chat_request.h
@@ -52,9 +52,10 @@
 
 // Lets the engine continue after the text that the caller already has: adds it as a final assistant message, or to the
 // caller's own one if that is to be continued. The body is kept if the text is empty. Fails with step "resume" if the
-// body is not a chat request or the text is not UTF-8. The limit on output tokens is kept, so the caller of this
-// function has to count the tokens of the delivered text.
-auto withResume(std::string_view body, std::string_view deliveredText) -> Result<std::string>;
+// body is not a chat request or the text is not UTF-8. A limit on output tokens is lowered by the delivered tokens, to
+// 1 at least.
+auto withResume(std::string_view body, std::string_view deliveredText, std::uint32_t deliveredTokens)
+    -> Result<std::string>;
 
 // Sets "priority" to the tier: engines run smaller numbers first. Fails with step "priority" if the body is no object.
 auto withPriority(std::string_view body, Tier tier) -> Result<std::string>;
--- a/packages/engine/src/chat_call.cpp
+++ b/packages/engine/src/chat_call.cpp
@@ -1,5 +1,8 @@
 #include "jasminewood/engine/chat_call.h"
 
+#include <utility>
+#include <vector>
+
 #include <fmt/format.h>
 
 #include "chat_stream.h"
@@ -13,7 +16,7 @@
 
 auto bodyFor(const ChatCallRequest &request) -> Result<std::string>
 {
-    const auto resumed = withResume(request.body_, request.resumeText_);
+    const auto resumed = withResume(request.body_, request.resumeText_, request.resumeTokens_);
     if (!resumed) {
         return resumed.reason();
     }
@@ -23,11 +26,17 @@
 
 auto httpRequest(const ChatCallRequest &request, const std::string &body) -> http::ClientRequest
 {
+    auto headers = std::vector<http::Header>();
+    headers.push_back({.name_ = "Content-Type", .value_ = "application/json"});
+    headers.push_back({.name_ = "Accept", .value_ = "text/event-stream"});
+    if (!request.requestId_.empty()) {
+        headers.push_back({.name_ = "X-Request-Id", .value_ = request.requestId_});
+    }
     return http::ClientRequest {.method_ = "POST",
-        .url_ = fmt::format("http://{}{}", request.engine_, request.path_),
-        .headers_
-        = {{.name_ = "Content-Type", .value_ = "application/json"}, {.name_ = "Accept", .value_ = "text/event-stream"}},
+        .url_ = request.engineUrl_ + request.path_,
+        .headers_ = std::move(headers),
         .body_ = body,
+        .connectTimeout_ = request.connectTimeout_,
         .timeout_ = Milliseconds(0),
         .idleTimeout_ = request.idleTimeout_};
 }
@@ -44,7 +53,8 @@
 
 } // namespace
 
-auto ChatCall::perform(const ChatCallRequest &request, const TextCallback &onText) -> Result<ChatOutcome>
+auto performChat(http::StreamCall &call, const ChatCallRequest &request, const TextCallback &onText)
+    -> Result<ChatOutcome>
 {
     const auto body = bodyFor(request);
     if (!body) {
@@ -58,31 +68,26 @@
     const auto onData = [&stream](std::string_view data) -> bool {
         return stream.takeData(data);
     };
-    const auto status = call_.perform(httpRequest(request, *body), onHeaders, onData);
+    const auto status = call.perform(httpRequest(request, *body), onHeaders, onData);
     if (stream.fault()) {
-        return failureAt(request.engine_, *stream.fault());
+        return failureAt(request.engineUrl_, *stream.fault());
     }
     if (!status) {
         return status.reason();
     }
     const auto outcome = stream.outcome();
-    return outcome ? outcome : Result<ChatOutcome>(failureAt(request.engine_, outcome.reason()));
-}
-
-auto ChatCall::cancel() -> void
-{
-    call_.cancel();
+    return outcome ? outcome : Result<ChatOutcome>(failureAt(request.engineUrl_, outcome.reason()));
 }
 
-auto probe(const std::string &engine, Milliseconds timeout) -> Status
+auto probe(const std::string &engineUrl, Milliseconds timeout) -> Status
 {
-    const auto url = fmt::format("http://{}/health", engine);
+    const auto url = engineUrl + "/health";
     const auto answer = http::fetch({.url_ = url, .connectTimeout_ = timeout, .timeout_ = timeout});
     if (!answer) {
         return answer.reason();
     }
     if (answer->status_ != 200) {
-        return Failure {.step_ = "probe", .peer_ = engine, .reason_ = fmt::format("status {}", answer->status_)};
+        return Failure {.step_ = "probe", .peer_ = engineUrl, .reason_ = fmt::format("status {}", answer->status_)};
     }
     return std::nullopt;
 }
--- a/packages/engine/src/chat_request.cpp
+++ b/packages/engine/src/chat_request.cpp
@@ -173,7 +173,8 @@
         .lastUserText_ = lastUserText(messages)};
 }
 
-auto withResume(std::string_view body, std::string_view deliveredText) -> Result<std::string>
+auto withResume(std::string_view body, std::string_view deliveredText, std::uint32_t deliveredTokens)
+    -> Result<std::string>
 {
     constexpr auto step = "resume";
     if (deliveredText.empty()) {
@@ -193,6 +194,12 @@
     } else {
         messages.push_back({{"role", "assistant"}, {"content", deliveredText}});
     }
+    for (const auto *limit : {"max_tokens", "max_completion_tokens"}) {
+        if (member(*parsed, limit).is_number_unsigned()) {
+            const auto allowed = (*parsed)[limit].get<std::uint64_t>();
+            (*parsed)[limit] = allowed > deliveredTokens ? allowed - deliveredTokens : 1;
+        }
+    }
     (*parsed)["continue_final_message"] = true;
     (*parsed)["add_generation_prompt"] = false;
     return write(*parsed, step);
--- a/packages/engine/tests/chat_call_test.cpp
+++ b/packages/engine/tests/chat_call_test.cpp
@@ -9,7 +9,6 @@
 #include "jasminewood/testkit/story.h"
 
 using namespace jasminewood;
-using jasminewood::engine::ChatCall;
 using jasminewood::engine::ChatFinished;
 using jasminewood::engine::ChatRefused;
 using jasminewood::testkit::check;
@@ -48,7 +47,7 @@
 
     auto address() const -> std::string
     {
-        return "127.0.0.1:" + std::to_string(server_->port());
+        return "http://127.0.0.1:" + std::to_string(server_->port());
     }
 
     // The body of the one request.
@@ -65,7 +64,7 @@
 struct Call
 {
     explicit Call(const engine::ChatCallRequest &request)
-        : outcome_(ChatCall().perform(request, [this](std::string_view text) {
+        : outcome_(engine::performChat(stream_, request, [this](std::string_view text) {
             text_ += text;
             return true;
         }))
@@ -78,12 +77,13 @@
     }
 
     std::string text_;
+    http::StreamCall stream_;
     const Result<engine::ChatOutcome> outcome_;
 };
 
 auto callOf(const ScriptedEngine &engine) -> engine::ChatCallRequest
 {
-    return {.engine_ = engine.address(), .body_ = plainBody};
+    return {.engineUrl_ = engine.address(), .body_ = plainBody};
 }
 
 const testkit::Story answers = {"a chat call",
@@ -109,7 +109,7 @@
                     [] {
                         auto engine = ScriptedEngine(firstChunks + lastChunk + done);
                         const auto call = Call(
-                            {.engine_ = engine.address(), .body_ = plainBody, .tier_ = 1, .resumeText_ = "zero "});
+                            {.engineUrl_ = engine.address(), .body_ = plainBody, .tier_ = 1, .resumeText_ = "zero "});
                         const auto body = engine.body();
                         check(call.outcome_ && body["stream"] == true && body["priority"] == 1);
                         check(body["messages"][1]["content"] == "zero ");
@@ -147,8 +147,8 @@
                         const auto server = *http::Server::start({}, [](const http::Request &) -> http::Response {
                             return http::WholeResponse {.status_ = 400, .body_ = "too long"};
                         });
-                        const auto call
-                            = Call({.engine_ = "127.0.0.1:" + std::to_string(server->port()), .body_ = plainBody});
+                        const auto call = Call(
+                            {.engineUrl_ = "http://127.0.0.1:" + std::to_string(server->port()), .body_ = plainBody});
                         check(bool(call.outcome_));
                         const auto &refused = std::get<ChatRefused>(*call.outcome_);
                         check(refused.status_ == 400 && refused.body_ == "too long");
@@ -160,10 +160,10 @@
                 test("has not run",
                     [] {
                         // Nobody listens on the reserved port 1.
-                        const auto call = Call({.engine_ = "127.0.0.1:1", .body_ = plainBody});
+                        const auto call = Call({.engineUrl_ = "http://127.0.0.1:1", .body_ = plainBody});
                         check(!call.outcome_ && call.outcome_.reason().step_ == "connect");
                         check(call.outcome_.reason().runState_ == RunState::NotRun);
-                        const auto invalid = Call({.engine_ = "127.0.0.1:1", .body_ = "[]"});
+                        const auto invalid = Call({.engineUrl_ = "http://127.0.0.1:1", .body_ = "[]"});
                         check(!invalid.outcome_ && invalid.outcome_.reason().step_ == "priority");
                         check(invalid.outcome_.reason().runState_ == RunState::NotRun);
                     }),
@@ -174,7 +174,8 @@
                 test("by its callback ends and may have run",
                     [] {
                         const auto engine = ScriptedEngine(firstChunks + lastChunk + done);
-                        const auto outcome = ChatCall().perform(callOf(engine), [](std::string_view) {
+                        auto stream = http::StreamCall();
+                        const auto outcome = engine::performChat(stream, callOf(engine), [](std::string_view) {
                             return false;
                         });
                         check(!outcome && outcome.reason().step_ == "cancel");
@@ -194,15 +195,15 @@
                                 return http::EndOfStream {};
                             }};
                         });
-                        auto call = ChatCall();
+                        auto call = http::StreamCall();
                         auto texts = std::promise<void>();
                         auto cancelling = std::async(std::launch::async, [&] {
                             texts.get_future().wait();
                             call.cancel();
                         });
                         const auto request = engine::ChatCallRequest {
-                            .engine_ = "127.0.0.1:" + std::to_string(server->port()), .body_ = plainBody};
-                        const auto outcome = call.perform(request, [&](std::string_view text) {
+                            .engineUrl_ = "http://127.0.0.1:" + std::to_string(server->port()), .body_ = plainBody};
+                        const auto outcome = engine::performChat(call, request, [&](std::string_view text) {
                             if (text == "two") {
                                 texts.set_value();
                             }
@@ -225,8 +226,8 @@
                     return http::WholeResponse {.status_ = 503};
                 });
                 const auto timeout = Milliseconds(10'000);
-                check(!engine::probe("127.0.0.1:" + std::to_string(server->port()), timeout));
-                const auto failed = engine::probe("127.0.0.1:" + std::to_string(ill->port()), timeout);
+                check(!engine::probe("http://127.0.0.1:" + std::to_string(server->port()), timeout));
+                const auto failed = engine::probe("http://127.0.0.1:" + std::to_string(ill->port()), timeout);
                 check(failed && failed->step_ == "probe" && failed->reason_ == "status 503");
             }),
     }};
--- a/packages/engine/tests/chat_request_test.cpp
+++ b/packages/engine/tests/chat_request_test.cpp
@@ -130,26 +130,34 @@
                 // Guards against an engine that starts the answer anew, so that the caller gets its beginning twice.
                 test("ends in an assistant message that is to be continued",
                     [] {
-                        const auto body = json::parse(*engine::withResume(withMember("seed", 3), "so far"));
+                        const auto body = json::parse(*engine::withResume(withMember("seed", 3), "so far", 2));
                         check(body["messages"].size() == 2 && body["seed"] == 3);
                         check(body["messages"][1] == json({{"role", "assistant"}, {"content", "so far"}}));
                         check(body["continue_final_message"] == true && body["add_generation_prompt"] == false);
                     }),
+                // Guards against an answer that grows beyond the caller's limit with each continuation.
+                test("may produce only what is left of the caller's limit",
+                    [] {
+                        const auto left = json::parse(*engine::withResume(withMember("max_tokens", 10), "so far", 2));
+                        check(left["max_tokens"] == 8);
+                        const auto none = json::parse(*engine::withResume(withMember("max_tokens", 2), "so far", 2));
+                        check(none["max_tokens"] == 1);
+                    }),
                 test("extends the message that the caller itself wants continued",
                     [] {
                         auto own = json::parse(plain);
                         own["messages"].push_back({{"role", "assistant"}, {"content", "Once "}});
                         own["continue_final_message"] = true;
-                        const auto body = json::parse(*engine::withResume(own.dump(), "upon"));
+                        const auto body = json::parse(*engine::withResume(own.dump(), "upon", 1));
                         check(body["messages"].size() == 2 && body["messages"][1]["content"] == "Once upon");
                     }),
                 test("is unchanged without delivered text",
                     [] {
-                        check(*engine::withResume(plain, "") == plain);
+                        check(*engine::withResume(plain, "", 0) == plain);
                     }),
                 test("fails for text that is not UTF-8",
                     [] {
-                        const auto body = engine::withResume(plain, "\xC3");
+                        const auto body = engine::withResume(plain, "\xC3", 1);
                         check(!body && body.reason().step_ == "resume");
                     }),
             }),
@@ -167,7 +175,7 @@
                     [] {
                         check(engine::withPriority("1", 2).reason().step_ == "priority");
                         check(engine::withStream("1").reason().step_ == "stream");
-                        check(engine::withResume("1", "x").reason().step_ == "resume");
+                        check(engine::withResume("1", "x", 1).reason().step_ == "resume");
                     }),
             }),
     }};
--- a/packages/router/include/jasminewood/router/request_run.h
+++ b/packages/router/include/jasminewood/router/request_run.h
@@ -70,6 +70,7 @@
     const std::uint16_t status_ = 0;
     const std::string contentType_;
     const std::string finishReason_;
+    const std::uint32_t promptTokens_ = 0;
     const std::uint32_t outputTokens_ = 0;
 
     auto operator<=>(const Completed &) const = default;
@@ -163,6 +164,8 @@
     std::uint32_t attempts_ = 0;
     std::uint32_t placements_ = 0;
     std::uint32_t starts_ = 0;
+    // Output tokens delivered so far; engines send one token in each frame.
+    std::uint32_t deliveredTokens_ = 0;
     bool hedged_ = false;
     // Where a recalled attempt goes next.
     std::optional<NodeId> reserved_;
--- a/packages/router/src/chat_answer.cpp
+++ b/packages/router/src/chat_answer.cpp
@@ -34,7 +34,8 @@
     return http::WholeResponse {.headers_
         = {{.name_ = "Content-Type", .value_ = "application/json"}, {.name_ = "X-Request-Id", .value_ = requestId}},
         .body_ = engine::buildAnswer(headOf(requestId, model), text, completed.finishReason_,
-            engine::TokenUsage {.completionTokens_ = completed.outputTokens_})};
+            engine::TokenUsage {
+                .promptTokens_ = completed.promptTokens_, .completionTokens_ = completed.outputTokens_})};
 }
 
 ChatStream::ChatStream(const std::string &requestId, const std::string &model)
--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -119,7 +119,8 @@
             .suspect_ = suspect,
             .maximumWait_ = remainingWait(now),
             .costEstimate_ = request_.costEstimate_,
-            .resumeText_ = tracker_.delivered()});
+            .resumeText_ = tracker_.delivered(),
+            .resumeTokens_ = deliveredTokens_});
     if (failure) {
         tracker_.failed(attempt, *failure);
         remove(attempt);
@@ -159,6 +160,7 @@
     }
     measure(*running, Clock::now());
     abandonOthers(event.attempt_);
+    ++deliveredTokens_;
     return Output {.text_ = *text};
 }
 
@@ -201,6 +203,7 @@
     return Completed {.status_ = event.status_,
         .contentType_ = event.contentType_,
         .finishReason_ = event.finishReason_,
+        .promptTokens_ = event.promptTokens_,
         .outputTokens_ = event.outputTokens_};
 }
 
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -94,6 +94,7 @@
     const std::uint32_t costEstimate_ = 0;
     // Output that an earlier attempt has already delivered to the caller; the upstream continues after it.
     const std::string resumeText_;
+    const std::uint32_t resumeTokens_ = 0;
 
     auto operator<=>(const Dispatch &) const = default;
 };
@@ -127,6 +128,8 @@
     const std::string contentType_;
     // The engine's reason, for example "stop" or "length"; empty for plain services.
     const std::string finishReason_;
+    // As the engine counts them; zero for plain services.
+    const std::uint32_t promptTokens_ = 0;
     const std::uint32_t outputTokens_ = 0;
 
     auto operator<=>(const Finished &) const = default;
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -64,7 +64,7 @@
         std::cref(value.requestClass_), std::cref(value.tier_), std::cref(value.method_), Body {value.path_},
         Body {value.body_}, std::cref(value.contentType_), Body {value.idempotencyKey_}, std::cref(value.stream_),
         std::cref(value.idempotent_), std::cref(value.suspect_), std::cref(value.maximumWait_),
-        std::cref(value.costEstimate_), Body {value.resumeText_});
+        std::cref(value.costEstimate_), Body {value.resumeText_}, std::cref(value.resumeTokens_));
 }
 
 inline auto fieldsOf(const Started &value)
@@ -80,7 +80,7 @@
 inline auto fieldsOf(const Finished &value)
 {
     return std::tie(value.attempt_, value.length_, value.digest_, value.status_, value.contentType_,
-        value.finishReason_, value.outputTokens_);
+        value.finishReason_, value.promptTokens_, value.outputTokens_);
 }
 
 inline auto fieldsOf(const Failed &value)
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -87,7 +87,8 @@
         .suspect_ = anyNumber<bool>(),
         .maximumWait_ = anySpan<Milliseconds>(),
         .costEstimate_ = anyNumber<std::uint32_t>(),
-        .resumeText_ = anyBody()};
+        .resumeText_ = anyBody(),
+        .resumeTokens_ = anyNumber<std::uint32_t>()};
 }
 
 inline auto anySuspicions() -> Suspicions
@@ -135,6 +136,7 @@
             .status_ = anyNumber<std::uint16_t>(),
             .contentType_ = anyName(),
             .finishReason_ = anyName(),
+            .promptTokens_ = anyNumber<std::uint32_t>(),
             .outputTokens_ = anyNumber<std::uint32_t>()},
         Failed {.attempt_ = anyAttempt(),
             .failure_ = anyFailure(),
