--- /dev/null
+++ b/examples/second_frontend/claim_table.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "jasminewood/claims/claim_machine.h"
+
+namespace jasminewood::second_frontend
+{
+
+// Holds claims in memory. A front end of several processes keeps them in the key-value service instead. Not
+// thread-safe.
+class ClaimTable
+{
+public:
+    auto perform(const claims::CreateIfAbsent &action) -> claims::Event;
+    auto perform(const claims::ReadBack &action) const -> claims::Event;
+    auto perform(const claims::TakeOver &action) -> claims::Event;
+    auto perform(const claims::Complete &action) -> claims::Event;
+    auto perform(const claims::Release &action) -> claims::Event;
+
+private:
+    auto swap(const std::string &key, std::uint64_t expected, const claims::ClaimRecord &record) -> claims::Event;
+
+    std::uint64_t revision_ = 0;
+    std::map<std::string, claims::Exists> records_;
+};
+
+} // namespace jasminewood::second_frontend
--- /dev/null
+++ b/examples/second_frontend/line_front.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "claim_table.h"
+#include "jasminewood/admission/account_limiter.h"
+#include "line_request.h"
+#include "simulated_upstreams.h"
+
+namespace jasminewood::second_frontend
+{
+
+using Lines = std::vector<std::string>;
+
+// Serves one line after the other: admits, routes, queues and answers it. Not thread-safe.
+class LineFront
+{
+public:
+    LineFront(std::shared_ptr<const manifest::Manifest> manifest, TimePoint now);
+
+    // Returns what to print.
+    auto serve(const std::string &line, TimePoint now) -> Lines;
+
+private:
+    auto serve(const ChatLine &chat, TimePoint now) -> Lines;
+    auto serve(const BookingLine &booking, TimePoint now) -> Lines;
+    auto serve(const RunLine &run, TimePoint now) -> Lines;
+    auto serve(const UnknownLine &unknown, TimePoint now) -> Lines;
+
+    auto classify(const std::string &account, const std::string &requestClass) const
+        -> Result<const manifest::RequestClass *>;
+    auto entry(const AttemptId &attempt, const std::string &account, const manifest::RequestClass &requestClass,
+        TimePoint now) const -> scheduling::Entry;
+    auto claim(claims::ClaimMachine &machine, const scheduling::Entry &entry, const BookingLine &booking, TimePoint now)
+        -> std::string;
+    auto perform(const claims::Action &action, const scheduling::Entry &entry, const BookingLine &booking,
+        TimePoint now, std::string &told) -> std::optional<claims::Event>;
+    auto dispatch(const claims::DispatchNow &action, const scheduling::Entry &entry, const BookingLine &booking,
+        TimePoint now) -> claims::Event;
+
+    std::shared_ptr<const manifest::Manifest> manifest_;
+    admission::AccountLimiter limiter_;
+    SimulatedUpstreams upstreams_;
+    ClaimTable claims_;
+    std::uint64_t requests_ = 0;
+};
+
+} // namespace jasminewood::second_frontend
--- /dev/null
+++ b/examples/second_frontend/simulated_upstreams.cpp
@@ -0,0 +1,105 @@
+#include "simulated_upstreams.h"
+
+#include <utility>
+
+namespace jasminewood::second_frontend
+{
+
+namespace
+{
+
+// Decisions with the same seed and input are the same in every run.
+constexpr std::uint64_t seed = 1;
+constexpr std::uint64_t incarnation = 1;
+constexpr auto simulatedFirstToken = Microseconds(20'000);
+constexpr auto percent = 100.0;
+
+auto gatePolicy(const manifest::Manifest &manifest, const manifest::Pool &pool) -> scheduling::GatePolicy
+{
+    auto classes = std::vector<scheduling::ClassPolicy>();
+    for (const auto &[name, requestClass] : manifest.classes_) {
+        if (requestClass.pool_ == pool.name_) {
+            classes.push_back(scheduling::ClassPolicy {.name_ = name,
+                .tier_ = requestClass.tier_,
+                .minimumShare_ = requestClass.minimumShare_ / percent,
+                .maximumWait_ = requestClass.maximumWait_});
+        }
+    }
+    return scheduling::GatePolicy {.classes_ = std::move(classes),
+        .concurrency_ = pool.concurrency_,
+        .longLaneSlots_ = pool.longLane_,
+        .longTokens_ = pool.longTokens_,
+        .queueLimit_ = pool.queueLimit_};
+}
+
+} // namespace
+
+SimulatedUpstreams::SimulatedUpstreams(const manifest::Manifest &manifest, TimePoint now)
+    : members_(seed)
+    , chooser_(seed)
+{
+    for (const auto &[name, pool] : manifest.pools_) {
+        for (auto number = 1; number <= upstreamsOfPool; ++number) {
+            const auto node = NodeId {.name_ = name + "-" + std::to_string(number), .incarnation_ = incarnation};
+            members_.connected(
+                membership::Peer {.node_ = node, .address_ = "simulated", .pool_ = name, .dataCentre_ = "local"}, now);
+            upstreams_.emplace(
+                node, Upstream {.queue_ = scheduling::GateQueue(gatePolicy(manifest, pool)), .outputs_ = {}});
+        }
+    }
+}
+
+auto SimulatedUpstreams::choose(const std::string &pool, const routing::Request &request, TimePoint now)
+    -> Result<NodeId>
+{
+    auto candidates = std::vector<routing::Candidate>();
+    for (const auto &member : members_.routable(pool)) {
+        const auto &queue = upstreams_.at(member.node_).queue_;
+        candidates.push_back(routing::Candidate {.node_ = member.node_,
+            .dataCentre_ = member.dataCentre_,
+            .outstanding_ = queue.running(),
+            .queuedAhead_ = queue.queued(),
+            .freeSlots_ = queue.freeSlots(),
+            .slowness_ = health_.slowness(member.node_, now)});
+    }
+    return chooser_.choose(routing::Weighted {}, request, candidates);
+}
+
+auto SimulatedUpstreams::enqueue(const NodeId &upstream, const scheduling::Entry &entry, const std::string &output,
+    TimePoint now) -> scheduling::Admission
+{
+    auto &chosen = upstreams_.at(upstream);
+    auto admission = chosen.queue_.enqueue(entry, now);
+    if (!std::holds_alternative<scheduling::Refused>(admission)) {
+        chosen.outputs_.emplace(entry.attempt_, output);
+    }
+    if (const auto *evicting = std::get_if<scheduling::QueuedEvicting>(&admission)) {
+        chosen.outputs_.erase(evicting->evicted_);
+    }
+    return admission;
+}
+
+auto SimulatedUpstreams::runNext(TimePoint now) -> std::optional<Ran>
+{
+    for (const auto &[node, upstream] : upstreams_) {
+        if (const auto ran = runNext(node, now)) {
+            return ran;
+        }
+    }
+    return std::nullopt;
+}
+
+auto SimulatedUpstreams::runNext(const NodeId &upstream, TimePoint now) -> std::optional<Ran>
+{
+    auto &chosen = upstreams_.at(upstream);
+    const auto entry = chosen.queue_.takeNext(now);
+    if (!entry) {
+        return std::nullopt;
+    }
+    const auto output = chosen.outputs_.extract(entry->attempt_).mapped();
+    health_.firstToken(upstream, simulatedFirstToken, now);
+    chosen.queue_.finished(entry->attempt_, static_cast<std::uint32_t>(output.size()));
+    return Ran {.attempt_ = entry->attempt_, .upstream_ = upstream, .output_ = output};
+}
+
+} // namespace jasminewood::second_frontend
--- /dev/null
+++ b/examples/second_frontend/simulated_upstreams.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminewood/core/result.h"
+#include "jasminewood/delivery/output_buffer.h"
+#include "jasminewood/manifest/manifest.h"
+#include "jasminewood/membership/member_table.h"
+#include "jasminewood/routing/policy.h"
+#include "jasminewood/routing/upstream_health.h"
+#include "jasminewood/scheduling/gate_queue.h"
+
+namespace jasminewood::second_frontend
+{
+
+// Upstreams of each pool.
+constexpr int upstreamsOfPool = 3;
+
+// An attempt that ran, with its whole output.
+struct Ran
+{
+    const AttemptId attempt_;
+    const NodeId upstream_;
+    const std::string output_;
+
+    auto operator<=>(const Ran &) const = default;
+};
+
+// Three upstreams for each pool of the manifest, each behind a gate queue of its own, in one process and in simulated
+// time. Not thread-safe.
+class SimulatedUpstreams
+{
+public:
+    SimulatedUpstreams(const manifest::Manifest &manifest, TimePoint now);
+
+    // Chooses an upstream of the pool.
+    auto choose(const std::string &pool, const routing::Request &request, TimePoint now) -> Result<NodeId>;
+
+    // Queues an attempt that will answer with this output.
+    auto enqueue(const NodeId &upstream, const scheduling::Entry &entry, const std::string &output, TimePoint now)
+        -> scheduling::Admission;
+
+    // Starts and ends the next attempt of any upstream; empty if all queues are empty.
+    auto runNext(TimePoint now) -> std::optional<Ran>;
+
+    // Starts and ends the next attempt of this upstream; empty if its queue is empty.
+    auto runNext(const NodeId &upstream, TimePoint now) -> std::optional<Ran>;
+
+private:
+    struct Upstream
+    {
+        scheduling::GateQueue queue_;
+        std::map<AttemptId, std::string> outputs_;
+    };
+
+    membership::MemberTable members_;
+    routing::Chooser chooser_;
+    routing::UpstreamHealth health_;
+    std::map<NodeId, Upstream> upstreams_;
+};
+
+} // namespace jasminewood::second_frontend
