Refuse unknown flags, arguments and commands with status 2

Both programs now check the command line before they read the settings, name the argument and end with status 2.

--- a/packages/node/include/jasminewood/node/program.h
+++ b/packages/node/include/jasminewood/node/program.h
@@ -19,7 +19,8 @@
 constexpr int statusFailed = 1;
 
 // Reads the flags and the file that --settings names. Returns the settings, or the exit status if the program is to end
-// now: after --check-settings, which prints the effective settings, and on wrong settings, whose faults it prints.
+// now: after --check-settings, which prints the effective settings, and on a wrong command line or wrong settings,
+// whose faults it prints.
 auto startProgram(int &argc, char **&argv, const settings::Schema &schema, const std::string &usage)
     -> std::variant<settings::Settings, int>;
 
--- a/packages/node/src/program.cpp
+++ b/packages/node/src/program.cpp
@@ -1,5 +1,9 @@
 #include "jasminewood/node/program.h"
 
+#include <algorithm>
+#include <optional>
+#include <vector>
+
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
@@ -11,12 +15,57 @@
 namespace jasminewood::node
 {
 
+namespace
+{
+
+// Returns the name of a flag argument as gflags knows it; empty if the argument is no flag.
+auto flagNameOf(std::string argument) -> std::string
+{
+    const auto name = argument.find_first_not_of('-');
+    if (name == 0 || name == std::string::npos) {
+        return "";
+    }
+    argument = argument.substr(name, argument.find('=') - name);
+    std::replace(argument.begin(), argument.end(), '-', '_');
+    return argument;
+}
+
+auto isKnownFlag(const std::string &name) -> bool
+{
+    auto info = gflags::CommandLineFlagInfo();
+    const auto known = [&info](const std::string &candidate) -> bool {
+        return gflags::GetCommandLineFlagInfo(candidate.c_str(), &info);
+    };
+    // gflags accepts --noNAME for Boolean flags.
+    return known(name) || (name.starts_with("no") && known(name.substr(2)) && info.type == "bool");
+}
+
+// gflags itself would end the process at an unknown flag, with the status of a failed start.
+auto unknownFlag(const std::vector<std::string> &arguments) -> std::optional<std::string>
+{
+    const auto unknown = std::find_if(arguments.begin(), arguments.end(), [](const std::string &argument) -> bool {
+        const auto name = flagNameOf(argument);
+        return !name.empty() && !isKnownFlag(name);
+    });
+    return unknown == arguments.end() ? std::nullopt : std::optional(*unknown);
+}
+
+} // namespace
+
 auto startProgram(int &argc, char **&argv, const settings::Schema &schema, const std::string &usage)
     -> std::variant<settings::Settings, int>
 {
     gflags::SetUsageMessage(usage);
     settings::registerFlags(schema);
+    if (const auto unknown = unknownFlag(std::vector<std::string>(argv + 1, argv + argc))) {
+        fmt::print(stderr, "{}: unknown flag; --help lists all\n", *unknown);
+        return statusUsage;
+    }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc > 1) {
+        fmt::print(stderr, "{}: unknown argument; usage: {}\n", argv[1], usage);
+        return statusUsage;
+    }
     auto loaded = settings::load(schema, FLAGS_settings, settings::flagOverrides(schema));
     if (const auto *faults = std::get_if<std::vector<settings::Fault>>(&loaded)) {
         for (const auto &fault : *faults) {
--- a/packages/router/src/main.cpp
+++ b/packages/router/src/main.cpp
@@ -157,6 +157,11 @@
         return router::runCommand(command, std::vector<std::string>(argv + 2, argv + argc),
             router::CommandTarget {.url_ = FLAGS_admin_url, .key_ = FLAGS_admin_key});
     }
+    if (command == "serve") {
+        argv[1] = argv[0];
+        ++argv;
+        --argc;
+    }
     const auto started = node::startProgram(argc, argv, schema(), usage);
     if (const auto *status = std::get_if<int>(&started)) {
         return *status;
