Say in /readyz why the platform is missing and refuse wrong operators' calls

/readyz said only "no manifest yet" or "no upstream is connected" when the key-value service or the VM list was out, and a watch that ended because of a stop was logged as an outage. The platform service now keeps the last failure of each, and the answer and the log name it. A base or time that is no number was read as 0, which turned a mistyped revision into a conflict; it is answered 400 now. A known path with a wrong method is answered 405 with Allow instead of 404.

--- a/packages/router/include/jasminewood/router/platform_sync.h
+++ b/packages/router/include/jasminewood/router/platform_sync.h
@@ -9,6 +9,7 @@
 
 #include "jasminewood/kernel/registry.h"
 #include "jasminewood/manifest/submission.h"
+#include "jasminewood/membership/backoff.h"
 #include "jasminewood/node/environment.h"
 #include "jasminewood/node/manifest_store.h"
 #include "jasminewood/platform/key_value.h"
@@ -48,10 +49,20 @@
     // Calls to the key-value service since the start; a waiting watch counts as one.
     auto calls() const -> std::uint64_t;
 
+    // Why the last try to read or watch the manifest failed; empty while the watch works.
+    auto keyValueFailure() const -> Status;
+
+    // Why the last try to read the VM list failed; empty if it succeeded.
+    auto vmListFailure() const -> Status;
+
 private:
     auto followManifest() -> void;
+    // Reads the manifest and watches it until a call fails or this service stops.
+    auto watchManifest(membership::Backoff &backoff) -> Failure;
     auto readManifest() -> Result<platform::Revision>;
     auto followVmList() -> void;
+    // Null after a success.
+    auto noteVmList(const Failure *failure) -> void;
     auto apply(const platform::KeyValue &entry) -> void;
     auto perform(const manifest::Action &action) -> manifest::CallResult;
     auto write(const manifest::WriteIfBase &action) -> manifest::CallResult;
@@ -68,6 +79,8 @@
     mutable std::mutex mutex_;
     std::condition_variable stopped_;
     std::shared_ptr<platform::WatchCall> watch_;
+    Status keyValueFailure_;
+    Status vmListFailure_;
     bool stopping_ = false;
     std::thread manifestTask_;
     std::thread vmListTask_;
--- a/packages/router/src/admin_api.cpp
+++ b/packages/router/src/admin_api.cpp
@@ -46,12 +46,18 @@
     return list;
 }
 
-auto unsignedParameter(const http::Request &request, const std::string &name) -> std::uint64_t
+// Returns 0 for a missing parameter, and a failure unless the whole text is a number.
+auto unsignedParameter(const http::Request &request, const std::string &name) -> Result<std::uint64_t>
 {
     const auto found = request.parameters_.find(name);
     auto value = std::uint64_t(0);
-    if (found != request.parameters_.end()) {
-        std::from_chars(found->second.data(), found->second.data() + found->second.size(), value);
+    if (found == request.parameters_.end()) {
+        return value;
+    }
+    const auto *end = found->second.data() + found->second.size();
+    const auto read = std::from_chars(found->second.data(), end, value);
+    if (read.ec != std::errc() || read.ptr != end) {
+        return Failure {.step_ = "administer", .reason_ = "the parameter " + name + " is not a number"};
     }
     return value;
 }
@@ -62,6 +68,37 @@
     return found == request.parameters_.end() ? std::string() : found->second;
 }
 
+// The reason why the process is not ready, with the failure behind it if there is one.
+auto notReady(const std::string &reason, const Status &failure) -> http::WholeResponse
+{
+    const auto cause = failure ? ": " + failure->step_ + " at " + failure->peer_ + ": " + failure->reason_ : "";
+    return errorResponse(503, reason + cause);
+}
+
+// The methods of a path of the API; empty if there is no such path.
+auto methodsOf(std::string_view path) -> std::string
+{
+    if (path == "/admin/manifest") {
+        return "GET, PUT";
+    }
+    if (path == "/admin/manifest/check" || (path.starts_with(upstreamsPath) && path.ends_with(drainSuffix))) {
+        return "POST";
+    }
+    const auto reads = path == "/admin/upstreams" || path == "/admin/timeline" || path.starts_with(submissionsPath);
+    return reads ? "GET" : "";
+}
+
+auto unknownCall(const std::string &path) -> http::WholeResponse
+{
+    const auto allowed = methodsOf(path);
+    if (allowed.empty()) {
+        return errorResponse(404, "the administration API has no such call");
+    }
+    return http::WholeResponse {.status_ = 405,
+        .headers_ = {{.name_ = "Content-Type", .value_ = "application/json"}, {.name_ = "Allow", .value_ = allowed}},
+        .body_ = Json {{"error", "this call needs the method " + allowed}}.dump(2) + "\n"};
+}
+
 auto outcomeResponse(const manifest::Action &outcome, const std::string &submission) -> http::WholeResponse
 {
     return std::visit(
@@ -200,7 +237,7 @@
     if (path == "/admin/timeline" && reads) {
         return timeline(request);
     }
-    return errorResponse(404, "the administration API has no such call");
+    return unknownCall(request.path_);
 }
 
 auto AdminApi::readiness() const -> http::WholeResponse
@@ -209,13 +246,14 @@
         return errorResponse(503, "stopping");
     }
     if (!manifests_->current()) {
-        return errorResponse(503, "no manifest yet");
+        return notReady("no manifest yet", platform_->keyValueFailure());
     }
     const auto views = upstreams_->view();
     const auto anyLive = std::any_of(views.begin(), views.end(), [](const UpstreamView &view) -> bool {
         return view.member_.state_ == membership::MemberState::Live;
     });
-    return anyLive ? http::WholeResponse {.body_ = "ready\n"} : errorResponse(503, "no upstream is connected");
+    return anyLive ? http::WholeResponse {.body_ = "ready\n"}
+                   : notReady("no upstream is connected", platform_->vmListFailure());
 }
 
 auto AdminApi::showManifest() const -> http::WholeResponse
@@ -233,12 +271,16 @@
     if (submission.empty()) {
         return errorResponse(400, "the parameter submission (a unique id) is required");
     }
+    const auto base = unsignedParameter(request, "base");
+    if (!base) {
+        return errorResponse(400, base.reason().reason_);
+    }
     const auto checked = manifest::check(request.body_, "manifest");
     if (const auto *faults = std::get_if<std::vector<manifest::Fault>>(&checked)) {
         return jsonResponse(422, Json {{"outcome", "refused"}, {"faults", faultsJson(*faults)}});
     }
-    const auto outcome = platform_->submit(manifest::Request {
-        .id_ = submission, .baseRevision_ = unsignedParameter(request, "base"), .text_ = request.body_});
+    const auto outcome
+        = platform_->submit(manifest::Request {.id_ = submission, .baseRevision_ = *base, .text_ = request.body_});
     return outcomeResponse(outcome, submission);
 }
 
@@ -280,9 +322,17 @@
 auto AdminApi::timeline(const http::Request &request) -> http::WholeResponse
 {
     constexpr auto microsPerMilli = std::uint64_t(1000);
+    const auto from = unsignedParameter(request, "from_ms");
+    const auto to = unsignedParameter(request, "to_ms");
+    if (!from || !to) {
+        return errorResponse(400, (from ? to : from).reason().reason_);
+    }
+    if (textParameter(request, "request").empty() && *to <= *from) {
+        return errorResponse(400, "the parameter request, or from_ms before to_ms, is required");
+    }
     const auto events = timelines_->collect(TimelineSelection {.request_ = textParameter(request, "request"),
-        .fromMicros_ = unsignedParameter(request, "from_ms") * microsPerMilli,
-        .toMicros_ = unsignedParameter(request, "to_ms") * microsPerMilli});
+        .fromMicros_ = *from * microsPerMilli,
+        .toMicros_ = *to * microsPerMilli});
     if (textParameter(request, "format") == "html") {
         return http::WholeResponse {.headers_ = {{.name_ = "Content-Type", .value_ = "text/html; charset=utf-8"}},
             .body_ = observe::htmlPage(events, "Time line " + textParameter(request, "request"))};
--- a/packages/router/src/platform_sync.cpp
+++ b/packages/router/src/platform_sync.cpp
@@ -107,33 +107,62 @@
     });
 }
 
+auto PlatformSync::keyValueFailure() const -> Status
+{
+    const auto lock = std::lock_guard(mutex_);
+    return keyValueFailure_;
+}
+
+auto PlatformSync::vmListFailure() const -> Status
+{
+    const auto lock = std::lock_guard(mutex_);
+    return vmListFailure_;
+}
+
 auto PlatformSync::followManifest() -> void
 {
     auto backoff = membership::Backoff(seed_);
-    auto reachable = true;
-    while (waitUnlessStopping(reachable ? Milliseconds(0) : backoff.next())) {
-        auto next = readManifest();
-        auto from = next ? std::optional<platform::Revision>(*next + 1) : std::nullopt;
-        while (from) {
-            const auto call = std::make_shared<platform::WatchCall>();
-            {
-                const auto lock = std::lock_guard(mutex_);
-                if (stopping_) {
-                    return;
-                }
-                watch_ = call;
+    auto wait = Milliseconds(0);
+    while (waitUnlessStopping(wait)) {
+        const auto failure = watchManifest(backoff);
+        wait = backoff.next();
+        const auto lock = std::lock_guard(mutex_);
+        if (!stopping_) {
+            keyValueFailure_.emplace(failure);
+            environment_->log().warning("the key-value service does not answer; the present manifest stays in force",
+                observe::fieldsOf(failure));
+        }
+    }
+}
+
+auto PlatformSync::watchManifest(membership::Backoff &backoff) -> Failure
+{
+    const auto read = readManifest();
+    if (!read) {
+        return read.reason();
+    }
+    auto from = *read + 1;
+    while (true) {
+        const auto call = std::make_shared<platform::WatchCall>();
+        {
+            const auto lock = std::lock_guard(mutex_);
+            if (stopping_) {
+                return Failure {.step_ = "watch manifest", .reason_ = "this process is stopping"};
             }
-            backoff.reset();
-            const auto watched = keyValues_->watch(platform::WatchRequest {.key_ = manifestKey, .fromRevision_ = *from},
-                *call, [this](const platform::WatchEvent &event) -> void {
-                    if (const auto *put = std::get_if<platform::KeyPut>(&event)) {
-                        apply(put->entry_);
-                    }
-                });
-            from = watched ? std::optional<platform::Revision>(*watched) : std::nullopt;
+            keyValueFailure_.reset();
+            watch_ = call;
         }
-        reachable = false;
-        environment_->log().warning("the key-value service does not answer; the present manifest stays in force");
+        backoff.reset();
+        const auto watched = keyValues_->watch(platform::WatchRequest {.key_ = manifestKey, .fromRevision_ = from},
+            *call, [this](const platform::WatchEvent &event) -> void {
+                if (const auto *put = std::get_if<platform::KeyPut>(&event)) {
+                    apply(put->entry_);
+                }
+            });
+        if (!watched) {
+            return watched.reason();
+        }
+        from = *watched;
     }
 }
 
@@ -164,6 +193,7 @@
     while (waitUnlessStopping(wait)) {
         const auto listed = vmList_.fetchMembers();
         wait = listed ? vmListInterval : backoff.next();
+        noteVmList(listed ? nullptr : &listed.reason());
         if (!listed) {
             environment_->log().warning("the VM list cannot be read", observe::fieldsOf(listed.reason()));
             continue;
@@ -184,6 +214,15 @@
     }
 }
 
+auto PlatformSync::noteVmList(const Failure *failure) -> void
+{
+    const auto lock = std::lock_guard(mutex_);
+    vmListFailure_.reset();
+    if (failure != nullptr) {
+        vmListFailure_.emplace(*failure);
+    }
+}
+
 auto PlatformSync::submit(const manifest::Request &request) -> manifest::Action
 {
     auto step = std::make_unique<manifest::SubmissionStep>(manifest::start(request));
