Answer wrong methods with 405 and pass an engine's refusal on

A wrong method on the chat or models path was reported as a path without a service (404); it is answered 405 with Allow. If an engine refused a body, its JSON error was wrapped as the model's text in an answer with status 200. The caller now gets the engine's status and body, and a stream ends with event: error and without [DONE]. The text of the refusal still precedes the event in a stream, because the agent sends it as output. The models list carries X-Request-Id as all other answers do.

--- a/packages/router/include/jasminewood/router/http_front.h
+++ b/packages/router/include/jasminewood/router/http_front.h
@@ -43,7 +43,8 @@
 private:
     auto handle(const http::Request &request) -> http::Response;
     auto serve(const http::Request &request, const std::string &id) -> http::Response;
-    auto models(const manifest::Manifest &manifest, const manifest::Account &account) const -> http::WholeResponse;
+    auto models(const manifest::Manifest &manifest, const manifest::Account &account, const std::string &id) const
+        -> http::WholeResponse;
     auto chat(const http::Request &request, const std::string &id, const manifest::Manifest &manifest,
         const manifest::Account &account) -> http::Response;
     auto service(const http::Request &request, const std::string &id, const manifest::Manifest &manifest,
--- a/packages/router/src/api_error.cpp
+++ b/packages/router/src/api_error.cpp
@@ -46,6 +46,15 @@
         .status_ = status, .headers_ = std::move(headers), .body_ = errorJson(requestId, failure)};
 }
 
+auto wrongMethod(const std::string &requestId, const std::string &allowed) -> http::WholeResponse
+{
+    const auto failure = Failure {.step_ = "classify", .reason_ = "this path needs the method " + allowed};
+    return http::WholeResponse {.status_ = 405,
+        .headers_ = {{.name_ = "Content-Type", .value_ = "application/json"},
+            {.name_ = "X-Request-Id", .value_ = requestId}, {.name_ = "Allow", .value_ = allowed}},
+        .body_ = errorJson(requestId, failure)};
+}
+
 auto serviceResponse(const std::string &requestId, int status, const std::string &contentType, const std::string &body)
     -> http::WholeResponse
 {
--- a/packages/router/src/api_error.h
+++ b/packages/router/src/api_error.h
@@ -20,6 +20,9 @@
 
 auto errorResponse(int status, const std::string &requestId, const Failure &failure) -> http::WholeResponse;
 
+// The path exists, but not with this method; allowed stands in the header Allow.
+auto wrongMethod(const std::string &requestId, const std::string &allowed) -> http::WholeResponse;
+
 // Passes a service's answer through.
 auto serviceResponse(const std::string &requestId, int status, const std::string &contentType, const std::string &body)
     -> http::WholeResponse;
--- a/packages/router/src/chat_answer.cpp
+++ b/packages/router/src/chat_answer.cpp
@@ -21,6 +21,14 @@
         .created_ = std::chrono::duration_cast<std::chrono::seconds>(now).count()};
 }
 
+// The engine's own answer to a body that it does not accept.
+auto engineRefusal(const Completed &completed) -> Failure
+{
+    return Failure {.step_ = "engine",
+        .reason_ = "the engine answered with status " + std::to_string(completed.status_),
+        .runState_ = RunState::Ran};
+}
+
 auto dataEvent(const std::string &data) -> std::string
 {
     return "data: " + data + "\n\n";
@@ -53,17 +61,25 @@
                                  },
                          [this](const Completed &completed) -> std::string {
                              ended_ = true;
+                             if (completed.status_ >= firstErrorStatus) {
+                                 return errorEvent(engineRefusal(completed));
+                             }
                              return dataEvent(engine::buildChunk(head_,
                                         engine::Chunk {.text_ = pending_, .finishReason_ = completed.finishReason_}))
                                  + dataEvent(std::string(engine::doneMarker));
                          },
                          [this](const Broken &broken) -> std::string {
                              ended_ = true;
-                             return "event: error\n" + dataEvent(errorJson(requestId_, broken.failure_));
+                             return errorEvent(broken.failure_);
                          }},
             step);
 }
 
+auto ChatStream::errorEvent(const Failure &failure) const -> std::string
+{
+    return "event: error\n" + dataEvent(errorJson(requestId_, failure));
+}
+
 auto ChatStream::textEvent(const std::string &text) -> std::string
 {
     pending_ += text;
--- a/packages/router/src/chat_answer.h
+++ b/packages/router/src/chat_answer.h
@@ -11,6 +11,9 @@
 namespace jasminewood::router::internal
 {
 
+// Statuses from here on are the engine's own errors and no output of a model.
+constexpr int firstErrorStatus = 400;
+
 // Returns the whole answer of a call that is not streamed.
 auto chatResponse(const std::string &requestId, const std::string &model, const std::string &text,
     const Completed &completed) -> http::WholeResponse;
@@ -30,6 +33,7 @@
 
 private:
     auto textEvent(const std::string &text) -> std::string;
+    auto errorEvent(const Failure &failure) const -> std::string;
 
     const std::string requestId_;
     const engine::AnswerHead head_;
--- a/packages/router/src/http_front.cpp
+++ b/packages/router/src/http_front.cpp
@@ -60,6 +60,15 @@
     return found;
 }
 
+// The only method of a path of this interface; empty for the paths of services.
+auto methodOf(const std::string &path) -> std::string
+{
+    if (path == chatPath) {
+        return "POST";
+    }
+    return path == modelsPath ? "GET" : "";
+}
+
 auto badRequest(const std::string &id, const Failure &failure) -> http::WholeResponse
 {
     return errorResponse(400, id, failure);
@@ -145,13 +154,16 @@
         return chat(request, id, manifest, *account);
     }
     if (request.path_ == modelsPath && request.method_ == "GET") {
-        return models(manifest, *account);
+        return models(manifest, *account, id);
+    }
+    if (const auto allowed = methodOf(request.path_); !allowed.empty()) {
+        return internal::wrongMethod(id, allowed);
     }
     return service(request, id, manifest, *account);
 }
 
-auto HttpFront::models(const manifest::Manifest &manifest, const manifest::Account &account) const
-    -> http::WholeResponse
+auto HttpFront::models(const manifest::Manifest &manifest, const manifest::Account &account,
+    const std::string &id) const -> http::WholeResponse
 {
     auto names = std::vector<std::string>();
     for (const auto &className : account.classes_) {
@@ -167,7 +179,8 @@
     for (const auto &name : names) {
         list.push_back({{"id", name}, {"object", "model"}, {"owned_by", "jasminewood"}});
     }
-    return http::WholeResponse {.headers_ = {{.name_ = "Content-Type", .value_ = "application/json"}},
+    return http::WholeResponse {
+        .headers_ = {{.name_ = "Content-Type", .value_ = "application/json"}, {.name_ = "X-Request-Id", .value_ = id}},
         .body_ = nlohmann::json {{"object", "list"}, {"data", list}}.dump()};
 }
 
@@ -231,6 +244,11 @@
             return errorResponse(internal::statusOf(broken->failure_), request.id_, broken->failure_);
         } else {
             const auto &completed = std::get<Completed>(step);
+            if (completed.status_ >= internal::firstErrorStatus) {
+                // The engine refused the body, and its answer is no output of a model.
+                count(request.requestClass_, "upstream_error");
+                return internal::serviceResponse(request.id_, completed.status_, completed.contentType_, text);
+            }
             count(request.requestClass_, "ok");
             return internal::chatResponse(request.id_, model, text, completed);
         }
@@ -255,8 +273,8 @@
         first->reset();
         if (const auto *broken = std::get_if<Broken>(&step)) {
             count(requestClass, std::string(toString(broken->failure_.runState_)));
-        } else if (std::holds_alternative<Completed>(step)) {
-            count(requestClass, "ok");
+        } else if (const auto *completed = std::get_if<Completed>(&step)) {
+            count(requestClass, completed->status_ >= internal::firstErrorStatus ? "upstream_error" : "ok");
         }
         return http::Chunk {.data_ = stream->events(step)};
     };
