Check the router's answers to bad input and to a missing platform

Nothing tested the callers' and operators' interfaces against wrong input. front_test starts the router's services in its own process, with an agent and stand-ins where a story needs them, and the real program where the exit status is what counts.

--- /dev/null
+++ b/packages/router/tests/router_under_test.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "jasminewood/http/client.h"
+#include "jasminewood/kernel/registry.h"
+#include "jasminewood/node/manifest_store.h"
+#include "jasminewood/router/admin_api.h"
+#include "jasminewood/router/http_front.h"
+
+// The services of a router and of an agent in the test's own process.
+
+namespace jasminewood::router
+{
+
+constexpr auto operatorsKey = "operators-key";
+constexpr auto callersKey = "demo-key-celje";
+
+// Nothing listens on this port, so calls are refused at once.
+constexpr auto refusingUrl = "http://127.0.0.1:1";
+
+// A manifest with account celje (classes chat and booking) and the pools engines and booking.
+auto sampleManifest() -> std::string;
+
+struct PlatformUrls
+{
+    const std::string keyValue_ = refusingUrl;
+    const std::string vmList_ = refusingUrl;
+
+    auto operator<=>(const PlatformUrls &) const = default;
+};
+
+class RouterUnderTest
+{
+public:
+    explicit RouterUnderTest(const PlatformUrls &platform = {});
+    ~RouterUnderTest();
+
+    RouterUnderTest(const RouterUnderTest &) = delete;
+    auto operator=(const RouterUnderTest &) -> RouterUnderTest & = delete;
+
+    // Puts a manifest into force without the key-value service.
+    auto offer(const std::string &manifest) -> void;
+
+    auto callersPort() const -> std::uint16_t;
+
+    // Calls the callers' interface with the callers' key, unless the headers bring an Authorization.
+    auto call(const std::string &method, const std::string &path, const std::string &body = {},
+        std::vector<http::Header> headers = {}) const -> http::ClientResponse;
+
+    // Calls the administration API.
+    auto administer(const std::string &method, const std::string &path, const std::string &body = {},
+        const std::string &key = operatorsKey) const -> http::ClientResponse;
+
+    // Asks /readyz until the answer has this status and contains this part.
+    auto awaitReadiness(int status, const std::string &part) const -> void;
+
+private:
+    std::shared_ptr<node::ManifestStore> manifests_;
+    std::shared_ptr<AdminApi> admin_;
+    std::shared_ptr<HttpFront> callers_;
+    std::unique_ptr<kernel::Registry> registry_;
+};
+
+// An agent of pool engines.
+class AgentUnderTest
+{
+public:
+    explicit AgentUnderTest(const std::string &engineUrl = refusingUrl);
+    ~AgentUnderTest();
+
+    AgentUnderTest(const AgentUnderTest &) = delete;
+    auto operator=(const AgentUnderTest &) -> AgentUnderTest & = delete;
+
+    // This agent as the only entry of a VM list.
+    auto vmList() const -> std::string;
+
+private:
+    std::string address_;
+    std::unique_ptr<kernel::Registry> registry_;
+};
+
+} // namespace jasminewood::router
