Add a history checker and a TCP relay to testbench

Concurrent failure stories need one place that decides whether a run kept the guarantees, and a way to lose or silence connections between real processes. history.h holds the events of a run and history_checker.h finds violations of eight rules; its tests give it one clean history and at least one history for each rule that breaks it. The relay of link's tests moves to testbench as tcp_relay.h and can now also cut (refusing connections while the port stays reserved) and delay.

--- a/packages/link/tests/connection_test.cpp
+++ b/packages/link/tests/connection_test.cpp
@@ -3,9 +3,9 @@
 #include <future>
 
 #include "frame_buffer.h"
+#include "jasminewood/testbench/sockets.h"
 #include "jasminewood/testkit/property.h"
 #include "jasminewood/wire/codec.h"
-#include "sockets.h"
 #include "test_server.h"
 
 using namespace jasminewood;
@@ -16,8 +16,8 @@
 using jasminewood::link::helloOf;
 using jasminewood::link::Listener;
 using jasminewood::link::ReceiveOutcome;
-using jasminewood::link::Socket;
 using jasminewood::link::TimedOut;
+using jasminewood::testbench::Socket;
 using jasminewood::testkit::check;
 using jasminewood::testkit::property;
 using jasminewood::testkit::section;
--- a/packages/link/tests/listener_test.cpp
+++ b/packages/link/tests/listener_test.cpp
@@ -2,7 +2,7 @@
 
 #include <future>
 
-#include "sockets.h"
+#include "jasminewood/testbench/sockets.h"
 #include "test_server.h"
 
 using namespace jasminewood;
@@ -10,7 +10,7 @@
 using jasminewood::link::generousDeadline;
 using jasminewood::link::helloOf;
 using jasminewood::link::Listener;
-using jasminewood::link::Socket;
+using jasminewood::testbench::Socket;
 using jasminewood::testkit::check;
 using jasminewood::testkit::section;
 using jasminewood::testkit::test;
--- a/packages/link/tests/peer_link_test.cpp
+++ b/packages/link/tests/peer_link_test.cpp
@@ -2,7 +2,8 @@
 
 #include <optional>
 
-#include "relay.h"
+#include "jasminewood/testbench/sockets.h"
+#include "jasminewood/testbench/tcp_relay.h"
 #include "test_server.h"
 
 using namespace jasminewood;
@@ -13,9 +14,9 @@
 using jasminewood::link::PeerHandlers;
 using jasminewood::link::PeerLink;
 using jasminewood::link::Reachability;
-using jasminewood::link::Relay;
-using jasminewood::link::Socket;
 using jasminewood::link::TestServer;
+using jasminewood::testbench::Socket;
+using jasminewood::testbench::TcpRelay;
 using jasminewood::testkit::check;
 using jasminewood::testkit::section;
 using jasminewood::testkit::test;
@@ -99,7 +100,7 @@
                 test("replaces the connection and is not reported down",
                     [] {
                         auto server = TestServer();
-                        auto relay = Relay(server.address());
+                        auto relay = TcpRelay(server.address());
                         auto events = EventLog();
                         auto peer = linkTo(relay.address(), events);
                         events.waitFor(1);
@@ -119,7 +120,7 @@
                     [] {
                         auto server = TestServer(helloOf("server", 1));
                         auto successor = TestServer(helloOf("server", 2));
-                        auto relay = Relay(server.address());
+                        auto relay = TcpRelay(server.address());
                         auto events = EventLog();
                         auto peer = linkTo(relay.address(), events);
                         events.waitFor(1);
@@ -137,7 +138,7 @@
                         auto server = std::optional<TestServer>(std::in_place);
                         const auto successor = TestServer();
                         const auto nobody = Socket::reserve();
-                        auto relay = Relay(server->address());
+                        auto relay = TcpRelay(server->address());
                         auto events = EventLog();
                         auto peer = linkTo(relay.address(), events);
                         events.waitFor(1);
--- a/packages/link/tests/sockets.h
+++ b/packages/testbench/include/jasminewood/testbench/sockets.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <string_view>
 
-// Plain loopback sockets for clients that break the protocol.
+// Plain loopback sockets for peers that break a protocol or lose a connection.
 
-namespace jasminewood::link
+namespace jasminewood::testbench
 {
 
 // The port of "IP:PORT".
@@ -28,6 +28,9 @@
     // Listens on a free port of 127.0.0.1.
     static auto listen() -> Socket;
 
+    // Listens on the "127.0.0.1:PORT" that another socket has reserved. Accepting does not block.
+    static auto listenAt(const std::string &reserved) -> Socket;
+
     ~Socket();
     Socket(Socket &&other) noexcept;
     auto operator=(Socket &&) -> Socket & = delete;
@@ -46,4 +49,4 @@
     int descriptor_;
 };
 
-} // namespace jasminewood::link
+} // namespace jasminewood::testbench
--- /dev/null
+++ b/packages/testbench/src/history_checker.cpp
@@ -0,0 +1,309 @@
+#include "jasminewood/testbench/history_checker.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace jasminewood::testbench
+{
+
+namespace
+{
+
+constexpr auto microsPerSecond = 1e6;
+
+// The events of one kind with their times, in the order of time.
+template <typename Kind>
+auto eventsOf(const History &history) -> std::vector<std::pair<Microseconds, const Kind *>>
+{
+    auto found = std::vector<std::pair<Microseconds, const Kind *>>();
+    for (const auto &event : history) {
+        if (const auto *kind = std::get_if<Kind>(&event.what_)) {
+            found.emplace_back(event.time_, kind);
+        }
+    }
+    std::stable_sort(found.begin(), found.end(), [](const auto &left, const auto &right) -> bool {
+        return left.first < right.first;
+    });
+    return found;
+}
+
+class Checker
+{
+public:
+    Checker(const History &history, const HistoryLimits &limits)
+        : history_(history)
+        , limits_(limits)
+    {
+        for (const auto &[time, sent] : eventsOf<RequestSent>(history)) {
+            sent_.emplace(sent->call_, std::make_pair(time, sent));
+        }
+    }
+
+    auto violations() -> std::vector<Violation>
+    {
+        checkRuns();
+        checkAnswers();
+        checkEnds();
+        checkNotRun();
+        checkManifestOrder();
+        checkManifestReach();
+        checkProgress();
+        checkSheds();
+        return std::move(violations_);
+    }
+
+private:
+    auto add(Rule rule, Microseconds time, std::string detail) -> void
+    {
+        violations_.push_back(Violation {.rule_ = rule, .time_ = time, .detail_ = std::move(detail)});
+    }
+
+    auto checkRuns() -> void
+    {
+        auto runs = std::map<std::string, std::string>();
+        for (const auto &[time, run] : eventsOf<RunCounted>(history_)) {
+            if (run->idempotencyKey_.empty()) {
+                continue;
+            }
+            const auto [first, isFirst] = runs.emplace(run->idempotencyKey_, run->requestId_);
+            if (!isFirst) {
+                add(Rule::RunsAtMostOnce, time,
+                    fmt::format("key {} ran as {} and as {}", run->idempotencyKey_, first->second, run->requestId_));
+            }
+        }
+    }
+
+    auto checkAnswers() -> void
+    {
+        for (const auto &[time, answer] : eventsOf<AnswerReceived>(history_)) {
+            const auto sent = sent_.find(answer->call_);
+            if (sent == sent_.end()) {
+                add(Rule::AnswerIsOwnAndWhole, time, fmt::format("{} received an answer unasked", answer->call_));
+            } else if (sent->second.second->expected_ != answer->text_) {
+                add(Rule::AnswerIsOwnAndWhole, time,
+                    fmt::format("{} expected \"{}\" and received \"{}\"", answer->call_, sent->second.second->expected_,
+                        answer->text_));
+            }
+        }
+        for (const auto &[time, error] : eventsOf<ErrorReceived>(history_)) {
+            const auto sent = sent_.find(error->call_);
+            if (sent != sent_.end() && !sent->second.second->expected_.starts_with(error->partial_)) {
+                add(Rule::AnswerIsOwnAndWhole, time,
+                    fmt::format("{} expected \"{}\" and received before the error \"{}\"", error->call_,
+                        sent->second.second->expected_, error->partial_));
+            }
+        }
+    }
+
+    // The time at which each call ended.
+    auto ends() const -> std::map<std::string, Microseconds>
+    {
+        auto found = std::map<std::string, Microseconds>();
+        for (const auto &[time, answer] : eventsOf<AnswerReceived>(history_)) {
+            found.emplace(answer->call_, time);
+        }
+        for (const auto &[time, error] : eventsOf<ErrorReceived>(history_)) {
+            found.emplace(error->call_, time);
+        }
+        return found;
+    }
+
+    auto checkEnds() -> void
+    {
+        const auto ended = ends();
+        for (const auto &[call, sent] : sent_) {
+            if (ended.find(call) == ended.end()) {
+                add(Rule::RequestEnds, sent.first, fmt::format("{} has neither an answer nor an error", call));
+            }
+        }
+    }
+
+    auto checkNotRun() -> void
+    {
+        auto runs = std::map<std::string, Microseconds>();
+        for (const auto &[time, run] : eventsOf<RunCounted>(history_)) {
+            runs.emplace(run->requestId_, time);
+        }
+        for (const auto &[time, error] : eventsOf<ErrorReceived>(history_)) {
+            const auto run = runs.find(error->requestId_);
+            if (error->runState_ == RunState::NotRun && run != runs.end() && !error->requestId_.empty()) {
+                add(Rule::NotRunIsTrue, time,
+                    fmt::format("{} was told not_run, but its request {} ran at {:.3f} s", error->call_,
+                        error->requestId_, double(run->second.count()) / microsPerSecond));
+            }
+        }
+    }
+
+    auto checkManifestOrder() -> void
+    {
+        auto highest = std::map<std::string, std::uint64_t>();
+        for (const auto &[time, seen] : eventsOf<ManifestSeen>(history_)) {
+            auto &known = highest[seen->process_];
+            if (seen->revision_ < known) {
+                add(Rule::ManifestNeverFalls, time,
+                    fmt::format("{} fell from {} to {}", seen->process_, known, seen->revision_));
+            }
+            known = std::max(known, seen->revision_);
+        }
+    }
+
+    auto checkManifestReach() -> void
+    {
+        auto ended = std::map<std::string, Microseconds>();
+        for (const auto &[time, end] : eventsOf<ProcessEnded>(history_)) {
+            ended.emplace(end->process_, time);
+        }
+        for (const auto &[acceptedAt, accepted] : eventsOf<ManifestAccepted>(history_)) {
+            for (const auto &[startedAt, started] : eventsOf<ProcessStarted>(history_)) {
+                const auto due = std::max(acceptedAt, startedAt) + limits_.manifestInForce_;
+                const auto end = ended.find(started->process_);
+                if ((end == ended.end() || end->second > due)
+                    && !hasSeen(started->process_, accepted->revision_, due)) {
+                    add(Rule::ManifestIsEverywhere, due,
+                        fmt::format("{} has not seen revision {}", started->process_, accepted->revision_));
+                }
+            }
+        }
+    }
+
+    auto hasSeen(const std::string &process, std::uint64_t revision, Microseconds due) const -> bool
+    {
+        return std::any_of(history_.begin(), history_.end(), [&](const HistoryEvent &event) -> bool {
+            const auto *seen = std::get_if<ManifestSeen>(&event.what_);
+            return seen != nullptr && seen->process_ == process && seen->revision_ >= revision && event.time_ <= due;
+        });
+    }
+
+    // A change of the number of a class's calls in hand, or an answer.
+    struct Step
+    {
+        const Microseconds time_;
+        const int change_ = 0;
+        const bool answer_ = false;
+    };
+
+    auto checkProgress() -> void
+    {
+        for (const auto &[requestClass, steps] : stepsByClass()) {
+            if (limits_.classesWithoutProgress_.count(requestClass) == 0) {
+                checkProgress(requestClass, steps);
+            }
+        }
+    }
+
+    auto stepsByClass() const -> std::map<std::string, std::multimap<Microseconds, Step>>
+    {
+        auto found = std::map<std::string, std::multimap<Microseconds, Step>>();
+        for (const auto &[call, sent] : sent_) {
+            found[sent.second->requestClass_].emplace(sent.first, Step {.time_ = sent.first, .change_ = 1});
+        }
+        const auto end = [&](const std::string &call, Microseconds time, bool answer) -> void {
+            if (const auto sent = sent_.find(call); sent != sent_.end()) {
+                found[sent->second.second->requestClass_].emplace(
+                    time, Step {.time_ = time, .change_ = -1, .answer_ = answer});
+            }
+        };
+        for (const auto &[time, answer] : eventsOf<AnswerReceived>(history_)) {
+            end(answer->call_, time, true);
+        }
+        for (const auto &[time, error] : eventsOf<ErrorReceived>(history_)) {
+            end(error->call_, time, false);
+        }
+        return found;
+    }
+
+    auto checkProgress(const std::string &requestClass, const std::multimap<Microseconds, Step> &steps) -> void
+    {
+        auto inHand = 0;
+        auto lastProgress = Microseconds(0);
+        for (const auto &[time, step] : steps) {
+            if (inHand > 0 && time - lastProgress > limits_.progressWindow_) {
+                add(Rule::EveryClassProgresses, time,
+                    fmt::format("class {} completed nothing from {:.3f} s on", requestClass,
+                        double(lastProgress.count()) / microsPerSecond));
+            }
+            // A violation is reported once and the window starts anew.
+            if (inHand == 0 || step.answer_ || time - lastProgress > limits_.progressWindow_) {
+                lastProgress = time;
+            }
+            inHand += step.change_;
+        }
+    }
+
+    struct Place
+    {
+        const Microseconds queuedAt_;
+        const Tier tier_;
+        const std::string agent_;
+    };
+
+    auto checkSheds() -> void
+    {
+        auto queued = std::map<std::string, Place>();
+        for (const auto &[time, place] : eventsOf<AttemptQueued>(history_)) {
+            queued.emplace(place->attempt_, Place {.queuedAt_ = time, .tier_ = place->tier_, .agent_ = place->agent_});
+        }
+        const auto starts = eventsOf<AttemptStarted>(history_);
+        for (const auto &[shedAt, shed] : eventsOf<AttemptShed>(history_)) {
+            const auto own = queued.find(shed->attempt_);
+            for (const auto &[startedAt, started] : starts) {
+                const auto kept = queued.find(started->attempt_);
+                // An attempt that came at the same time as the other may have found a place that became free since.
+                const auto inQueue = kept != queued.end() && own != queued.end() && startedAt > shedAt
+                    && kept->second.agent_ == shed->agent_ && kept->second.queuedAt_ < own->second.queuedAt_;
+                if (inQueue && kept->second.tier_ > shed->tier_) {
+                    add(Rule::HigherTierIsKept, shedAt,
+                        fmt::format("{} of tier {} was shed at {} while {} of tier {} kept its place", shed->attempt_,
+                            shed->tier_, shed->agent_, started->attempt_, kept->second.tier_));
+                }
+            }
+        }
+    }
+
+    const History &history_;
+    const HistoryLimits &limits_;
+    std::map<std::string, std::pair<Microseconds, const RequestSent *>> sent_;
+    std::vector<Violation> violations_;
+};
+
+} // namespace
+
+auto toString(Rule rule) -> std::string_view
+{
+    switch (rule) {
+    case Rule::RunsAtMostOnce:
+        return "a non-idempotent key ran more than once";
+    case Rule::AnswerIsOwnAndWhole:
+        return "an answer is not whole or not the caller's own";
+    case Rule::RequestEnds:
+        return "a request did not end";
+    case Rule::NotRunIsTrue:
+        return "a request that ran was reported as not run";
+    case Rule::ManifestNeverFalls:
+        return "the manifest of a process fell back";
+    case Rule::ManifestIsEverywhere:
+        return "an accepted manifest is not in force everywhere";
+    case Rule::EveryClassProgresses:
+        return "a class with work in hand made no progress";
+    case Rule::HigherTierIsKept:
+        return "a higher tier was shed in favour of a lower one";
+    }
+    return "";
+}
+
+auto toString(const Violation &violation) -> std::string
+{
+    return fmt::format("at {:.3f} s: {}: {}", double(violation.time_.count()) / microsPerSecond,
+        toString(violation.rule_), violation.detail_);
+}
+
+auto findViolations(const History &history, const HistoryLimits &limits) -> std::vector<Violation>
+{
+    return Checker(history, limits).violations();
+}
+
+} // namespace jasminewood::testbench
--- a/packages/link/tests/sockets.cpp
+++ b/packages/testbench/src/sockets.cpp
@@ -1,4 +1,4 @@
-#include "sockets.h"
+#include "jasminewood/testbench/sockets.h"
 
 #include <array>
 #include <cerrno>
@@ -7,11 +7,12 @@
 #include <utility>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace jasminewood::link
+namespace jasminewood::testbench
 {
 
 namespace
@@ -40,6 +41,17 @@
     return Socket(descriptor);
 }
 
+// Reusing the address lets one socket listen on the port that another reserves.
+auto bound(std::uint16_t port) -> Socket
+{
+    auto result = newSocket();
+    const auto reuse = 1;
+    const auto address = loopback(port);
+    require(setsockopt(result.descriptor(), SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse)) == 0);
+    require(bind(result.descriptor(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+    return result;
+}
+
 } // namespace
 
 auto portOf(const std::string &address) -> std::uint16_t
@@ -62,10 +74,7 @@
 
 auto Socket::reserve() -> Socket
 {
-    auto result = newSocket();
-    const auto any = loopback(0);
-    require(bind(result.descriptor_, reinterpret_cast<const sockaddr *>(&any), sizeof(any)) == 0);
-    return result;
+    return bound(0);
 }
 
 auto Socket::listen() -> Socket
@@ -75,6 +84,14 @@
     return result;
 }
 
+auto Socket::listenAt(const std::string &reserved) -> Socket
+{
+    auto result = bound(portOf(reserved));
+    require(::listen(result.descriptor_, SOMAXCONN) == 0);
+    require(fcntl(result.descriptor_, F_SETFL, O_NONBLOCK) == 0);
+    return result;
+}
+
 Socket::~Socket()
 {
     if (descriptor_ >= 0) {
@@ -116,4 +133,4 @@
     return count > 0 ? std::string(chunk.data(), std::size_t(count)) : std::string();
 }
 
-} // namespace jasminewood::link
+} // namespace jasminewood::testbench
