--- /dev/null
+++ b/packages/testbench/tests/failures/log_history.cpp
@@ -0,0 +1,140 @@
+#include "log_history.h"
+
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace jasminewood::testbench
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr auto evictedReason = "evicted from the queue by a higher tier";
+constexpr auto fullReason = "queue is full";
+
+// Parses "YYYY-MM-DDTHH:MM:SS.mmmZ".
+auto wallTime(const std::string &text) -> std::optional<WallTime>
+{
+    auto parts = std::tm {};
+    auto milliseconds = 0;
+    if (std::sscanf(text.c_str(), "%d-%d-%dT%d:%d:%d.%dZ", &parts.tm_year, &parts.tm_mon, &parts.tm_mday,
+            &parts.tm_hour, &parts.tm_min, &parts.tm_sec, &milliseconds)
+        != 7) {
+        return std::nullopt;
+    }
+    parts.tm_year -= 1900;
+    parts.tm_mon -= 1;
+    return std::chrono::system_clock::from_time_t(timegm(&parts)) + Milliseconds(milliseconds);
+}
+
+auto processOf(const json &line) -> std::string
+{
+    return fmt::format("{}@{}", line.value("process", ""), line.value("incarnation", std::uint64_t(0)));
+}
+
+class LogReader
+{
+public:
+    LogReader(WallTime origin, const std::map<std::string, Tier> &tiers)
+        : origin_(origin)
+        , tiers_(tiers)
+    {
+    }
+
+    auto read(const json &line) -> void
+    {
+        const auto time = wallTime(line.value("ts", ""));
+        if (!time) {
+            return;
+        }
+        // The log's times are whole milliseconds; the order of the lines is kept within one.
+        const auto coarse = std::chrono::duration_cast<Microseconds>(*time - origin_);
+        time_ = std::max(coarse, time_ + Microseconds(1));
+        const auto message = line.value("message", "");
+        if (message == "started") {
+            add(ProcessStarted {processOf(line)});
+        } else if (message == "manifest in force") {
+            add(ManifestSeen {processOf(line), line.value("revision", std::uint64_t(0))});
+        } else if (line.contains("attempt")) {
+            readAttempt(line, message);
+        }
+    }
+
+    auto history() const -> const History &
+    {
+        return history_;
+    }
+
+private:
+    template <typename What>
+    auto add(What what) -> void
+    {
+        history_.push_back(HistoryEvent {.time_ = time_, .what_ = std::move(what)});
+    }
+
+    auto readAttempt(const json &line, const std::string &step) -> void
+    {
+        const auto attempt = fmt::format("{}#{}", line.value("request", ""), line.value("attempt", 0));
+        const auto detail = line.value("detail", "");
+        if (step == "receive" && tiers_.count(detail) > 0) {
+            attemptTiers_.emplace(attempt, tiers_.at(detail));
+            add(AttemptQueued {processOf(line), attempt, tiers_.at(detail)});
+        } else if (step == "start") {
+            add(AttemptStarted {processOf(line), attempt});
+        } else if (step == "refuse" && attemptTiers_.count(attempt) > 0
+            && (detail.find(evictedReason) != std::string::npos || detail.find(fullReason) != std::string::npos)) {
+            add(AttemptShed {processOf(line), attempt, attemptTiers_.at(attempt)});
+        }
+    }
+
+    const WallTime origin_;
+    const std::map<std::string, Tier> &tiers_;
+    std::map<std::string, Tier> attemptTiers_;
+    Microseconds time_ = Microseconds::min();
+    History history_;
+};
+
+auto linesOf(const std::string &path) -> std::vector<json>
+{
+    auto lines = std::vector<json>();
+    auto file = std::ifstream(path);
+    for (auto text = std::string(); std::getline(file, text);) {
+        auto line = json::parse(text, nullptr, false);
+        if (line.is_object()) {
+            lines.push_back(std::move(line));
+        }
+    }
+    return lines;
+}
+
+} // namespace
+
+auto historyOfLog(const std::string &path, WallTime origin, const std::map<std::string, Tier> &tiers) -> History
+{
+    auto reader = LogReader(origin, tiers);
+    for (const auto &line : linesOf(path)) {
+        reader.read(line);
+    }
+    return reader.history();
+}
+
+auto historyOfBookings(const std::string &path, WallTime origin) -> History
+{
+    auto history = History();
+    for (const auto &line : linesOf(path)) {
+        const auto time = WallTime(Milliseconds(line.value("time_ms", std::int64_t(0))));
+        history.push_back(HistoryEvent {.time_ = std::chrono::duration_cast<Microseconds>(time - origin),
+            .what_ = RunCounted {.requestId_ = line.value("request", ""), .idempotencyKey_ = line.value("key", "")}});
+    }
+    return history;
+}
+
+} // namespace jasminewood::testbench
--- /dev/null
+++ b/packages/testbench/tests/failures/log_history.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include "jasminewood/testbench/history.h"
+
+// Turns what processes and fakes wrote to files into events of a history.
+
+namespace jasminewood::testbench
+{
+
+using WallTime = std::chrono::system_clock::time_point;
+
+// Reads the log (at level debug) of a router or an agent. Lines that are cut or mean nothing to the history are passed
+// over. The tiers are those of the classes of the manifest.
+auto historyOfLog(const std::string &path, WallTime origin, const std::map<std::string, Tier> &tiers) -> History;
+
+// Reads the file that fake-booking writes with --history.
+auto historyOfBookings(const std::string &path, WallTime origin) -> History;
+
+} // namespace jasminewood::testbench
--- /dev/null
+++ b/packages/testbench/tests/failures/scene.cpp
@@ -0,0 +1,426 @@
+#include "scene.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <iterator>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include "jasminewood/http/client.h"
+#include "jasminewood/testbench/expected_output.h"
+#include "jasminewood/testbench/fake_booking.h"
+#include "jasminewood/testkit/story.h"
+#include "manifest_text.h"
+
+namespace jasminewood::testbench
+{
+
+namespace
+{
+
+using nlohmann::json;
+using testkit::check;
+
+// A caller waits this long before it repeats a request, as callers of the real service do.
+constexpr auto callerPause = Milliseconds(100);
+constexpr auto maximumRepeats = 60;
+// A caller that was told "may have run" so often by each router gives up.
+constexpr auto maximumUnsettled = 6;
+
+const auto classTiers
+    = std::map<std::string, Tier> {{"booking-confirmation", 0}, {"quote-draft", 1}, {"chat", 2}, {"batch", 3}};
+
+auto newDirectory() -> std::string
+{
+    static auto scenes = std::atomic<int>(0);
+    const auto name = fmt::format("jasminewood-failures-{}-{}", getpid(), ++scenes);
+    return (std::filesystem::temp_directory_path() / name).string();
+}
+
+auto textFlag(const std::string &name, double value) -> std::string
+{
+    return fmt::format("--{}={}", name, value);
+}
+
+auto optionsOf(const SceneOptions &options, const std::string &directory) -> DeploymentOptions
+{
+    const auto debug = std::vector<std::string> {"--node_log_level=debug"};
+    return DeploymentOptions {.directory_ = directory,
+        .manifest_ = options.submitsManifest_ ? manifestText("first") : "",
+        .routerDataCentres_ = std::vector<std::string>(options.routers_, "dc-a"),
+        .engines_ = options.engines_,
+        .bookings_ = options.bookings_,
+        .routerFlags_ = {"--node_log_level=debug", "--stop_notice=200ms"},
+        .engineAgentFlags_ = debug,
+        .bookingAgentFlags_ = debug,
+        .engineFlags_ = {textFlag("base_token_ms", options.tokenMs_), textFlag("batch_slowdown", 0),
+            fmt::format("--slots={}", options.engineSlots_)},
+        .bookingFlags_
+        = {fmt::format("--work_ms={}", options.bookingWork_.count()), "--history=" + directory + "/bookings.history"},
+        .vmsFlags_ = options.vmsFlags_};
+}
+
+auto runStateNamed(const std::string &name) -> std::optional<RunState>
+{
+    for (const auto state : {RunState::NotRun, RunState::MayHaveRun, RunState::Ran}) {
+        if (toString(state) == name) {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+// The parts of a chat answer or of an error, as far as they have arrived.
+class Answer
+{
+public:
+    // Reads the complete server-sent events of a body.
+    auto readStream(const std::string &body) -> void
+    {
+        for (auto end = body.find("\n\n", read_); end != std::string::npos; end = body.find("\n\n", read_)) {
+            const auto event = body.substr(read_, end - read_);
+            read_ = end + 2;
+            const auto data = event.find("data: ");
+            if (data == std::string::npos) {
+                continue;
+            }
+            const auto value = event.substr(data + 6);
+            if (value == "[DONE]") {
+                whole_ = true;
+                continue;
+            }
+            const auto parsed = json::parse(value, nullptr, false);
+            if (event.starts_with("event: error")) {
+                readError(parsed);
+            } else if (parsed.is_object() && !parsed.value("choices", json::array()).empty()) {
+                text_ += parsed["choices"][0].value("delta", json::object()).value("content", "");
+            }
+        }
+    }
+
+    auto readWhole(int status, const std::string &body) -> void
+    {
+        const auto parsed = json::parse(body, nullptr, false);
+        if (status != 200) {
+            readError(parsed);
+        } else if (parsed.is_object() && parsed.contains("choices")) {
+            whole_ = true;
+            text_ = parsed["choices"][0]["message"].value("content", "");
+        } else if (parsed.is_object() && parsed.contains("confirmation")) {
+            whole_ = true;
+            text_ = parsed.value("confirmation", "");
+        }
+    }
+
+    auto readError(const json &parsed) -> void
+    {
+        if (parsed.is_object() && parsed.contains("error")) {
+            const auto &error = parsed["error"];
+            runState_ = runStateNamed(error.value("run_state", ""));
+            step_ = error.value("step", "");
+            requestId_ = error.value("request_id", "");
+        }
+    }
+
+    auto end(int status, bool retryAfter, const std::string &body) const -> CallEnd
+    {
+        return CallEnd {.answered_ = whole_ && !runState_,
+            .status_ = status,
+            .runState_ = runState_,
+            .step_ = step_,
+            .retryAfter_ = retryAfter,
+            .text_ = text_,
+            .body_ = whole_ ? "" : body};
+    }
+
+    std::string text_;
+    std::string requestId_;
+
+private:
+    std::size_t read_ = 0;
+    bool whole_ = false;
+    std::optional<RunState> runState_;
+    std::string step_;
+};
+
+auto headersOf(const std::string &requestClass) -> std::vector<http::Header>
+{
+    return {{.name_ = "Authorization", .value_ = std::string("Bearer ") + firstKey},
+        {.name_ = "Content-Type", .value_ = "application/json"}, {.name_ = "X-Request-Class", .value_ = requestClass}};
+}
+
+} // namespace
+
+auto Counter::add() -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    ++count_;
+    changed_.notify_all();
+}
+
+auto Counter::waitFor(std::size_t count) -> void
+{
+    auto lock = std::unique_lock(mutex_);
+    const auto reached = changed_.wait_for(lock, storyDeadline, [&]() -> bool {
+        return count_ >= count;
+    });
+    check(reached, fmt::format("{} of {} events in time", count_, count));
+}
+
+auto Counter::count() -> std::size_t
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return count_;
+}
+
+auto toString(const CallEnd &end) -> std::string
+{
+    return fmt::format("status {}, run state {}, step \"{}\", {} tokens, body {}", end.status_,
+        end.runState_ ? toString(*end.runState_) : "none", end.step_, countTokens(end.text_), end.body_);
+}
+
+Scene::Scene(const SceneOptions &options)
+    : origin_(std::chrono::system_clock::now())
+    , directory_(newDirectory())
+{
+    const auto started = Deployment::start(optionsOf(options, directory_));
+    check(bool(started), started ? "" : toString(started.reason()));
+    system_ = *started;
+}
+
+Scene::~Scene()
+{
+    system_.reset();
+    if (!keepFiles_) {
+        auto problem = std::error_code();
+        std::filesystem::remove_all(directory_, problem);
+    }
+}
+
+auto Scene::system() -> Deployment &
+{
+    return *system_;
+}
+
+auto Scene::record(decltype(HistoryEvent::what_) what) -> void
+{
+    const auto time = std::chrono::duration_cast<Microseconds>(std::chrono::system_clock::now() - origin_);
+    const auto lock = std::scoped_lock(mutex_);
+    history_.push_back(HistoryEvent {.time_ = time, .what_ = std::move(what)});
+}
+
+auto Scene::nextCall() -> std::string
+{
+    return fmt::format("call-{}", ++calls_);
+}
+
+auto Scene::finish(const std::string &call, const CallEnd &end, const std::string &requestId) -> void
+{
+    if (end.answered_) {
+        record(AnswerReceived {.call_ = call, .text_ = end.text_});
+    } else {
+        record(
+            ErrorReceived {.call_ = call, .requestId_ = requestId, .runState_ = end.runState_, .partial_ = end.text_});
+    }
+}
+
+auto Scene::chat(const ChatCall &call) -> CallEnd
+{
+    const auto id = nextCall();
+    const auto tokens = expectedTokens(call.message_, std::nullopt);
+    record(RequestSent {
+        .call_ = id, .requestClass_ = call.requestClass_, .expected_ = expectedText(call.message_, 0, tokens)});
+    const auto body = json {{"model", "film-chat"}, {"stream", call.stream_},
+        {"messages", json::array({{{"role", "user"}, {"content", call.message_}}})}};
+    auto received = std::string();
+    auto status = 0;
+    auto retryAfter = false;
+    auto answer = Answer();
+    static_cast<void>(http::StreamCall().perform(
+        {.method_ = "POST",
+            .url_ = system_->url(call.router_) + "/v1/chat/completions",
+            .headers_ = headersOf(call.requestClass_),
+            .body_ = body.dump()},
+        [&](int code, const auto &headers) -> void {
+            status = code;
+            retryAfter = headers.count("retry-after") > 0;
+        },
+        [&](std::string_view data) -> bool {
+            received += data;
+            if (call.stream_ && status == 200) {
+                answer.readStream(received);
+                call.onTokens_ ? call.onTokens_(countTokens(answer.text_)) : void();
+            }
+            return true;
+        }));
+    if (!call.stream_ || status != 200) {
+        answer.readWhole(status, received);
+    }
+    const auto end = answer.end(status, retryAfter, received);
+    finish(id, end, answer.requestId_);
+    return end;
+}
+
+auto Scene::book(const BookingCall &call) -> CallEnd
+{
+    const auto id = nextCall();
+    const auto body = json {{"slot", call.key_}}.dump();
+    record(RequestSent {
+        .call_ = id, .requestClass_ = "booking-confirmation", .expected_ = expectedConfirmation(call.key_, body)});
+    auto headers = headersOf("booking-confirmation");
+    headers.push_back({.name_ = "Idempotency-Key", .value_ = call.key_});
+    const auto response = http::fetch({.method_ = "POST",
+        .url_ = system_->url(call.router_) + "/services/booking/bookings",
+        .headers_ = headers,
+        .body_ = body});
+    auto answer = Answer();
+    if (response) {
+        answer.readWhole(response->status_, response->body_);
+    }
+    const auto retryAfter = response && response->headers_.count("retry-after") > 0;
+    const auto end = answer.end(
+        response ? response->status_ : 0, retryAfter, response ? response->body_ : toString(response.reason()));
+    finish(id, end, answer.requestId_);
+    return end;
+}
+
+auto Scene::bookUntilSettled(const std::string &key, std::size_t first) -> CallEnd
+{
+    const auto routers = system_->routers();
+    auto unsettled = 0;
+    for (auto repeat = std::size_t(0);; ++repeat) {
+        const auto end = book({.router_ = routers[(first + repeat) % routers.size()], .key_ = key});
+        unsettled += end.runState_ == RunState::MayHaveRun ? 1 : 0;
+        if (end.answered_ || unsettled >= maximumUnsettled || repeat >= maximumRepeats) {
+            return end;
+        }
+        std::this_thread::sleep_for(callerPause);
+    }
+}
+
+auto Scene::fault(const std::string &name, const std::string &text) -> void
+{
+    const auto failure = system_->fault(name, text);
+    check(!failure, failure ? toString(*failure) : "");
+}
+
+auto Scene::markEnded(const std::string &name) -> void
+{
+    const auto time = std::chrono::duration_cast<Microseconds>(std::chrono::system_clock::now() - origin_);
+    const auto lock = std::scoped_lock(mutex_);
+    ended_.emplace_back(time, name);
+}
+
+auto Scene::kill(const std::string &name) -> void
+{
+    markEnded(name);
+    system_->kill(name);
+}
+
+auto Scene::restart(const std::string &name) -> void
+{
+    const auto failure = system_->restart(name);
+    check(!failure, failure ? toString(*failure) : "");
+}
+
+auto Scene::storeCalls() -> std::size_t
+{
+    const auto answer = http::fetch({.url_ = system_->url("kv") + "/calls"});
+    check(answer && answer->status_ == 200, "the key-value service counts its calls");
+    const auto counts = json::parse(answer->body_);
+    auto sum = std::size_t(0);
+    for (const auto &[kind, count] : counts.items()) {
+        sum += count.get<std::size_t>();
+    }
+    return sum;
+}
+
+auto Scene::processNamed(const History &logs, const std::string &name, Microseconds time) const -> std::string
+{
+    auto found = std::string();
+    for (const auto &event : logs) {
+        const auto *started = std::get_if<ProcessStarted>(&event.what_);
+        if (started != nullptr && event.time_ <= time && started->process_.starts_with(name + "@")) {
+            found = started->process_;
+        }
+    }
+    return found;
+}
+
+auto Scene::collect() -> History
+{
+    auto logs = History();
+    auto names = system_->routers();
+    const auto agents = system_->agents();
+    names.insert(names.end(), agents.begin(), agents.end());
+    for (const auto &name : names) {
+        const auto own = historyOfLog(system_->logPath(name), origin_, classTiers);
+        std::copy(own.begin(), own.end(), std::back_inserter(logs));
+    }
+    const auto bookings = historyOfBookings(directory_ + "/bookings.history", origin_);
+    for (const auto &engine : system_->engines()) {
+        const auto answer = http::fetch({.url_ = system_->url(engine) + "/runs", .timeout_ = Milliseconds(2'000)});
+        if (answer && answer->status_ == 200) {
+            const auto runs = json::parse(answer->body_);
+            for (const auto &[request, count] : runs.items()) {
+                record(RunCounted {.requestId_ = request});
+            }
+        }
+    }
+    const auto lock = std::scoped_lock(mutex_);
+    auto all = history_;
+    std::copy(logs.begin(), logs.end(), std::back_inserter(all));
+    std::copy(bookings.begin(), bookings.end(), std::back_inserter(all));
+    for (const auto &[time, name] : ended_) {
+        all.push_back(HistoryEvent {.time_ = time, .what_ = ProcessEnded {processNamed(logs, name, time)}});
+    }
+    return all;
+}
+
+auto Scene::checkHistory(const HistoryLimits &limits) -> void
+{
+    const auto violations = findViolations(collect(), limits);
+    auto text = std::string();
+    for (const auto &violation : violations) {
+        text += toString(violation) + "\n";
+    }
+    check(violations.empty(), "logs in " + directory_ + "\n" + text);
+    keepFiles_ = false;
+}
+
+Callers::Callers(std::size_t count, const std::function<auto(std::size_t)->void> &body)
+{
+    for (auto number = std::size_t(0); number < count; ++number) {
+        threads_.emplace_back([this, body, number] {
+            try {
+                body(number);
+            } catch (const std::exception &problem) {
+                const auto lock = std::scoped_lock(mutex_);
+                failure_ = failure_.empty() ? problem.what() : failure_;
+            }
+        });
+    }
+}
+
+Callers::~Callers()
+{
+    for (auto &thread : threads_) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+}
+
+auto Callers::join() -> void
+{
+    for (auto &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+    check(failure_.empty(), failure_);
+}
+
+} // namespace jasminewood::testbench
