Let suspects of a crash wait for an upstream instead of failing

Cause: every request that ran at a crashed engine becomes a suspect, and RequestRun chose only upstreams without another suspect. Change: chooseUpstream() falls back to any upstream, where the gate already runs one suspect at a time, and a suspect that queues there is not recalled for a free slot elsewhere, which would use up its placements.

--- a/packages/router/include/jasminewood/router/request_run.h
+++ b/packages/router/include/jasminewood/router/request_run.h
@@ -117,6 +117,7 @@
         AttemptId attempt_;
         NodeId agent_;
         TimePoint dispatchedAt_;
+        bool suspect_ = false;
         std::optional<TimePoint> startedAt_;
         std::optional<TimePoint> lastOutputAt_;
         // Cancelled to be sent elsewhere, since it was still queued.
@@ -126,6 +127,7 @@
     using Step = std::optional<RunStep>;
 
     auto begin() -> Step;
+    auto chooseUpstream(bool suspect) -> Result<NodeId>;
     auto dispatch(const NodeId &agent, bool hedge) -> Status;
     auto on(const wire::Started &event) -> Step;
     auto on(const wire::Frame &event) -> Step;
--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -63,11 +63,7 @@
             .reason_ = "this request crashed the upstreams that ran it",
             .runState_ = tracker_.runState()});
     }
-    const auto chosen = upstreams_->choose(request_.pool_,
-        routing::Request {.prefixHash_ = request_.prefixHash_,
-            .tier_ = request_.tier_,
-            .suspect_ = verdict == routing::Verdict::Suspect,
-            .excluded_ = tried_});
+    const auto chosen = chooseUpstream(verdict == routing::Verdict::Suspect);
     if (!chosen) {
         return broken(lastFailure_ ? *lastFailure_ : chosen.reason());
     }
@@ -78,13 +74,25 @@
     return std::nullopt;
 }
 
+auto RequestRun::chooseUpstream(bool suspect) -> Result<NodeId>
+{
+    const auto requested = [&](bool alone) -> routing::Request {
+        return {.prefixHash_ = request_.prefixHash_, .tier_ = request_.tier_, .suspect_ = alone, .excluded_ = tried_};
+    };
+    const auto chosen = upstreams_->choose(request_.pool_, requested(suspect));
+    // A crash makes suspects of all requests that ran beside each other, often more than there are other upstreams. The
+    // gate runs one suspect at a time, so the rest wait in its queue.
+    return chosen || !suspect ? chosen : upstreams_->choose(request_.pool_, requested(false));
+}
+
 auto RequestRun::dispatch(const NodeId &agent, bool isHedge) -> Status
 {
     const auto now = Clock::now();
     const auto attempt = AttemptId {.request_ = request_.id_, .number_ = ++attempts_};
     const auto suspect = limits_->verdict(request_.fingerprint_) == routing::Verdict::Suspect;
     upstreams_->open(attempt, agent, suspect, mailbox_);
-    flights_.push_back(std::make_unique<Flight>(Flight {.attempt_ = attempt, .agent_ = agent, .dispatchedAt_ = now}));
+    flights_.push_back(std::make_unique<Flight>(
+        Flight {.attempt_ = attempt, .agent_ = agent, .dispatchedAt_ = now, .suspect_ = suspect}));
     isHedge ? tracker_.beginHedge(attempt) : tracker_.begin(attempt);
     environment_->event(attempt, observe::dispatchStep, agent.name_, request_.requestClass_);
     const auto failure = upstreams_->send(agent,
@@ -295,7 +303,8 @@
 
 auto RequestRun::recall(Flight &running, TimePoint now) -> void
 {
-    const auto queued = !running.startedAt_ && !running.recalled_;
+    // A suspect may wait for another suspect while there are free slots.
+    const auto queued = !running.startedAt_ && !running.recalled_ && !running.suspect_;
     if (queued && now - running.dispatchedAt_ > recallAfter
         && upstreams_->freeElsewhere(request_.pool_, running.agent_)) {
         running.recalled_ = true;
