--- a/packages/testbench/include/jasminewood/testbench/tcp_relay.h
+++ b/packages/testbench/include/jasminewood/testbench/tcp_relay.h
@@ -39,6 +39,9 @@
     // Connects new clients to another target from now on.
     auto retarget(const std::string &target) -> void;
 
+    // Connections that are open now, silent ones included.
+    auto connections() -> std::size_t;
+
     // Stops forwarding on all connections open now, in both directions, and keeps them open, as a lost path does. New
     // connections work.
     auto silenceOpenConnections() -> void;
--- a/packages/testbench/src/tcp_relay.cpp
+++ b/packages/testbench/src/tcp_relay.cpp
@@ -44,6 +44,12 @@
     target_ = target;
 }
 
+auto TcpRelay::connections() -> std::size_t
+{
+    const auto lock = std::lock_guard(mutex_);
+    return pairs_.size();
+}
+
 auto TcpRelay::silenceOpenConnections() -> void
 {
     const auto lock = std::lock_guard(mutex_);
--- a/packages/testbench/tests/failures/log_history.cpp
+++ b/packages/testbench/tests/failures/log_history.cpp
@@ -1,8 +1,10 @@
 #include "log_history.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <ctime>
 #include <fstream>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -126,6 +128,31 @@
     return reader.history();
 }
 
+auto countLoggedSteps(const std::string &path, const std::string &step) -> std::size_t
+{
+    const auto lines = linesOf(path);
+    return std::size_t(std::count_if(lines.begin(), lines.end(), [&](const json &line) -> bool {
+        return line.contains("attempt") && line.value("message", "") == step;
+    }));
+}
+
+auto lastRun(const History &history) -> History
+{
+    // A manifest can come into force before the process reports that it has started, so the name tells the run.
+    auto process = std::string();
+    for (const auto &event : history) {
+        if (const auto *started = std::get_if<ProcessStarted>(&event.what_)) {
+            process = started->process_;
+        }
+    }
+    auto found = History();
+    std::copy_if(history.begin(), history.end(), std::back_inserter(found), [&](const HistoryEvent &event) -> bool {
+        const auto *seen = std::get_if<ManifestSeen>(&event.what_);
+        return seen == nullptr || seen->process_ == process;
+    });
+    return found;
+}
+
 auto historyOfBookings(const std::string &path, WallTime origin) -> History
 {
     auto history = History();
--- a/packages/testbench/tests/failures/log_history.h
+++ b/packages/testbench/tests/failures/log_history.h
@@ -17,6 +17,12 @@
 // over. The tiers are those of the classes of the manifest.
 auto historyOfLog(const std::string &path, WallTime origin, const std::map<std::string, Tier> &tiers) -> History;
 
+// Returns how many lines of a log stand for this step of an attempt.
+auto countLoggedSteps(const std::string &path, const std::string &step) -> std::size_t;
+
+// Returns the events since the last start of the process that wrote the log.
+auto lastRun(const History &history) -> History;
+
 // Reads the file that fake-booking writes with --history.
 auto historyOfBookings(const std::string &path, WallTime origin) -> History;
 
--- a/packages/testbench/tests/failures/scene.cpp
+++ b/packages/testbench/tests/failures/scene.cpp
@@ -26,7 +26,9 @@
 
 // A caller waits this long before it repeats a request, as callers of the real service do.
 constexpr auto callerPause = Milliseconds(100);
+constexpr auto lookInterval = Milliseconds(20);
 constexpr auto maximumRepeats = 60;
+constexpr auto maximumShown = std::size_t(400);
 // A caller that was told "may have run" so often by each router gives up.
 constexpr auto maximumUnsettled = 6;
 
@@ -49,7 +51,7 @@
 {
     const auto debug = std::vector<std::string> {"--node_log_level=debug"};
     return DeploymentOptions {.directory_ = directory,
-        .manifest_ = options.submitsManifest_ ? manifestText("first") : "",
+        .manifest_ = manifestText("first"),
         .routerDataCentres_ = std::vector<std::string>(options.routers_, "dc-a"),
         .engines_ = options.engines_,
         .bookings_ = options.bookings_,
@@ -146,6 +148,12 @@
     std::string step_;
 };
 
+// An error is at the end of a stream.
+auto lastPart(const std::string &body) -> std::string
+{
+    return body.substr(body.size() - std::min(body.size(), maximumShown));
+}
+
 auto headersOf(const std::string &requestClass) -> std::vector<http::Header>
 {
     return {{.name_ = "Authorization", .value_ = std::string("Bearer ") + firstKey},
@@ -179,7 +187,7 @@
 auto toString(const CallEnd &end) -> std::string
 {
     return fmt::format("status {}, run state {}, step \"{}\", {} tokens, body {}", end.status_,
-        end.runState_ ? toString(*end.runState_) : "none", end.step_, countTokens(end.text_), end.body_);
+        end.runState_ ? toString(*end.runState_) : "none", end.step_, countTokens(end.text_), lastPart(end.body_));
 }
 
 Scene::Scene(const SceneOptions &options)
@@ -338,6 +346,65 @@
     return sum;
 }
 
+auto Scene::routersStoreCalls() -> std::size_t
+{
+    constexpr auto name = std::string_view("\njasminewood_key_value_calls");
+    auto sum = std::size_t(0);
+    for (const auto &router : system_->routers()) {
+        const auto answer = http::fetch({.url_ = system_->adminUrl(router) + "/metrics"});
+        check(answer && answer->status_ == 200, "a router shows its metrics");
+        const auto line = answer->body_.find(name);
+        check(line != std::string::npos, "a router counts its calls to the key-value service");
+        sum += std::size_t(std::stod(answer->body_.substr(answer->body_.find(' ', line))));
+    }
+    return sum;
+}
+
+auto Scene::loggedSteps(const std::string &name, const std::string &step) -> std::size_t
+{
+    return countLoggedSteps(system_->logPath(name), step);
+}
+
+auto Scene::processes() -> std::vector<std::string>
+{
+    auto names = system_->routers();
+    const auto agents = system_->agents();
+    names.insert(names.end(), agents.begin(), agents.end());
+    return names;
+}
+
+auto Scene::awaitManifest(const std::vector<std::string> &names, std::uint64_t revision) -> void
+{
+    const auto end = Clock::now() + storyDeadline;
+    for (const auto &name : names) {
+        const auto seen = [&](const HistoryEvent &event) -> bool {
+            const auto *manifest = std::get_if<ManifestSeen>(&event.what_);
+            return manifest != nullptr && manifest->revision_ >= revision;
+        };
+        auto history = lastRun(historyOfLog(system_->logPath(name), origin_, classTiers));
+        while (std::none_of(history.begin(), history.end(), seen)) {
+            check(Clock::now() < end, fmt::format("{} does not see revision {} in time", name, revision));
+            std::this_thread::sleep_for(lookInterval);
+            history = lastRun(historyOfLog(system_->logPath(name), origin_, classTiers));
+        }
+    }
+}
+
+auto Scene::redirect(const std::string &agent, const std::string &address) -> void
+{
+    const auto url = system_->url("vms") + "/v1/targets";
+    const auto listed = http::fetch({.url_ = url});
+    check(listed && listed->status_ == 200, "the VM list answers");
+    auto list = json::parse(listed->body_);
+    for (auto &entry : list) {
+        if (entry["labels"]["name"] == agent) {
+            entry["targets"] = json::array({address});
+        }
+    }
+    const auto answer = http::fetch({.method_ = "PUT", .url_ = url, .body_ = list.dump()});
+    check(answer && answer->status_ == 200, "the VM list takes a new list");
+}
+
 auto Scene::processNamed(const History &logs, const std::string &name, Microseconds time) const -> std::string
 {
     auto found = std::string();
@@ -353,10 +420,7 @@
 auto Scene::collect() -> History
 {
     auto logs = History();
-    auto names = system_->routers();
-    const auto agents = system_->agents();
-    names.insert(names.end(), agents.begin(), agents.end());
-    for (const auto &name : names) {
+    for (const auto &name : processes()) {
         const auto own = historyOfLog(system_->logPath(name), origin_, classTiers);
         std::copy(own.begin(), own.end(), std::back_inserter(logs));
     }
@@ -366,7 +430,9 @@
         if (answer && answer->status_ == 200) {
             const auto runs = json::parse(answer->body_);
             for (const auto &[request, count] : runs.items()) {
-                record(RunCounted {.requestId_ = request});
+                for (auto run = std::size_t(0); run < count.get<std::size_t>(); ++run) {
+                    record(RunCounted {.requestId_ = request});
+                }
             }
         }
     }
--- a/packages/testbench/tests/failures/scene.h
+++ b/packages/testbench/tests/failures/scene.h
@@ -56,7 +56,6 @@
     const double tokenMs_ = 5;
     const std::size_t engineSlots_ = 64;
     const std::vector<std::string> vmsFlags_;
-    const bool submitsManifest_ = true;
 };
 
 // What a caller was left with.
@@ -130,9 +129,24 @@
 
     auto record(decltype(HistoryEvent::what_) what) -> void;
 
-    // Calls at the key-value service so far.
+    // Calls at the key-value service so far, by its own count.
     auto storeCalls() -> std::size_t;
 
+    // Calls to the key-value service that the routers made since they started, by their count; also of failed calls.
+    auto routersStoreCalls() -> std::size_t;
+
+    // How often a process logged a step of an attempt since the start, for example "void".
+    auto loggedSteps(const std::string &name, const std::string &step) -> std::size_t;
+
+    // Waits until a manifest of at least this revision is in force in each named process; fails the test otherwise.
+    auto awaitManifest(const std::vector<std::string> &names, std::uint64_t revision) -> void;
+
+    // Routers and agents.
+    auto processes() -> std::vector<std::string>;
+
+    // Connects the routers to an agent by another address.
+    auto redirect(const std::string &agent, const std::string &address) -> void;
+
     // The history so far, with the runs and the logs.
     auto collect() -> History;
 
