--- a/packages/router/include/jasminewood/router/request_run.h
+++ b/packages/router/include/jasminewood/router/request_run.h
@@ -119,6 +119,7 @@
         AttemptId attempt_;
         NodeId agent_;
         TimePoint dispatchedAt_;
+        bool suspect_ = false;
         std::optional<TimePoint> startedAt_;
         std::optional<TimePoint> lastOutputAt_;
         // Cancelled while it was queued, to be sent to this upstream.
--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -100,7 +100,8 @@
     const auto attempt = AttemptId {.request_ = request_.id_, .number_ = ++attempts_};
     const auto suspect = limits_->verdict(request_.fingerprint_) == routing::Verdict::Suspect;
     upstreams_->open(attempt, agent, suspect, mailbox_);
-    flights_.push_back(std::make_unique<Flight>(Flight {.attempt_ = attempt, .agent_ = agent, .dispatchedAt_ = now}));
+    flights_.push_back(std::make_unique<Flight>(
+        Flight {.attempt_ = attempt, .agent_ = agent, .dispatchedAt_ = now, .suspect_ = suspect}));
     isHedge ? tracker_.beginHedge(attempt) : tracker_.begin(attempt);
     environment_->event(attempt, observe::dispatchStep, agent.name_, request_.requestClass_);
     const auto failure = upstreams_->send(agent,
@@ -327,7 +328,8 @@
 
 auto RequestRun::recall(Flight &running, TimePoint now) -> void
 {
-    const auto queued = !running.startedAt_ && !running.recalledTo_;
+    // A suspect may wait for another suspect while there are free slots.
+    const auto queued = !running.startedAt_ && !running.recalledTo_ && !running.suspect_;
     if (!queued || now - running.dispatchedAt_ < recallAfter) {
         return;
     }
