Send link messages without Nagle's algorithm

Cause: nng's streams left Nagle's algorithm on, so a Frame that followed Started waited for the delayed acknowledgement of the peer. A trace of a router shows Frame and Finished arriving together about 40 ms after Started.

Change: each link connection sets NNG_OPT_TCP_NODELAY when it is created.

--- a/packages/link/src/connection_state.cpp
+++ b/packages/link/src/connection_state.cpp
@@ -36,6 +36,8 @@
     , receiving_(internal::makeAio())
     , sending_(internal::makeAio())
 {
+    // With Nagle's algorithm a frame waits for the acknowledgement of the message before it, up to 40 ms on Linux.
+    nng_stream_set_bool(stream_.get(), NNG_OPT_TCP_NODELAY, true);
 }
 
 auto Connection::State::closeWith(const Failure &failure) -> Failure
