Add the demonstration of a whole system

It checks that the time line of the booking, asked of another router, has claim, dispatch, receive, start, finish and answer in order, and that all 35 processes end with status 0.

--- /dev/null
+++ b/packages/testbench/src/demo_main.cpp
@@ -0,0 +1,267 @@
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "child_process.h"
+#include "jasminewood/engine/chat_chunk.h"
+#include "jasminewood/engine/sse_reader.h"
+#include "jasminewood/http/client.h"
+#include "jasminewood/testbench/deployment.h"
+#include "jasminewood/testbench/expected_output.h"
+#include "jasminewood/testbench/fake_booking.h"
+
+// demo MANIFEST DIRECTORY: starts 3 routers, 12 engines and 3 booking services with their agents, sends a streamed
+// quote, a chat and a booking, prints the answers and the time line of the booking, and stops everything. The exit
+// status is 0 only if all three answers were whole and all processes ended with status 0.
+
+using namespace jasminewood;
+
+namespace
+{
+
+using nlohmann::json;
+using testbench::Deployment;
+
+constexpr int statusUsage = 2;
+constexpr auto commandDeadline = Milliseconds(60'000);
+constexpr auto account = "folije-ljubljana";
+constexpr auto bookingKey = "demo-booking-1";
+constexpr auto bookingBody = R"({"customer":"Stritarjeva 5, Celje","slot":"Tuesday 9:00"})";
+
+// What came of one of the three requests.
+struct Outcome
+{
+    const bool whole_ = false;
+    const std::string requestId_;
+    const std::string answer_;
+
+    auto operator<=>(const Outcome &) const = default;
+};
+
+auto printed(const std::string &title, const Outcome &outcome) -> bool
+{
+    fmt::print("\n{}, request {}: {}\n  {}\n", title, outcome.requestId_, outcome.whole_ ? "whole" : "NOT WHOLE",
+        outcome.answer_);
+    return outcome.whole_;
+}
+
+auto printed(const Failure &failure) -> bool
+{
+    fmt::print("{}\n", toString(failure));
+    return false;
+}
+
+auto post(const std::string &url, const std::string &body, const std::vector<http::Header> &further)
+    -> http::ClientResponse
+{
+    auto headers = std::vector<http::Header> {{.name_ = "Content-Type", .value_ = "application/json"},
+        {.name_ = "Authorization", .value_ = std::string("Bearer demo-key-") + account}};
+    for (const auto &header : further) {
+        headers.push_back(header);
+    }
+    const auto answer
+        = http::fetch(http::ClientRequest {.method_ = "POST", .url_ = url, .headers_ = headers, .body_ = body});
+    return answer ? *answer : http::ClientResponse {.body_ = toString(answer.reason())};
+}
+
+auto requestIdOf(const http::ClientResponse &answer) -> std::string
+{
+    const auto found = answer.headers_.find("x-request-id");
+    return found == answer.headers_.end() ? std::string() : found->second;
+}
+
+auto chatBody(const std::string &model, const std::string &message, bool stream) -> std::string
+{
+    return json {{"model", model}, {"stream", stream}, {"messages", {{{"role", "user"}, {"content", message}}}}}.dump();
+}
+
+auto expectedAnswer(const std::string &message) -> std::string
+{
+    return testbench::expectedText(message, 0, testbench::expectedTokens(message, std::nullopt));
+}
+
+// The text of a stream; empty without its end mark or with an error event.
+auto streamedText(const std::string &body) -> std::optional<std::string>
+{
+    auto reader = engine::SseReader();
+    auto text = std::string();
+    for (const auto &event : reader.feed(body)) {
+        if (event == engine::doneMarker) {
+            return text;
+        }
+        const auto chunk = engine::parseChunk(event);
+        if (!chunk) {
+            return std::nullopt;
+        }
+        text += chunk->text_;
+    }
+    return std::nullopt;
+}
+
+auto streamQuote(const Deployment &system) -> Outcome
+{
+    const auto message = std::string("Quote 12 square metres of film 70 for a shop window");
+    const auto answer = post(system.url("router-1") + "/v1/chat/completions", chatBody("film-quote", message, true),
+        {{.name_ = "X-Request-Class", .value_ = "quote-draft"}});
+    const auto text = streamedText(answer.body_);
+    return Outcome {.whole_ = answer.status_ == 200 && text == expectedAnswer(message),
+        .requestId_ = requestIdOf(answer),
+        .answer_ = text.value_or(answer.body_)};
+}
+
+auto chat(const Deployment &system) -> Outcome
+{
+    const auto message = std::string("Which film keeps the heat out?");
+    const auto answer = post(system.url("router-2") + "/v1/chat/completions", chatBody("film-chat", message, false),
+        {{.name_ = "X-Request-Class", .value_ = "chat"}});
+    const auto parsed = json::parse(answer.body_, nullptr, false);
+    const auto pointer = json::json_pointer("/choices/0/message/content");
+    const auto text = parsed.is_object() && parsed.contains(pointer) ? parsed[pointer].get<std::string>() : "";
+    return Outcome {.whole_ = answer.status_ == 200 && text == expectedAnswer(message),
+        .requestId_ = requestIdOf(answer),
+        .answer_ = text.empty() ? answer.body_ : text};
+}
+
+auto book(const Deployment &system) -> Outcome
+{
+    const auto answer = post(system.url("router-3") + "/services/booking/bookings", bookingBody,
+        {{.name_ = "Idempotency-Key", .value_ = bookingKey}});
+    const auto parsed = json::parse(answer.body_, nullptr, false);
+    const auto expected = testbench::expectedConfirmation(bookingKey, bookingBody);
+    return Outcome {.whole_ = parsed.is_object() && parsed.value("confirmation", "") == expected,
+        .requestId_ = requestIdOf(answer),
+        .answer_ = answer.body_};
+}
+
+auto textOf(const std::string &path) -> std::string
+{
+    auto file = std::ifstream(path);
+    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+}
+
+// Runs an operator's command of the real program against a router; empty unless its exit status is 0.
+auto operate(const Deployment &system, const std::string &router, const std::string &directory,
+    const std::vector<std::string> &command) -> std::optional<std::string>
+{
+    auto arguments = command;
+    arguments.push_back("--admin_url=" + system.adminUrl(router));
+    arguments.push_back("--admin_key=" + system.adminKey());
+    const auto child = testbench::internal::ChildProcess::start({.name_ = "operator-" + command.front(),
+        .program_ = "jasminewood-router",
+        .arguments_ = arguments,
+        .directory_ = directory});
+    const auto status = child ? (*child)->waitExit(commandDeadline) : Result<int>(child.reason());
+    const auto output = textOf(directory + "/operator-" + command.front() + ".out");
+    if (!status || *status != 0) {
+        fmt::print("jasminewood-router {}: {}\n{}", command.front(),
+            status ? fmt::format("exit status {}", *status) : toString(status.reason()), output);
+        return std::nullopt;
+    }
+    return output;
+}
+
+// Whether the steps of a claimed request stand in the table in their order.
+auto isComplete(const std::string &table) -> bool
+{
+    auto position = std::size_t(0);
+    for (const auto *step : {" claim ", " dispatch ", " receive ", " start ", " finish ", " answer "}) {
+        position = table.find(step, position);
+        if (position == std::string::npos) {
+            fmt::print("the time line has no step{}in its place\n", step);
+            return false;
+        }
+    }
+    return true;
+}
+
+auto showTimeline(const Deployment &system, const std::string &directory, const std::string &request) -> bool
+{
+    // Asked of a router that had no part in the request.
+    const auto table = operate(system, "router-1", directory, {"timeline", request});
+    fmt::print("\nTime line of the booking, as router-1 shows it:\n{}", table.value_or(""));
+    return table && isComplete(*table);
+}
+
+auto sendRequests(const Deployment &system, const std::string &directory) -> bool
+{
+    const auto quoted = printed("Streamed quote through router-1 in lj-a", streamQuote(system));
+    const auto chatted = printed("Chat through router-2 in lj-b", chat(system));
+    const auto booking = book(system);
+    const auto booked = printed("Booking through router-3 in lj-c", booking);
+    return showTimeline(system, directory, booking.requestId_) && quoted && chatted && booked;
+}
+
+auto stopGroup(Deployment &system, const std::vector<std::string> &names) -> bool
+{
+    for (const auto &name : names) {
+        system.terminate(name);
+    }
+    auto clean = true;
+    for (const auto &name : names) {
+        const auto status = system.waitExit(name);
+        if (!status || *status != 0) {
+            fmt::print("{} did not stop cleanly: {}\n", name,
+                status ? fmt::format("exit status {}", *status) : toString(status.reason()));
+            clean = false;
+        }
+    }
+    return clean;
+}
+
+auto stopAll(Deployment &system) -> bool
+{
+    auto clean = true;
+    auto stopped = std::size_t(0);
+    for (const auto &group : {system.routers(), system.agents(), system.engines(), system.bookings(),
+             std::vector<std::string> {"vms", "kv"}}) {
+        clean = stopGroup(system, group) && clean;
+        stopped += group.size();
+    }
+    fmt::print("\nStopped {} processes {}.\n", stopped, clean ? "with exit status 0" : "UNCLEANLY");
+    return clean;
+}
+
+auto run(const std::string &manifest, const std::string &directory) -> bool
+{
+    const auto started = Deployment::start({.directory_ = directory,
+        .routerDataCentres_ = {"lj-a", "lj-b", "lj-c"},
+        .engines_ = 12,
+        .bookings_ = 3,
+        .routerFlags_ = {"--stop_notice=200ms"}});
+    if (!started) {
+        return printed(started.reason());
+    }
+    auto &system = **started;
+    fmt::print(
+        "Started {} routers and {} agents with their upstreams.\n", system.routers().size(), system.agents().size());
+    const auto submitted = operate(system, "router-1", directory, {"submit", manifest});
+    if (!submitted) {
+        return false;
+    }
+    fmt::print("Submitted {}:\n{}", manifest, *submitted);
+    if (const auto failure = system.waitReady(commandDeadline)) {
+        return printed(*failure);
+    }
+    const auto answered = sendRequests(system, directory);
+    return stopAll(system) && answered;
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    if (argc != 3) {
+        fmt::print(stderr, "usage: demo MANIFEST DIRECTORY\n");
+        return statusUsage;
+    }
+    const auto whole = run(argv[1], argv[2]);
+    fmt::print("{}\n", whole ? "All three answers were whole." : "The demonstration failed.");
+    return whole ? 0 : 1;
+}
