Measure policies side by side with a planned open load

The targets of the design page had no program that measures them. The load driver sends a seeded Poisson plan over loopback, one thread and connection per request, and counts latency from the planned arrival, so that waiting in the client is not hidden. Loads are multiples of a capacity that a closed loop measures first. fake-engine now counts the tokens that it generated.

--- a/packages/testbench/src/engine_model.cpp
+++ b/packages/testbench/src/engine_model.cpp
@@ -40,7 +40,11 @@
 {
     auto lock = std::unique_lock(mutex_);
     const auto slowdown = 1.0 + double(running_.size()) * options_.batchSlowdown_;
-    return pause(sequence, lock, Duration(options_.baseTokenMs_ * slowdown));
+    if (!pause(sequence, lock, Duration(options_.baseTokenMs_ * slowdown))) {
+        return false;
+    }
+    ++generatedTokens_;
+    return true;
 }
 
 auto EngineModel::pause(Sequence &sequence, std::unique_lock<std::mutex> &lock, Duration duration) -> bool
@@ -140,6 +144,12 @@
     return dropTokens_;
 }
 
+auto EngineModel::generatedTokens() -> std::uint64_t
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return generatedTokens_;
+}
+
 auto EngineModel::countRun(const std::string &requestId) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/testbench/src/engine_model.h
+++ b/packages/testbench/src/engine_model.h
@@ -75,6 +75,9 @@
     auto countRun(const std::string &requestId) -> void;
     auto runs() -> std::map<std::string, std::size_t>;
 
+    // Returns the number of tokens generated since the start; it has no lag.
+    auto generatedTokens() -> std::uint64_t;
+
     // Returns the newest report that is at least as old as the report lag.
     auto report() -> EngineReport;
 
@@ -94,6 +97,7 @@
     std::map<std::pair<std::int64_t, std::uint64_t>, std::shared_ptr<Sequence>> waiting_;
     std::set<std::shared_ptr<Sequence>> running_;
     std::uint64_t queued_ = 0;
+    std::uint64_t generatedTokens_ = 0;
     bool ended_ = false;
     bool stalled_ = false;
     double slowFactor_ = 1.0;
--- a/packages/testbench/src/fake_engine.cpp
+++ b/packages/testbench/src/fake_engine.cpp
@@ -215,8 +215,10 @@
         return fmt::format("# TYPE vllm:num_requests_running gauge\n"
                            "vllm:num_requests_running{{model_name=\"{0}\"}} {1}\n"
                            "# TYPE vllm:num_requests_waiting gauge\n"
-                           "vllm:num_requests_waiting{{model_name=\"{0}\"}} {2}\n",
-            options_.model_, report.running_, report.waiting_);
+                           "vllm:num_requests_waiting{{model_name=\"{0}\"}} {2}\n"
+                           "# TYPE vllm:generation_tokens_total counter\n"
+                           "vllm:generation_tokens_total{{model_name=\"{0}\"}} {3}\n",
+            options_.model_, report.running_, report.waiting_, model_->generatedTokens());
     }
 
     auto handleFault(const http::Request &request) -> http::Response
--- /dev/null
+++ b/packages/testbench/src/measure_main.cpp
@@ -0,0 +1,117 @@
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include "scenario_run.h"
+#include "target_table.h"
+
+// measure [--directory=DIR] [SCENARIO...]: measures the capacity, runs scenarios (all without arguments) at multiples
+// of it and prints one JSON line per figure. measure --table: reads such lines from standard input and prints which
+// targets are met.
+
+DEFINE_bool(table, false, "Read figures from standard input and compare them with the targets.");
+DEFINE_string(directory, "", "Folder for logs and records; without it a temporary one, which is deleted.");
+DEFINE_double(capacity, 0, "Output tokens a second that count as load 1; 0: measured first by a closed loop.");
+DEFINE_string(policies, "", "Policies to compare, separated by commas; all if empty.");
+
+namespace
+{
+
+using namespace jasminewood;
+using namespace jasminewood::testbench;
+using namespace jasminewood::testbench::internal;
+
+auto printTable() -> int
+{
+    auto figures = std::vector<Figure>();
+    for (auto line = std::string(); std::getline(std::cin, line);) {
+        if (const auto figure = figureOfLine(line)) {
+            figures.push_back(*figure);
+        }
+    }
+    fmt::print("{}", targetTable(figures));
+    return 0;
+}
+
+// Prints the figures; returns whether there are any.
+auto print(const std::string &name, const Result<std::vector<Figure>> &figures) -> bool
+{
+    if (!figures) {
+        fmt::print(stderr, "{}: {}\n", name, toString(figures.reason()));
+        return false;
+    }
+    for (const auto &figure : *figures) {
+        fmt::print("{}\n", toJsonLine(figure));
+    }
+    std::fflush(stdout);
+    return true;
+}
+
+auto isChosen(const std::vector<std::string> &names, const std::string &name) -> bool
+{
+    return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
+}
+
+auto isChosenPolicy(const std::string &name) -> bool
+{
+    return FLAGS_policies.empty() || ("," + FLAGS_policies + ",").find("," + name + ",") != std::string::npos;
+}
+
+// Returns the capacity to which the loads relate; 0 if it could not be measured.
+auto capacity(const std::string &directory) -> double
+{
+    if (FLAGS_capacity > 0) {
+        return FLAGS_capacity;
+    }
+    const auto figures = runCapacity(directory);
+    return print("capacity", figures) ? figures->back().value_ : 0;
+}
+
+auto runAll(const std::vector<std::string> &names, const std::string &directory) -> bool
+{
+    auto complete = true;
+    if (isChosen(names, "unloaded")) {
+        complete = print("unloaded", runUnloaded(directory));
+    }
+    const auto full = names == std::vector<std::string> {"unloaded"} ? modelCapacity() : capacity(directory);
+    if (full <= 0) {
+        return false;
+    }
+    for (const auto &scenario : scenarios(full)) {
+        for (const auto &policy : comparedPolicies()) {
+            if (isChosen(names, scenario.name_) && isChosenPolicy(policy.name_)) {
+                const auto figures = runScenario(scenario, policy, directory);
+                complete = print(scenario.name_ + " " + policy.name_, figures) && complete;
+            }
+        }
+    }
+    return complete;
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    gflags::SetUsageMessage("measure [--directory=DIR] [--policies=NAME,...] [SCENARIO...] | measure --table");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_table) {
+        return printTable();
+    }
+    const auto names = std::vector<std::string>(argv + 1, argv + argc);
+    const auto temporary = FLAGS_directory.empty();
+    const auto directory = temporary
+        ? (std::filesystem::temp_directory_path() / fmt::format("jasminewood-measure-{}", getpid())).string()
+        : FLAGS_directory;
+    const auto complete = runAll(names, directory);
+    if (temporary) {
+        auto problem = std::error_code();
+        std::filesystem::remove_all(directory, problem);
+    }
+    return complete ? 0 : 1;
+}
--- /dev/null
+++ b/packages/testbench/src/target_table.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "jasminewood/testbench/figures.h"
+
+// The targets of section 4 of docs/design.md, compared with the figures of a run.
+
+namespace jasminewood::testbench::internal
+{
+
+// Returns a table with one line for each target: met, missed, or not measured if its figures are missing.
+auto targetTable(const std::vector<Figure> &figures) -> std::string;
+
+} // namespace jasminewood::testbench::internal
--- /dev/null
+++ b/packages/testbench/tests/figures_test.cpp
@@ -0,0 +1,130 @@
+#include "jasminewood/testbench/figures.h"
+
+#include "jasminewood/testbench/load_plan.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace jasminewood::testbench;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+constexpr std::uint64_t seed = 7;
+
+auto record(const std::string &requestClass, int arrivalMs, int firstMs, int endMs, const Outcome &outcome)
+    -> RequestRecord
+{
+    return RequestRecord {.group_ = requestClass,
+        .requestClass_ = requestClass,
+        .account_ = "a",
+        .arrival_ = Milliseconds(arrivalMs),
+        .sent_ = Milliseconds(arrivalMs),
+        .firstToken_ = firstMs < 0 ? std::nullopt : std::optional<Microseconds>(Milliseconds(firstMs)),
+        .end_ = Milliseconds(endMs),
+        .tokens_ = firstMs < 0 ? 0U : 10U,
+        .outcome_ = outcome};
+}
+
+auto notRun() -> Outcome
+{
+    return ErrorAnswer {.status_ = 503, .runState_ = "not_run"};
+}
+
+auto run(const std::vector<RequestRecord> &records, std::uint64_t generated) -> MeasuredRun
+{
+    return MeasuredRun {.scenario_ = "s",
+        .policy_ = "p",
+        .duration_ = Milliseconds(10'000),
+        .targets_ = {{"quote", {.tier_ = 1, .firstToken_ = Milliseconds(100)}}, {"batch", {.tier_ = 3}}},
+        .records_ = records,
+        .generatedTokens_ = generated};
+}
+
+auto value(const MeasuredRun &measured, const std::string &group, const std::string &measure) -> double
+{
+    for (const auto &figure : figuresOf(measured)) {
+        if (figure.class_ == group && figure.measure_ == measure) {
+            return figure.value_;
+        }
+    }
+    return -1;
+}
+
+const testkit::Story story = {"figures of a load run",
+    {
+        section("with late, shed and cut answers",
+            {
+                // Guards against an attainment that leaves out the requests that got no answer.
+                test("count every request in the attainment",
+                    [] {
+                        const auto measured = run(
+                            {record("quote", 0, 50, 200, WholeAnswer {}), record("quote", 0, 150, 300, WholeAnswer {}),
+                                record("quote", 0, -1, 10, notRun()), record("quote", 0, 50, 90, CutAnswer {})},
+                            40);
+                        check(value(measured, "quote", "attainment") == 0.25);
+                        check(value(measured, "quote", "shed") == 1 && value(measured, "quote", "failed") == 1);
+                        check(value(measured, "quote", "goodput") == 1.0);
+                        check(value(measured, "all", "discarded_share") == 0.5);
+                    }),
+            }),
+        section("in which the top tier was shed",
+            {
+                // Guards against a figure of 0 while lower tiers ran in place of the top tier.
+                test("tell whether a lower tier ran meanwhile",
+                    [] {
+                        const auto shed = record("quote", 100, -1, 200, notRun());
+                        check(value(run({shed, record("batch", 0, 150, 900, WholeAnswer {})}, 10), "all",
+                                  "top_tier_shed_below")
+                            == 1);
+                        check(value(run({shed, record("batch", 0, 250, 900, WholeAnswer {})}, 10), "all",
+                                  "top_tier_shed_below")
+                            == 0);
+                    }),
+            }),
+        section("with a pause of the lowest class",
+            {
+                // Guards against windows that are aligned so that a pause falls on two of them.
+                test("find the emptiest window",
+                    [] {
+                        auto records = std::vector<RequestRecord>();
+                        for (const auto end : {500, 1'000, 7'000, 9'000}) {
+                            records.push_back(record("batch", 0, end - 100, end, WholeAnswer {}));
+                        }
+                        check(value(run(records, 40), "batch", "completed_5s_minimum") == 0);
+                    }),
+            }),
+        section("written as JSON lines",
+            {
+                // Guards against a table that silently reads nothing.
+                test("are read back",
+                    [] {
+                        const auto figure = figuresOf(run({record("quote", 0, 50, 200, WholeAnswer {})}, 10)).front();
+                        const auto read = figureOfLine(toJsonLine(figure));
+                        check(read && *read == figure);
+                    }),
+            }),
+        section("of a planned load",
+            {
+                // Guards against policies that are compared under different loads, and against a wrong rate.
+                test("come from the same arrivals at the rate of the profile",
+                    [] {
+                        const auto kinds = std::vector<LoadKind> {{.group_ = "quote",
+                            .requestClass_ = "quote",
+                            .account_ = "a",
+                            .perSecond_ = 100,
+                            .profile_
+                            = Burst {.factor_ = 3, .begin_ = Milliseconds(5'000), .end_ = Milliseconds(10'000)}}};
+                        const auto plan = planLoad(kinds, Milliseconds(10'000), seed);
+                        check(plan == planLoad(kinds, Milliseconds(10'000), seed));
+                        check(plan.size() > 1'800 && plan.size() < 2'200);
+                        check(factorAt(Swing {.low_ = 0.5, .high_ = 2.5, .period_ = Milliseconds(4'000)},
+                                  Milliseconds(1'000))
+                            == 2.5);
+                    }),
+            }),
+    }};
+
+} // namespace
