Record how a repeated booking got its answer

The time line of a booking that met a claim of an earlier attempt had the event claim and nothing else, so that an operator could find neither the attempt that ran nor the answer. The router now records claimed with that attempt and its agent, ask and wait for it, and answer for a stored answer or a refusal.

--- a/packages/router/include/jasminewood/router/claimed_run.h
+++ b/packages/router/include/jasminewood/router/claimed_run.h
@@ -61,6 +61,8 @@
     auto voided(const NodeId &agent, const AttemptId &attempt, Mailbox &mailbox, TimePoint deadline, bool untilEnd)
         -> claims::Event;
     auto nextCandidate() -> std::optional<claims::Candidate>;
+    // Records an event of this request, also where it concerns an attempt of another request with the same key.
+    auto recordEvent(const std::string &step, const std::string &peer, const std::string &detail) const -> void;
 
     const ClaimedRunServices services_;
     const RouteRequest request_;
--- a/packages/router/src/claimed_run.cpp
+++ b/packages/router/src/claimed_run.cpp
@@ -61,17 +61,19 @@
     auto end = std::optional<ClaimedEnd>();
     while (!end) {
         if (const auto *stored = std::get_if<claims::AnswerStored>(action.get())) {
+            recordEvent(observe::answerStep, "", "stored answer of an earlier attempt");
             end.emplace(stored->answer_);
             action = std::make_unique<claims::Action>(machine.step(claims::CallerAnswered {}, Clock::now()));
         } else if (const auto *refuse = std::get_if<claims::Refuse>(action.get())) {
+            recordEvent(observe::answerStep, refuse->failure_.peer_, refuse->failure_.reason_);
             end.emplace(Broken {.failure_ = refuse->failure_});
             action = std::make_unique<claims::Action>(machine.step(claims::CallerAnswered {}, Clock::now()));
         } else {
-            const auto event = perform(*action);
-            if (const auto *finished = std::get_if<claims::AttemptFinished>(&event)) {
+            const auto outcome = perform(*action);
+            if (const auto *finished = std::get_if<claims::AttemptFinished>(&outcome)) {
                 end.emplace(finished->answer_);
             }
-            action = std::make_unique<claims::Action>(machine.step(event, Clock::now()));
+            action = std::make_unique<claims::Action>(machine.step(outcome, Clock::now()));
         }
     }
     services_.claims_->finishInBackground(std::move(machine), *action);
@@ -90,13 +92,22 @@
                               return perform(wait);
                           },
                           [this, &action](const auto & /*storeAction*/) -> claims::Event {
-                              services_.environment_->event(
-                                  AttemptId {.request_ = request_.id_, .number_ = attempts_}, "claim", "", key_);
-                              return services_.claims_->perform(action);
+                              recordEvent("claim", "", key_);
+                              auto outcome = services_.claims_->perform(action);
+                              if (const auto *found = std::get_if<claims::Exists>(&outcome)) {
+                                  recordEvent(
+                                      "claimed", found->record_.agent_.name_, toString(found->record_.attempt_));
+                              }
+                              return outcome;
                           }},
         action);
 }
 
+auto ClaimedRun::recordEvent(const std::string &step, const std::string &peer, const std::string &detail) const -> void
+{
+    services_.environment_->event(AttemptId {.request_ = request_.id_, .number_ = attempts_}, step, peer, detail);
+}
+
 auto ClaimedRun::nextCandidate() -> std::optional<claims::Candidate>
 {
     const auto chosen
@@ -128,11 +139,11 @@
             .idempotent_ = false,
             .maximumWait_ = request_.maximumWait_,
             .costEstimate_ = request_.costEstimate_});
-    auto event = failure ? claims::Event(claims::AttemptFailed {.failure_ = *failure,
-                     .next_ = failure->runState_ == RunState::NotRun ? nextCandidate() : std::nullopt})
-                         : receiveEnd(action, *mailbox);
+    auto outcome = failure ? claims::Event(claims::AttemptFailed {.failure_ = *failure,
+                       .next_ = failure->runState_ == RunState::NotRun ? nextCandidate() : std::nullopt})
+                           : receiveEnd(action, *mailbox);
     services_.upstreams_->close(action.attempt_);
-    return event;
+    return outcome;
 }
 
 auto ClaimedRun::receiveEnd(const claims::DispatchNow &action, Mailbox &mailbox) -> claims::Event
@@ -192,20 +203,22 @@
 
 auto ClaimedRun::perform(const claims::AskAgent &action) -> claims::Event
 {
+    recordEvent("ask", action.agent_.name_, toString(action.attempt_));
     const auto mailbox = std::make_shared<Mailbox>();
     services_.upstreams_->open(action.attempt_, action.agent_, false, mailbox);
-    auto event = voided(action.agent_, action.attempt_, *mailbox, Clock::now() + voidDeadline, false);
+    auto outcome = voided(action.agent_, action.attempt_, *mailbox, Clock::now() + voidDeadline, false);
     services_.upstreams_->close(action.attempt_);
-    return event;
+    return outcome;
 }
 
 auto ClaimedRun::perform(const claims::WaitForAnswer &action) -> claims::Event
 {
+    recordEvent("wait", action.agent_.name_, toString(action.attempt_));
     const auto mailbox = std::make_shared<Mailbox>();
     services_.upstreams_->open(action.attempt_, action.agent_, false, mailbox);
-    auto event = voided(action.agent_, action.attempt_, *mailbox, Clock::now() + claimedAnswerDeadline, true);
+    auto outcome = voided(action.agent_, action.attempt_, *mailbox, Clock::now() + claimedAnswerDeadline, true);
     services_.upstreams_->close(action.attempt_);
-    return event;
+    return outcome;
 }
 
 auto ClaimedRun::voided(
--- a/packages/router/tests/front_test.cpp
+++ b/packages/router/tests/front_test.cpp
@@ -192,7 +192,7 @@
     Fleet()
         : engine_(testbench::FakeEngine::start({}))
         , vms_(testbench::FakeVms::start({}))
-        , agent_(localUrl((*engine_)->port()))
+        , agent_(agent::EngineUpstream {.baseUrl_ = localUrl((*engine_)->port())})
         , router_(PlatformUrls {.vmList_ = localUrl((*vms_)->port())})
     {
         const auto listed = http::fetch(http::ClientRequest {
--- a/packages/router/tests/router_under_test.cpp
+++ b/packages/router/tests/router_under_test.cpp
@@ -142,15 +142,14 @@
     testkit::check(false, "the last answer was " + last);
 }
 
-AgentUnderTest::AgentUnderTest(const std::string &engineUrl)
-    : registry_(std::make_unique<kernel::Registry>())
+AgentUnderTest::AgentUnderTest(const agent::UpstreamKind &upstream)
+    : pool_(std::holds_alternative<agent::EngineUpstream>(upstream) ? "engines" : "booking")
+    , registry_(std::make_unique<kernel::Registry>())
 {
     const auto links = std::make_shared<agent::LinkServer>(anyPort);
-    registry_->add("environment", environmentOf("agent", wire::Role::Agent, "engines"));
+    registry_->add("environment", environmentOf("agent", wire::Role::Agent, pool_));
     registry_->add("manifest", std::make_shared<node::ManifestStore>());
-    registry_->add("upstream",
-        std::make_shared<agent::Upstream>(
-            agent::EngineUpstream {.baseUrl_ = engineUrl}, Milliseconds(2'000), Milliseconds(2'000)));
+    registry_->add("upstream", std::make_shared<agent::Upstream>(upstream, Milliseconds(2'000), Milliseconds(2'000)));
     registry_->add("gate", std::make_shared<agent::Gate>());
     registry_->add("links", links);
     const auto failure = registry_->startAll();
@@ -167,7 +166,7 @@
 {
     const auto entry = nlohmann::json {{"targets", {address_}},
         {"labels",
-            {{"role", "agent"}, {"name", "agent"}, {"pool", "engines"}, {"data_centre", "local"}, {"state", "live"}}}};
+            {{"role", "agent"}, {"name", "agent"}, {"pool", pool_}, {"data_centre", "local"}, {"state", "live"}}}};
     return nlohmann::json::array({entry}).dump();
 }
 
--- a/packages/router/tests/router_under_test.h
+++ b/packages/router/tests/router_under_test.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "jasminewood/agent/upstream.h"
 #include "jasminewood/http/client.h"
 #include "jasminewood/kernel/registry.h"
 #include "jasminewood/node/manifest_store.h"
@@ -67,11 +68,11 @@
     std::unique_ptr<kernel::Registry> registry_;
 };
 
-// An agent of pool engines.
+// An agent of pool engines or booking.
 class AgentUnderTest
 {
 public:
-    explicit AgentUnderTest(const std::string &engineUrl = refusingUrl);
+    explicit AgentUnderTest(const agent::UpstreamKind &upstream = agent::EngineUpstream {.baseUrl_ = refusingUrl});
     ~AgentUnderTest();
 
     AgentUnderTest(const AgentUnderTest &) = delete;
@@ -81,6 +82,7 @@
     auto vmList() const -> std::string;
 
 private:
+    std::string pool_;
     std::string address_;
     std::unique_ptr<kernel::Registry> registry_;
 };
