Check the operators' key hash when the settings are read

Any text was taken as [admin] key_sha256, so that a hash in upper case or cut short locked the operators out: every call was answered 401 and nothing said why.

--- a/packages/router/src/main.cpp
+++ b/packages/router/src/main.cpp
@@ -53,7 +53,7 @@
             .help_ = "address of the administration API"},
         {.section_ = "admin",
             .name_ = "key_sha256",
-            .kind_ = settings::Text {},
+            .kind_ = settings::Sha256Hex {},
             .help_ = "SHA-256 of the operators' key in lower-case hex"},
         {.section_ = "peers",
             .name_ = "listen",
--- a/packages/router/tests/startup_test.cpp
+++ b/packages/router/tests/startup_test.cpp
@@ -68,9 +68,11 @@
     std::filesystem::path path_;
 };
 
-constexpr auto completeSettings = "[node]\nname = r1\n[admin]\nkey_sha256 = 00\nlisten = 127.0.0.1:0\n"
-                                  "[callers]\nlisten = 127.0.0.1:0\n"
-                                  "[platform]\nkey_value_url = http://127.0.0.1:1\nvm_list_url = http://127.0.0.1:1\n";
+constexpr auto completeSettings
+    = "[node]\nname = r1\n[admin]\nkey_sha256 = "
+      "161ba87d0c0d23afe6a5d86bdfcda7037116c919c1e855213ae0db4056a40102\nlisten = 127.0.0.1:0\n"
+      "[callers]\nlisten = 127.0.0.1:0\n"
+      "[platform]\nkey_value_url = http://127.0.0.1:1\nvm_list_url = http://127.0.0.1:1\n";
 
 auto checkSettings(const std::string &text) -> Ended
 {
--- a/packages/settings/include/jasminewood/settings/schema.h
+++ b/packages/settings/include/jasminewood/settings/schema.h
@@ -50,6 +50,12 @@
     auto operator<=>(const Address &) const = default;
 };
 
+// A SHA-256 as 64 lower-case hex digits, as sha256sum prints it.
+struct Sha256Hex
+{
+    auto operator<=>(const Sha256Hex &) const = default;
+};
+
 struct Choice
 {
     const std::vector<std::string> values_;
@@ -57,7 +63,7 @@
     auto operator<=>(const Choice &) const = default;
 };
 
-using Kind = std::variant<Text, Integer, Duration, Address, Choice>;
+using Kind = std::variant<Text, Integer, Duration, Address, Sha256Hex, Choice>;
 
 struct Key
 {
--- a/packages/settings/include/jasminewood/settings/settings.h
+++ b/packages/settings/include/jasminewood/settings/settings.h
@@ -45,7 +45,7 @@
 public:
     explicit Settings(std::vector<Setting> settings);
 
-    // The value of a Text or Choice key.
+    // The value of a Text, Sha256Hex or Choice key.
     auto text(const std::string &section, const std::string &name) const -> const std::string &;
     auto integer(const std::string &section, const std::string &name) const -> std::int64_t;
     auto duration(const std::string &section, const std::string &name) const -> Milliseconds;
--- a/packages/settings/src/schema.cpp
+++ b/packages/settings/src/schema.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr std::int64_t highestPort = 65'535;
+constexpr std::size_t sha256Digits = 64;
 
 auto isNumericAddress(int family, const std::string &host) -> bool
 {
@@ -50,6 +51,12 @@
         return endpoint ? std::optional<Value>(std::in_place, *endpoint) : std::nullopt;
     }
 
+    auto operator()(const Sha256Hex & /*kind*/) const -> std::optional<Value>
+    {
+        const auto digits = text_.find_first_not_of("0123456789abcdef") == std::string::npos;
+        return digits && text_.size() == sha256Digits ? std::optional(Value(text_)) : std::nullopt;
+    }
+
     auto operator()(const Choice &kind) const -> std::optional<Value>
     {
         const auto known = std::find(kind.values_.begin(), kind.values_.end(), text_) != kind.values_.end();
@@ -85,6 +92,11 @@
         return "a numeric address IP:PORT";
     }
 
+    auto operator()(const Sha256Hex & /*kind*/) const -> std::string
+    {
+        return "64 lower-case hex digits";
+    }
+
     auto operator()(const Choice &kind) const -> std::string
     {
         return fmt::format("one of {}", fmt::join(kind.values_, ", "));
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -88,6 +88,21 @@
                             == std::vector<std::string> {
                                 "flag --http_threads: [http] threads: expected a number from 1 to 9, found \"10\""});
                     }),
+                // Guards against a key hash that no key has, which would lock the operators out without a word.
+                test("report a hash that is none",
+                    [] {
+                        const auto hashes = settings::Schema {
+                            {.section_ = "admin", .name_ = "hash", .kind_ = settings::Sha256Hex {}, .help_ = "hash"}};
+                        const auto digits = std::string(64, 'a');
+                        const auto upper = std::string(64, 'A');
+                        for (const auto &wrong : {std::string("00"), upper, digits + "a", std::string("key")}) {
+                            const auto loaded = settings::loadText(hashes, "[admin]\nhash = " + wrong, "r.ini", {});
+                            check(std::holds_alternative<std::vector<Fault>>(loaded), wrong);
+                        }
+                        const auto loaded = settings::loadText(hashes, "[admin]\nhash = " + digits, "r.ini", {});
+                        const auto *values = std::get_if<Settings>(&loaded);
+                        check(values != nullptr && values->text("admin", "hash") == digits);
+                    }),
                 // Guards against a syntax error or a missing file that is taken for an empty file.
                 test("fail on syntax errors and on unreadable files",
                     [] {
