Add the decisions about commands to model engines

Cause: engines take commands to load models and to change role, some of them ignore fencing numbers, and a router may sleep past its lease without noticing, so a lease in memory cannot decide who may give a command.

The services that use the package are not written yet.

--- /dev/null
+++ b/packages/placement/include/jasminewood/placement/command.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+// Commands to model engines and the numbers that order them.
+
+namespace jasminewood::placement
+{
+
+// Orders all commands to one agent: first by leader, then in the order in which that leader gave them.
+struct CommandNumber
+{
+    // Fencing number: create revision of the leader's key.
+    const std::uint64_t fence_ = 0;
+    // Grows with each command of that leader, also when a command is given again.
+    const std::uint64_t sequence_ = 0;
+
+    auto operator<=>(const CommandNumber &) const = default;
+};
+
+struct LoadModel
+{
+    const std::string model_;
+
+    auto operator<=>(const LoadModel &) const = default;
+};
+
+struct LoadAdapter
+{
+    const std::string name_;
+    // Path in the weight store.
+    const std::string path_;
+
+    auto operator<=>(const LoadAdapter &) const = default;
+};
+
+struct LoadVersion
+{
+    const std::string model_;
+    const std::string version_;
+
+    auto operator<=>(const LoadVersion &) const = default;
+};
+
+struct ChangeRole
+{
+    // For example "prefill" or "decode".
+    const std::string role_;
+
+    auto operator<=>(const ChangeRole &) const = default;
+};
+
+// Changes nothing at the engine. Its answer states what the engine holds, and that no command with a lower number will
+// start at this agent any more.
+struct Observe
+{
+    auto operator<=>(const Observe &) const = default;
+};
+
+using Command = std::variant<LoadModel, LoadAdapter, LoadVersion, ChangeRole, Observe>;
+
+struct NumberedCommand
+{
+    const CommandNumber number_;
+    // Incarnation of the agent that the leader knows.
+    const std::uint64_t agentIncarnation_ = 0;
+    const Command command_;
+
+    auto operator<=>(const NumberedCommand &) const = default;
+};
+
+} // namespace jasminewood::placement
--- /dev/null
+++ b/packages/placement/include/jasminewood/placement/fence.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <variant>
+
+#include "jasminewood/core/clock.h"
+#include "jasminewood/core/failure.h"
+#include "jasminewood/manifest/manifest.h"
+#include "jasminewood/placement/command.h"
+
+// Decides at the agent which commands reach the engine.
+//
+//     const auto verdict = fence.offer(command, now());
+//     // Execute: call the engine, then fence.ended(...).
+//     // ReadLeader: ask a router to read the leader's key, then fence.leaderRead(...) and offer the command again.
+//     // Refuse: answer with the failure.
+
+namespace jasminewood::placement
+{
+
+// How long a command without an answer may still start or run at an engine that ignores fencing numbers.
+constexpr Milliseconds commandSettleTime = Milliseconds(120'000);
+// When a refused command may be given again.
+constexpr Milliseconds commandRetryAfter = Milliseconds(1'000);
+
+// Perform the command now.
+struct Execute
+{
+    auto operator<=>(const Execute &) const = default;
+};
+
+// Have the leader's key read from the key-value service. The read must begin after this query arrived at the router.
+struct ReadLeader
+{
+    const std::uint64_t agentIncarnation_ = 0;
+    const std::uint64_t query_ = 0;
+
+    auto operator<=>(const ReadLeader &) const = default;
+};
+
+// The command was not performed and this offer of it never will be.
+struct Refuse
+{
+    const Failure failure_;
+
+    auto operator<=>(const Refuse &) const = default;
+};
+
+using Verdict = std::variant<Execute, ReadLeader, Refuse>;
+
+// What the read for a ReadLeader found.
+struct LeaderReading
+{
+    const std::uint64_t agentIncarnation_ = 0;
+    const std::uint64_t query_ = 0;
+    // Fencing number of the present leader; empty if there is none.
+    const std::optional<std::uint64_t> fence_;
+    // Revision of the key-value service at the read.
+    const std::uint64_t storeRevision_ = 0;
+
+    auto operator<=>(const LeaderReading &) const = default;
+};
+
+enum class CommandEnd : std::uint8_t
+{
+    // The engine answered, or certainly never received the command.
+    Known,
+    // The engine may still perform the command.
+    AnswerLost,
+};
+
+// Admits a command only if its number is higher than every number seen, it names this incarnation of the agent, and no
+// other command may be running. A restarted agent knows no number; it admits the first command only after a read of the
+// leader's key that began after its restart. Not thread-safe.
+class Fence
+{
+public:
+    // started is the start of the agent's process.
+    Fence(std::uint64_t agentIncarnation, manifest::Fencing fencing, TimePoint started);
+
+    // After Execute of any command but Observe, ended() must be called.
+    auto offer(const NumberedCommand &command, TimePoint now) -> Verdict;
+
+    // Takes the answer to the last ReadLeader; other answers are disregarded.
+    auto leaderRead(const LeaderReading &reading) -> void;
+
+    // The command that was admitted last has ended.
+    auto ended(CommandEnd end, TimePoint now) -> void;
+
+    // Whether a command may be running at the engine, also one admitted before a restart of the agent.
+    auto engineMayBeBusy(TimePoint now) const -> bool;
+
+private:
+    auto refusal(const std::string &reason, bool retry) const -> Verdict;
+
+    std::uint64_t agentIncarnation_;
+    manifest::Fencing fencing_;
+    TimePoint quietUntil_;
+    std::uint64_t query_ = 0;
+    // Lowest fencing number that a current leader can have; empty until it is confirmed.
+    std::optional<std::uint64_t> lowestFence_;
+    std::optional<CommandNumber> highest_;
+    bool running_ = false;
+};
+
+} // namespace jasminewood::placement
--- /dev/null
+++ b/packages/placement/include/jasminewood/placement/leadership.h
@@ -0,0 +1,224 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+
+#include "jasminewood/core/clock.h"
+#include "jasminewood/core/failure.h"
+#include "jasminewood/core/ids.h"
+
+// Election of the one router that gives commands, as a pure state machine. The router waits for the action's delay,
+// performs it and reports its outcome as the next event, until Stopped.
+//
+//     auto leadership = placement::Leadership({.key_ = key, .router_ = self}, seed);
+//     auto action = std::optional(leadership.step(placement::Begin{}, now()));
+//     while (!std::holds_alternative<placement::Stopped>(*action)) {
+//         const auto event = perform(*action);
+//         action.emplace(leadership.step(event, now()));
+//     }
+//     // Before each command: if (const auto fence = leadership.fence(now())) { send(*fence, ...); }
+
+namespace jasminewood::placement
+{
+
+constexpr Milliseconds leaderLeaseTime = Milliseconds(10'000);
+// A holder stops this long before its lease could expire. Covers differing clock rates and a command under way; the
+// fence at the agent covers what exceeds it.
+constexpr Milliseconds leaderSafetyMargin = Milliseconds(2'000);
+constexpr Milliseconds leaderRenewInterval = Milliseconds(2'500);
+// Routers that see the key disappear read it again spread over this time, so that few of them write.
+constexpr Milliseconds electionSpread = Milliseconds(1'000);
+constexpr Milliseconds shortestStoreDelay = Milliseconds(100);
+constexpr Milliseconds longestStoreDelay = Milliseconds(5'000);
+// A watch ends after this time, so that a silent connection is replaced.
+constexpr Milliseconds leaderWatchLimit = Milliseconds(30'000);
+
+// Value of the leader's key.
+struct LeaderRecord
+{
+    const NodeId router_;
+    const std::int64_t lease_ = 0;
+
+    auto operator<=>(const LeaderRecord &) const = default;
+};
+
+// Outcome: LeaseGranted or StoreFailed.
+struct GrantLease
+{
+    const Milliseconds timeToLive_ = leaderLeaseTime;
+    const Milliseconds delay_ = Milliseconds(0);
+
+    auto operator<=>(const GrantLease &) const = default;
+};
+
+// Create the key, bound to the record's lease, if it is absent. Outcome: KeyCreated, KeyHeld or StoreFailed.
+struct CreateKey
+{
+    const std::string key_;
+    const LeaderRecord record_;
+    const Milliseconds delay_ = Milliseconds(0);
+
+    auto operator<=>(const CreateKey &) const = default;
+};
+
+// Read the key. Outcome: KeyHeld, KeyMissing or StoreFailed.
+struct ReadKey
+{
+    const std::string key_;
+    const Milliseconds delay_ = Milliseconds(0);
+
+    auto operator<=>(const ReadKey &) const = default;
+};
+
+// Outcome: LeaseKept, LeaseExpired or StoreFailed.
+struct KeepAlive
+{
+    const std::int64_t lease_ = 0;
+    const Milliseconds delay_ = Milliseconds(0);
+
+    auto operator<=>(const KeepAlive &) const = default;
+};
+
+// Watch the key after this revision for leaderWatchLimit at most. Outcome: WatchEnded or StoreFailed.
+struct WatchKey
+{
+    const std::string key_;
+    const std::uint64_t revision_ = 0;
+
+    auto operator<=>(const WatchKey &) const = default;
+};
+
+// Outcome: LeaseExpired or StoreFailed.
+struct RevokeLease
+{
+    const std::int64_t lease_ = 0;
+
+    auto operator<=>(const RevokeLease &) const = default;
+};
+
+struct Stopped
+{
+    auto operator<=>(const Stopped &) const = default;
+};
+
+using Action = std::variant<GrantLease, CreateKey, ReadKey, KeepAlive, WatchKey, RevokeLease, Stopped>;
+
+struct Begin
+{
+};
+
+struct LeaseGranted
+{
+    const std::int64_t lease_ = 0;
+    // Own clock just before the request was sent.
+    const TimePoint sentAt_;
+};
+
+struct KeyCreated
+{
+    const std::uint64_t revision_ = 0;
+};
+
+struct KeyHeld
+{
+    const LeaderRecord record_;
+    const std::uint64_t createRevision_ = 0;
+    const std::uint64_t modRevision_ = 0;
+};
+
+struct KeyMissing
+{
+};
+
+struct LeaseKept
+{
+    // Time to live that the service granted anew.
+    const Milliseconds timeToLive_ = Milliseconds(0);
+    // Own clock just before the request was sent.
+    const TimePoint sentAt_;
+};
+
+struct LeaseExpired
+{
+};
+
+struct WatchEnded
+{
+};
+
+// The call failed. It may have taken effect or do so later unless the run state is NotRun.
+struct StoreFailed
+{
+    const Failure failure_;
+};
+
+// An agent refused a command because it has seen a higher number. May arrive at any time; replaces the outstanding
+// action.
+struct Superseded
+{
+};
+
+// The router shuts down. May arrive at any time; replaces the outstanding action.
+struct Resign
+{
+};
+
+using Event = std::variant<Begin, LeaseGranted, KeyCreated, KeyHeld, KeyMissing, LeaseKept, LeaseExpired, WatchEnded,
+    StoreFailed, Superseded, Resign>;
+
+struct Candidacy
+{
+    const std::string key_;
+    const NodeId router_;
+
+    auto operator<=>(const Candidacy &) const = default;
+};
+
+// The outcome of an action that was replaced must not be reported. Not thread-safe.
+class Leadership
+{
+public:
+    // The seed determines the delays that spread the routers' calls.
+    Leadership(Candidacy candidacy, std::uint64_t seed);
+
+    // Takes the outcome of the last action and returns the next one.
+    auto step(const Event &event, TimePoint now) -> Action;
+
+    // Returns the fencing number if this router may give commands at this time. Only the agent's fence is proof,
+    // because this process may be paused after the call.
+    auto fence(TimePoint now) const -> std::optional<std::uint64_t>;
+
+private:
+    auto on(const Begin &event, TimePoint now) -> Action;
+    auto on(const LeaseGranted &event, TimePoint now) -> Action;
+    auto on(const KeyCreated &event, TimePoint now) -> Action;
+    auto on(const KeyHeld &event, TimePoint now) -> Action;
+    auto on(const KeyMissing &event, TimePoint now) -> Action;
+    auto on(const LeaseKept &event, TimePoint now) -> Action;
+    auto on(const LeaseExpired &event, TimePoint now) -> Action;
+    auto on(const WatchEnded &event, TimePoint now) -> Action;
+    auto on(const StoreFailed &event, TimePoint now) -> Action;
+    auto on(const Superseded &event, TimePoint now) -> Action;
+    auto on(const Resign &event, TimePoint now) -> Action;
+
+    auto leaseValid(TimePoint now) const -> bool;
+    auto lead(std::uint64_t revision, TimePoint now) -> Action;
+    auto forget() -> void;
+    auto read(Milliseconds delay) const -> Action;
+    auto spread(Milliseconds limit) -> Milliseconds;
+
+    Candidacy candidacy_;
+    std::minstd_rand random_;
+    std::optional<std::int64_t> lease_;
+    // End of the time in which the lease is certain to exist, less the margin.
+    TimePoint validUntil_;
+    std::optional<std::uint64_t> fence_;
+    std::uint32_t failures_ = 0;
+    bool stopped_ = false;
+};
+
+} // namespace jasminewood::placement
--- /dev/null
+++ b/packages/placement/src/fence.cpp
@@ -0,0 +1,74 @@
+#include "jasminewood/placement/fence.h"
+
+#include <fmt/format.h>
+
+namespace jasminewood::placement
+{
+
+Fence::Fence(std::uint64_t agentIncarnation, manifest::Fencing fencing, TimePoint started)
+    : agentIncarnation_(agentIncarnation)
+    , fencing_(fencing)
+    , quietUntil_(started + commandSettleTime)
+{
+}
+
+auto Fence::offer(const NumberedCommand &command, TimePoint now) -> Verdict
+{
+    const auto &number = command.number_;
+    if (command.agentIncarnation_ != agentIncarnation_) {
+        return refusal("the command is meant for another incarnation of this agent", false);
+    }
+    if (!lowestFence_) {
+        return ReadLeader {.agentIncarnation_ = agentIncarnation_, .query_ = ++query_};
+    }
+    if (number.fence_ < *lowestFence_ || (highest_ && number <= *highest_)) {
+        return refusal(fmt::format("command number {}.{} is not above {}.{}", number.fence_, number.sequence_,
+                           highest_ ? highest_->fence_ : *lowestFence_, highest_ ? highest_->sequence_ : 0),
+            false);
+    }
+    // A refused command raises the number too, so that older commands are refused from now on.
+    highest_.emplace(number);
+    if (std::holds_alternative<Observe>(command.command_)) {
+        return Execute {};
+    }
+    // An engine that checks the number orders commands itself; the other kind must have ended the last one.
+    const auto settling = fencing_ == manifest::Fencing::Ignored && now < quietUntil_;
+    if (running_ || settling) {
+        return refusal("an earlier command may still be running", true);
+    }
+    running_ = true;
+    return Execute {};
+}
+
+auto Fence::leaderRead(const LeaderReading &reading) -> void
+{
+    const auto current = reading.agentIncarnation_ == agentIncarnation_ && reading.query_ == query_;
+    if (!current || lowestFence_) {
+        return;
+    }
+    // Without a leader, the next one gets a number above the revision that was read.
+    lowestFence_ = reading.fence_.value_or(reading.storeRevision_ + 1);
+}
+
+auto Fence::ended(CommandEnd end, TimePoint now) -> void
+{
+    running_ = false;
+    if (end == CommandEnd::AnswerLost) {
+        quietUntil_ = now + commandSettleTime;
+    }
+}
+
+auto Fence::engineMayBeBusy(TimePoint now) const -> bool
+{
+    return running_ || now < quietUntil_;
+}
+
+auto Fence::refusal(const std::string &reason, bool retry) const -> Verdict
+{
+    return Refuse {Failure {.step_ = "command",
+        .reason_ = reason,
+        .runState_ = RunState::NotRun,
+        .retryAfter_ = retry ? std::optional(commandRetryAfter) : std::nullopt}};
+}
+
+} // namespace jasminewood::placement
