Tell a superseded leader so, and let the placement model bind the rate

Cause: a refusal did not say whether its giver was superseded, so a router could not know when to step back. The model had one surplus upstream, so the rate never bound: a trial plan that did not count unconfirmed upstreams passed it.

Change: Refuse carries the highest fencing number that the agent knows. The model has 6 upstreams and larger swings of demand, so that two loads at a time are wanted.

--- a/packages/placement/include/jasminewood/placement/fence.h
+++ b/packages/placement/include/jasminewood/placement/fence.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <variant>
 
 #include "jasminewood/core/clock.h"
@@ -40,9 +41,12 @@
     auto operator<=>(const ReadLeader &) const = default;
 };
 
-// The command was not performed and this offer of it never will be.
+// The command was not performed and this offer of it never will be. Whoever gave it is superseded if highestFence_ is
+// above the command's fencing number.
 struct Refuse
 {
+    // Highest fencing number that the agent knows of; 0 if it knows none.
+    const std::uint64_t highestFence_ = 0;
     const Failure failure_;
 
     auto operator<=>(const Refuse &) const = default;
@@ -93,6 +97,7 @@
     auto engineMayBeBusy(TimePoint now) const -> bool;
 
 private:
+    auto highestFence() const -> std::uint64_t;
     auto refusal(const std::string &reason, bool retry) const -> Verdict;
 
     std::uint64_t agentIncarnation_;
--- a/packages/placement/src/fence.cpp
+++ b/packages/placement/src/fence.cpp
@@ -1,5 +1,7 @@
 #include "jasminewood/placement/fence.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 namespace jasminewood::placement
@@ -22,9 +24,9 @@
         return ReadLeader {.agentIncarnation_ = agentIncarnation_, .query_ = ++query_};
     }
     if (number.fence_ < *lowestFence_ || (highest_ && number <= *highest_)) {
-        return refusal(fmt::format("command number {}.{} is not above {}.{}", number.fence_, number.sequence_,
-                           highest_ ? highest_->fence_ : *lowestFence_, highest_ ? highest_->sequence_ : 0),
-            false);
+        const auto reason = fmt::format("command {}.{} is older than one that this agent has seen, of leader {}",
+            number.fence_, number.sequence_, highestFence());
+        return refusal(reason, false);
     }
     // A refused command raises the number too, so that older commands are refused from now on.
     highest_.emplace(number);
@@ -63,12 +65,18 @@
     return running_ || now < quietUntil_;
 }
 
+auto Fence::highestFence() const -> std::uint64_t
+{
+    return std::max(lowestFence_.value_or(0), highest_ ? highest_->fence_ : 0);
+}
+
 auto Fence::refusal(const std::string &reason, bool retry) const -> Verdict
 {
-    return Refuse {Failure {.step_ = "command",
-        .reason_ = reason,
-        .runState_ = RunState::NotRun,
-        .retryAfter_ = retry ? std::optional(commandRetryAfter) : std::nullopt}};
+    return Refuse {.highestFence_ = highestFence(),
+        .failure_ = {.step_ = "command",
+            .reason_ = reason,
+            .runState_ = RunState::NotRun,
+            .retryAfter_ = retry ? std::optional(commandRetryAfter) : std::nullopt}};
 }
 
 } // namespace jasminewood::placement
--- a/packages/placement/tests/fence_test.cpp
+++ b/packages/placement/tests/fence_test.cpp
@@ -80,7 +80,8 @@
                     [] {
                         auto fence = confirmed(Fencing::Ignored, 5);
                         check(refused(fence.offer(command(6, 1), start)));
-                        check(refused(fence.offer(command(5, 9), settled)));
+                        const auto older = fence.offer(command(5, 9), settled);
+                        check(refused(older) && std::get<Refuse>(older).highestFence_ == 6);
                         check(fence.offer(command(7, 1, Observe {}), settled) == executed);
                         check(refused(fence.offer(command(6, 2), settled)));
                     }),
--- a/packages/placement/tests/placement_model.cpp
+++ b/packages/placement/tests/placement_model.cpp
@@ -15,7 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t routerCount = 3;
-constexpr std::size_t upstreamCount = 4;
+constexpr std::size_t upstreamCount = 6;
 constexpr auto loadTime = 20s;
 // A command without an answer starts this late at most.
 constexpr auto latestStart = 60s;
--- a/packages/placement/tests/placement_model.h
+++ b/packages/placement/tests/placement_model.h
@@ -152,8 +152,8 @@
     std::vector<Router> routers_;
     std::vector<Upstream> upstreams_;
     std::list<Message> messages_;
-    Demand demand_ = {{"chat", 4}, {"quote", 8}};
-    Demand otherDemand_ = {{"chat", 8}, {"quote", 4}};
+    Demand demand_ = {{"chat", 4}, {"quote", 16}};
+    Demand otherDemand_ = {{"chat", 16}, {"quote", 4}};
     std::size_t loads_ = 0;
     std::string violation_;
 };
