Count each crash of an upstream once, also when it restarts at once

Cause: the agent gave a crash a new name only after a first token since the last one. Change: each call remembers how many crashes were known when it began; calls with the same number ended by the same crash, and a later call by the next.

--- a/packages/agent/include/jasminewood/agent/upstream.h
+++ b/packages/agent/include/jasminewood/agent/upstream.h
@@ -101,8 +101,11 @@
         const OutputHandler &onOutput) -> CallOutcome;
     auto request(const std::string &baseUrl, const wire::Dispatch &dispatch, std::string body) const
         -> http::ClientRequest;
-    auto broken(const std::string &baseUrl, const Failure &failure, std::uint32_t outputTokens) const -> CallBroken;
-    auto crashName() const -> std::string;
+    auto broken(const std::string &baseUrl, std::uint64_t crashesBefore, const Failure &failure,
+        std::uint32_t outputTokens) const -> CallBroken;
+    auto crashName(std::uint64_t crashesBefore) const -> std::string;
+    // Crashes of the upstream that were found so far.
+    auto crashes() const -> std::uint64_t;
     auto measureFirst(Microseconds elapsed) -> void;
     auto measureBetween(Microseconds elapsed) -> void;
 
@@ -115,7 +118,6 @@
     double betweenTokensMicros_ = 0;
     // Counts crashes; one is counted once although it breaks many calls.
     mutable std::uint64_t crashes_ = 0;
-    mutable bool crashCounted_ = false;
 };
 
 } // namespace jasminewood::agent
--- a/packages/agent/src/upstream.cpp
+++ b/packages/agent/src/upstream.cpp
@@ -1,5 +1,6 @@
 #include "jasminewood/agent/upstream.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "jasminewood/core/overloaded.h"
@@ -95,6 +96,7 @@
     if (!body) {
         return CallBroken {.failure_ = body.reason()};
     }
+    const auto crashesBefore = crashes();
     auto reader = engine::SseReader();
     auto errorBody = std::string();
     auto finishReason = std::string();
@@ -139,17 +141,19 @@
             return true;
         });
     if (fault || reader.fault()) {
-        return broken(engine.baseUrl_, ranBut(engine.baseUrl_, (fault ? fault : reader.fault())->reason_), tokens);
+        return broken(
+            engine.baseUrl_, crashesBefore, ranBut(engine.baseUrl_, (fault ? fault : reader.fault())->reason_), tokens);
     }
     if (!ended) {
-        return broken(engine.baseUrl_, ended.reason(), tokens);
+        return broken(engine.baseUrl_, crashesBefore, ended.reason(), tokens);
     }
     if (status >= firstErrorStatus) {
         onOutput(errorBody, 0);
         return CallComplete {.status_ = static_cast<std::uint16_t>(status), .contentType_ = "application/json"};
     }
     if (!done) {
-        return broken(engine.baseUrl_, ranBut(engine.baseUrl_, "the engine's stream has no end"), tokens);
+        return broken(
+            engine.baseUrl_, crashesBefore, ranBut(engine.baseUrl_, "the engine's stream has no end"), tokens);
     }
     return CallComplete {.status_ = static_cast<std::uint16_t>(status),
         .contentType_ = "text/event-stream",
@@ -161,6 +165,7 @@
     const OutputHandler &onOutput) -> CallOutcome
 {
     auto contentType = std::string("application/octet-stream");
+    const auto crashesBefore = crashes();
     const auto begun = Clock::now();
     const auto ended = call.perform(
         request(service.baseUrl_, dispatch, dispatch.body_),
@@ -173,13 +178,13 @@
             return onOutput(data, 0);
         });
     if (!ended) {
-        return broken(service.baseUrl_, ended.reason(), 0);
+        return broken(service.baseUrl_, crashesBefore, ended.reason(), 0);
     }
     return CallComplete {.status_ = static_cast<std::uint16_t>(*ended), .contentType_ = contentType};
 }
 
-auto Upstream::broken(const std::string &baseUrl, const Failure &failure, std::uint32_t outputTokens) const
-    -> CallBroken
+auto Upstream::broken(const std::string &baseUrl, std::uint64_t crashesBefore, const Failure &failure,
+    std::uint32_t outputTokens) const -> CallBroken
 {
     // A call that was cancelled here says nothing of the upstream.
     if (failure.step_ == "cancel") {
@@ -188,18 +193,23 @@
     const auto alive = http::fetch(http::ClientRequest {.url_ = baseUrl + "/health", .timeout_ = healthTimeout});
     const auto refused = !alive && alive.reason().step_ == "connect";
     const auto began = failure.runState_ != RunState::NotRun;
-    return CallBroken {
-        .failure_ = failure, .crash_ = refused && began ? crashName() : std::string(), .outputTokens_ = outputTokens};
+    return CallBroken {.failure_ = failure,
+        .crash_ = refused && began ? crashName(crashesBefore) : std::string(),
+        .outputTokens_ = outputTokens};
 }
 
-auto Upstream::crashName() const -> std::string
+auto Upstream::crashName(std::uint64_t crashesBefore) const -> std::string
 {
+    // Calls that began between the same two crashes ended by the same one.
     const auto lock = std::lock_guard(mutex_);
-    if (!crashCounted_) {
-        crashCounted_ = true;
-        ++crashes_;
-    }
-    return toString(environment_->identity().node_) + "/" + std::to_string(crashes_);
+    crashes_ = std::max(crashes_, crashesBefore + 1);
+    return toString(environment_->identity().node_) + "/" + std::to_string(crashesBefore + 1);
+}
+
+auto Upstream::crashes() const -> std::uint64_t
+{
+    const auto lock = std::lock_guard(mutex_);
+    return crashes_;
 }
 
 auto Upstream::times() const -> UpstreamTimes
@@ -213,8 +223,6 @@
 {
     const auto lock = std::lock_guard(mutex_);
     firstTokenMicros_ = blend(firstTokenMicros_, elapsed);
-    // The upstream answers again, so the next crash is another one.
-    crashCounted_ = false;
 }
 
 auto Upstream::measureBetween(Microseconds elapsed) -> void
