Tell the other routers of a crash at once

Change: Limits calls a handler after each crash that it notes, and Peers broadcasts the points from it before the request goes on.

--- a/packages/router/include/jasminewood/router/limits.h
+++ b/packages/router/include/jasminewood/router/limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -44,6 +45,8 @@
     auto tryHedge() -> bool;
     auto firstToken(const std::string &requestClass, Microseconds duration) -> void;
 
+    // Calls the handler after each crash that this router notes. To be set before the first request.
+    auto onCrash(std::function<auto()->void> handler) -> void;
     auto crashed(const std::string &crash, std::uint64_t fingerprint) -> void;
     auto completed(std::uint64_t fingerprint) -> void;
     auto verdict(std::uint64_t fingerprint) const -> routing::Verdict;
@@ -62,6 +65,8 @@
 
     std::shared_ptr<node::ManifestStore> manifests_;
 
+    std::function<auto()->void> crashHandler_;
+
     mutable std::mutex mutex_;
     admission::AccountLimiter accounts_;
     admission::AccountLimits configured_;
--- a/packages/router/src/limits.cpp
+++ b/packages/router/src/limits.cpp
@@ -1,5 +1,7 @@
 #include "jasminewood/router/limits.h"
 
+#include <utility>
+
 #include <algorithm>
 
 namespace jasminewood::router
@@ -89,10 +91,20 @@
     hedges_.firstToken(requestClass, duration);
 }
 
+auto Limits::onCrash(std::function<auto()->void> handler) -> void
+{
+    crashHandler_ = std::move(handler);
+}
+
 auto Limits::crashed(const std::string &crash, std::uint64_t fingerprint) -> void
 {
-    const auto lock = std::lock_guard(mutex_);
-    suspicion_.crashed(crash, {fingerprint}, Clock::now());
+    {
+        const auto lock = std::lock_guard(mutex_);
+        suspicion_.crashed(crash, {fingerprint}, Clock::now());
+    }
+    if (crashHandler_) {
+        crashHandler_();
+    }
 }
 
 auto Limits::completed(std::uint64_t fingerprint) -> void
--- a/packages/router/src/peers.cpp
+++ b/packages/router/src/peers.cpp
@@ -86,6 +86,10 @@
     manifests_->subscribe([this](const node::ManifestPointer &manifest) -> void {
         broadcast(wire::ManifestUpdate {.revision_ = manifest->revision_, .text_ = manifest->text_});
     });
+    // A caller who is told of a crash may repeat the request over another router at once.
+    limits_->onCrash([this]() -> void {
+        broadcast(suspicionsMessage(limits_->crashReports()));
+    });
     acceptor_ = std::thread([this]() -> void {
         acceptRouters();
     });
