--- a/packages/testbench/src/history_checker.cpp
+++ b/packages/testbench/src/history_checker.cpp
@@ -157,6 +157,10 @@
         for (const auto &[time, end] : eventsOf<ProcessEnded>(history_)) {
             ended.emplace(end->process_, time);
         }
+        auto last = Microseconds(0);
+        for (const auto &event : history_) {
+            last = std::max(last, event.time_);
+        }
         for (const auto &[acceptedAt, accepted] : eventsOf<ManifestAccepted>(history_)) {
             for (const auto &[startedAt, started] : eventsOf<ProcessStarted>(history_)) {
                 const auto due = std::max(acceptedAt, startedAt) + limits_.manifestInForce_;
--- /dev/null
+++ b/packages/testbench/tests/failures/crash_stories_test.cpp
@@ -0,0 +1,98 @@
+#include <atomic>
+
+#include <fmt/format.h>
+
+#include "jasminewood/testkit/story.h"
+#include "scene.h"
+
+using namespace jasminewood;
+using namespace jasminewood::testbench;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+constexpr auto maximumCrashes = std::size_t(2);
+
+// Starts crashed engines again, as the platform does, and counts the crashes.
+class EngineKeeper
+{
+public:
+    explicit EngineKeeper(Scene &scene)
+        : scene_(scene)
+        , keepers_(scene.system().engines().size(), [this](std::size_t number) {
+            keep(scene_.system().engines()[number]);
+        })
+    {
+    }
+
+    ~EngineKeeper()
+    {
+        stopped_ = true;
+    }
+
+    EngineKeeper(const EngineKeeper &) = delete;
+    auto operator=(const EngineKeeper &) -> EngineKeeper & = delete;
+
+    Counter crashes_;
+
+private:
+    auto keep(const std::string &engine) -> void
+    {
+        while (!stopped_) {
+            if (scene_.system().waitExit(engine, Milliseconds(100))) {
+                crashes_.add();
+                scene_.restart(engine);
+            }
+        }
+    }
+
+    Scene &scene_;
+    std::atomic<bool> stopped_ = false;
+    Callers keepers_;
+};
+
+const testkit::Story story = {"a request that crashes each engine",
+    {
+        section("beside requests that do not",
+            {
+                // Guards against a request that takes down one engine after another, and against requests that are
+                // refused only because they ran beside it.
+                test("is refused after two crashes over all routers while the others complete",
+                    [] {
+                        auto scene = Scene({.engines_ = 3, .bookings_ = 0});
+                        scene.awaitPeers();
+                        auto begun = Counter();
+                        {
+                            auto keeper = EngineKeeper(scene);
+                            auto innocent = Callers(9, [&](std::size_t caller) {
+                                auto noted = false;
+                                const auto end = scene.chat({.router_ = fmt::format("router-{}", caller % 3 + 1),
+                                    .message_ = fmt::format("innocent {} [tokens=250]", caller),
+                                    .onTokens_ = [&](std::size_t tokens) -> void {
+                                        if (tokens > 0 && !noted) {
+                                            noted = true;
+                                            begun.add();
+                                        }
+                                    }});
+                                check(end.answered_, toString(end));
+                            });
+                            begun.waitFor(9);
+                            for (const auto &router : scene.system().routers()) {
+                                const auto end
+                                    = scene.chat({.router_ = router, .message_ = "please [crash]", .stream_ = false});
+                                check(end.status_ == 422 && end.step_ == "quarantine", toString(end));
+                            }
+                            innocent.join();
+                            check(keeper.crashes_.count() <= maximumCrashes,
+                                fmt::format("{} crashes", keeper.crashes_.count()));
+                            check(keeper.crashes_.count() > 0, "no engine crashed");
+                        }
+                        scene.checkHistory();
+                    }),
+            }),
+    }};
+
+} // namespace
--- a/packages/testbench/tests/failures/scene.h
+++ b/packages/testbench/tests/failures/scene.h
@@ -141,6 +141,9 @@
     // Waits until a manifest of at least this revision is in force in each named process; fails the test otherwise.
     auto awaitManifest(const std::vector<std::string> &names, std::uint64_t revision) -> void;
 
+    // Waits until each router is connected to all others; fails the test otherwise.
+    auto awaitPeers() -> void;
+
     // Routers and agents.
     auto processes() -> std::vector<std::string>;
 
