--- a/packages/agent/src/upstream.cpp
+++ b/packages/agent/src/upstream.cpp
@@ -1,5 +1,6 @@
 #include "jasminewood/agent/upstream.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "jasminewood/core/overloaded.h"
@@ -58,6 +59,7 @@
 auto Upstream::call(const EngineUpstream &engine, const wire::Dispatch &dispatch, http::StreamCall &call,
     const OutputHandler &onOutput) -> CallOutcome
 {
+    const auto crashesBefore = crashes();
     auto tokens = std::uint32_t(0);
     auto last = Clock::now();
     const auto outcome = engine::performChat(call,
@@ -76,7 +78,7 @@
             return onOutput(text, ++tokens);
         });
     if (!outcome) {
-        return broken(engine.baseUrl_, outcome.reason(), tokens);
+        return broken(engine.baseUrl_, crashesBefore, outcome.reason(), tokens);
     }
     return std::visit(Overloaded {[](const engine::ChatFinished &finished) -> CallOutcome {
                                       return CallComplete {.status_ = okStatus,
@@ -114,6 +116,7 @@
     const OutputHandler &onOutput) -> CallOutcome
 {
     auto contentType = std::string("application/octet-stream");
+    const auto crashesBefore = crashes();
     const auto begun = Clock::now();
     const auto ended = call.perform(
         serviceRequest(service.baseUrl_, dispatch),
@@ -126,13 +129,13 @@
             return onOutput(data, 0);
         });
     if (!ended) {
-        return broken(service.baseUrl_, ended.reason(), 0);
+        return broken(service.baseUrl_, crashesBefore, ended.reason(), 0);
     }
     return CallComplete {.status_ = static_cast<std::uint16_t>(*ended), .contentType_ = contentType};
 }
 
-auto Upstream::broken(const std::string &baseUrl, const Failure &failure, std::uint32_t outputTokens) const
-    -> CallBroken
+auto Upstream::broken(const std::string &baseUrl, std::uint64_t crashesBefore, const Failure &failure,
+    std::uint32_t outputTokens) const -> CallBroken
 {
     // A call that was cancelled here says nothing of the upstream.
     if (failure.step_ == "cancel") {
@@ -141,18 +144,23 @@
     const auto unhealthy = engine::probe(baseUrl, healthTimeout);
     const auto refused = unhealthy && unhealthy->step_ == "connect";
     const auto began = failure.runState_ != RunState::NotRun;
-    return CallBroken {
-        .failure_ = failure, .crash_ = refused && began ? crashName() : std::string(), .outputTokens_ = outputTokens};
+    return CallBroken {.failure_ = failure,
+        .crash_ = refused && began ? crashName(crashesBefore) : std::string(),
+        .outputTokens_ = outputTokens};
 }
 
-auto Upstream::crashName() const -> std::string
+auto Upstream::crashName(std::uint64_t crashesBefore) const -> std::string
 {
+    // Calls that began between the same two crashes ended by the same one.
     const auto lock = std::lock_guard(mutex_);
-    if (!crashCounted_) {
-        crashCounted_ = true;
-        ++crashes_;
-    }
-    return toString(environment_->identity().node_) + "/" + std::to_string(crashes_);
+    crashes_ = std::max(crashes_, crashesBefore + 1);
+    return toString(environment_->identity().node_) + "/" + std::to_string(crashesBefore + 1);
+}
+
+auto Upstream::crashes() const -> std::uint64_t
+{
+    const auto lock = std::lock_guard(mutex_);
+    return crashes_;
 }
 
 auto Upstream::times() const -> UpstreamTimes
@@ -166,8 +174,6 @@
 {
     const auto lock = std::lock_guard(mutex_);
     firstTokenMicros_ = blend(firstTokenMicros_, elapsed);
-    // The upstream answers again, so the next crash is another one.
-    crashCounted_ = false;
 }
 
 auto Upstream::measureBetween(Microseconds elapsed) -> void
