Measure how cost grows with size

Change: program slopes in packages/testbench/slopes measures decisions, messages, memory, claims, subsets of replicas, idle links and open streams at four sizes or more with least-squares fits; scripts/measure-slopes starts the programs that it needs.

--- /dev/null
+++ b/packages/testbench/slopes/decisions.cpp
@@ -0,0 +1,140 @@
+#include "decisions.h"
+
+#include <random>
+
+#include <fmt/format.h>
+
+#include "jasminewood/admission/account_limiter.h"
+#include "jasminewood/routing/policy.h"
+#include "jasminewood/scheduling/gate_queue.h"
+#include "process.h"
+#include "report.h"
+#include "sample.h"
+
+namespace jasminewood::slopes
+{
+
+namespace
+{
+
+constexpr std::uint64_t candidateSeed = 20'261'204;
+
+auto candidates(std::size_t count) -> std::vector<routing::Candidate>
+{
+    auto random = std::mt19937_64(candidateSeed);
+    auto made = std::vector<routing::Candidate>();
+    for (auto index = std::size_t(0); index < count; ++index) {
+        made.push_back(
+            routing::Candidate {.node_ = {.name_ = fmt::format("agent-lj-a-{:05}", index), .incarnation_ = index + 1},
+                .dataCentre_ = "lj-a",
+                .outstanding_ = static_cast<std::uint32_t>(random() % 4),
+                .queuedAhead_ = static_cast<std::uint32_t>(random() % 20),
+                .freeSlots_ = static_cast<std::uint32_t>(random() % 8)});
+    }
+    return made;
+}
+
+auto measureRouting(const std::string &slope, const std::vector<std::size_t> &sizes) -> void
+{
+    auto points = Points();
+    for (const auto size : sizes) {
+        const auto known = candidates(size);
+        auto chooser = routing::Chooser(candidateSeed, "lj-a");
+        auto prefix = std::uint64_t(0);
+        points.push_back(Point {static_cast<double>(size), meanMicroseconds([&]() -> void {
+                                    ++prefix;
+                                    static_cast<void>(chooser.choose(routing::Weighted {},
+                                        routing::Request {.prefixHash_ = prefix, .tier_ = 1}, known));
+                                })});
+    }
+    printSlope(slope, points, "us");
+}
+
+auto gatePolicy(std::uint32_t queueLimit) -> scheduling::GatePolicy
+{
+    auto classes = std::vector<scheduling::ClassPolicy>();
+    for (auto tier = std::size_t(0); tier < sampleClasses; ++tier) {
+        classes.push_back(scheduling::ClassPolicy {
+            .name_ = fmt::format("class-{}", tier), .tier_ = static_cast<Tier>(tier), .minimumShare_ = 0.05});
+    }
+    return scheduling::GatePolicy {
+        .classes_ = std::move(classes), .concurrency_ = 1, .longLaneSlots_ = 1, .queueLimit_ = queueLimit};
+}
+
+auto entry(std::size_t index) -> scheduling::Entry
+{
+    const auto tier = index % sampleClasses;
+    return scheduling::Entry {.attempt_ = {.request_ = fmt::format("r-lj-a-01-{:08}", index), .number_ = 1},
+        .account_ = accountName(index % 64),
+        .requestClass_ = fmt::format("class-{}", tier),
+        .tier_ = static_cast<Tier>(tier),
+        .costEstimate_ = 365,
+        .maximumWait_ = Milliseconds(600'000),
+        .enqueuedAt_ = TimePoint() + Milliseconds(index)};
+}
+
+// The queue of a gate that is filled up to the length.
+auto filledQueue(std::size_t length, std::size_t places) -> std::shared_ptr<scheduling::GateQueue>
+{
+    auto queue = std::make_shared<scheduling::GateQueue>(gatePolicy(static_cast<std::uint32_t>(places)));
+    for (auto index = std::size_t(0); index < length; ++index) {
+        static_cast<void>(queue->enqueue(entry(index), TimePoint() + Milliseconds(index)));
+    }
+    return queue;
+}
+
+} // namespace
+
+auto measureRoutingDecisions() -> void
+{
+    measureRouting("routing decision, all candidates", {12, 100, 1'000, 12'000});
+    measureRouting("routing decision, subset", {4, 8, 16, 32, 64});
+}
+
+auto measureSchedulingDecisions() -> void
+{
+    auto times = Points();
+    auto bytes = Points();
+    for (const auto length : {16, 64, 256, 1'024}) {
+        const auto places = std::size_t(length) * 4;
+        const auto queue = filledQueue(std::size_t(length), places);
+        auto index = std::size_t(length);
+        const auto oneStart = [&]() -> void {
+            const auto now = TimePoint() + Milliseconds(index);
+            const auto started = queue->takeNext(now);
+            if (started) {
+                queue->finished(started->attempt_, 365);
+            }
+            static_cast<void>(queue->enqueue(entry(index), now));
+            ++index;
+        };
+        times.push_back(Point {static_cast<double>(length), meanMicroseconds(oneStart)});
+        bytes.push_back(Point {static_cast<double>(length), heapBytesOf([&]() {
+                                   return filledQueue(std::size_t(length), places);
+                               })});
+    }
+    printSlope("scheduling decision (enqueue, start, finish) per queued request", times, "us");
+    printSlope("gate queue memory per queued request", bytes, "bytes");
+}
+
+auto measureAdmissionDecisions() -> void
+{
+    auto points = Points();
+    for (const auto accounts : {10, 100, 1'000, 4'000, 13'000}) {
+        auto limits = admission::AccountLimits();
+        for (auto index = 0; index < accounts; ++index) {
+            limits.emplace(accountName(std::size_t(index)), admission::AccountLimit {20, 8'000});
+        }
+        auto limiter = admission::AccountLimiter(TimePoint());
+        limiter.configure(limits, 340, TimePoint());
+        auto step = std::size_t(0);
+        points.push_back(Point {static_cast<double>(accounts), meanMicroseconds([&]() -> void {
+                                    ++step;
+                                    static_cast<void>(limiter.admit(accountName(step * 7'919 % std::size_t(accounts)),
+                                        365, TimePoint() + Milliseconds(step)));
+                                })});
+    }
+    printSlope("admission decision per account", points, "us");
+}
+
+} // namespace jasminewood::slopes
--- /dev/null
+++ b/packages/testbench/slopes/sample.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "jasminewood/wire/messages.h"
+
+// Inputs of the size that the measurements ask for, with names as long as in a real deployment.
+
+namespace jasminewood::slopes
+{
+
+constexpr std::size_t sampleClasses = 4;
+constexpr std::size_t sampleModels = 25;
+
+// Returns "account-00017" and the like.
+auto accountName(std::size_t index) -> std::string;
+
+// Returns the text of a manifest with 25 models, 25 pools, 4 classes and this many accounts.
+auto manifestText(std::size_t accounts) -> std::string;
+
+// Returns the usage of this many accounts, each with totals of some thousands.
+auto usageOf(std::size_t accounts) -> wire::Usage;
+
+// Returns the heartbeat of a busy agent.
+auto loadedHeartbeat() -> wire::Heartbeat;
+
+} // namespace jasminewood::slopes
