--- a/packages/testbench/slopes/live.h
+++ b/packages/testbench/slopes/live.h
@@ -22,6 +22,8 @@
     const std::string key_;
     const pid_t router_ = 0;
     const pid_t agent_ = 0;
+    // The agent of the engine that answers at once.
+    const pid_t quickAgent_ = 0;
 };
 
 // An idle router with 4 to 128 agents, and the spread of manifest changes to them.
--- a/packages/testbench/slopes/main.cpp
+++ b/packages/testbench/slopes/main.cpp
@@ -25,6 +25,7 @@
 DEFINE_string(key, "", "bearer key of callers and operators");
 DEFINE_int32(router_pid, 0, "process of the router");
 DEFINE_int32(agent_pid, 0, "process of the agent");
+DEFINE_int32(quick_agent_pid, 0, "process of the agent whose engine answers at once");
 
 namespace
 {
@@ -59,7 +60,8 @@
         .engineUrl_ = FLAGS_engine_url,
         .key_ = FLAGS_key,
         .router_ = FLAGS_router_pid,
-        .agent_ = FLAGS_agent_pid};
+        .agent_ = FLAGS_agent_pid,
+        .quickAgent_ = FLAGS_quick_agent_pid};
     const auto groups = std::map<std::string, std::function<auto(const Deployment &)->void>> {
         {"process", measureProcess},
         {"router", measureIdleRouter},
