Interrupt lower tiers for waiting higher ones and continue them without losing output

Change: an entry of a higher tier that has waited 10 ms interrupts the newest attempt of the lowest tier whose class is above its minimum share; the agent queues that attempt again, without limits, and continues it after the output so far in a later slot, at most 3 times for each attempt. A continued answer has no maximum wait at the router either.

--- a/packages/agent/include/jasminewood/agent/attempt_run.h
+++ b/packages/agent/include/jasminewood/agent/attempt_run.h
@@ -28,13 +28,28 @@
 
     auto dispatch() const -> const wire::Dispatch &;
 
-    // The call to the upstream; cancel() may be called at any time.
-    auto call() -> http::StreamCall &;
+    // The attempt's work that is left: the dispatch, continued after the output so far.
+    auto remaining() const -> wire::Dispatch;
+
+    // Returns the stream call of the next call to the upstream. It is ended at once if the attempt was cancelled.
+    auto newCall() -> std::shared_ptr<http::StreamCall>;
+
+    // Ends the present call, if there is one.
+    auto endCall() -> void;
+
+    // Ends the present call and every later one.
+    auto cancel() -> void;
+
+    auto cancelled() const -> bool;
+
+    // Output tokens so far.
+    auto outputTokens() const -> std::uint32_t;
 
     auto started() -> void;
 
-    // Keeps the output and sends it. Fails if the output exceeds the buffer's limit.
-    auto append(std::string_view data) -> Status;
+    // Keeps the output and sends it; outputTokens counts all tokens of the attempt with it. Fails if the output exceeds
+    // the buffer's limit.
+    auto append(std::string_view data, std::uint32_t outputTokens) -> Status;
 
     // Ends the attempt with a complete answer or a failure.
     auto complete(const CallComplete &outcome, TimePoint now) -> void;
@@ -65,8 +80,10 @@
     auto tellWaiting() -> void;
 
     const wire::Dispatch dispatch_;
-    http::StreamCall call_;
     mutable std::mutex mutex_;
+    std::shared_ptr<http::StreamCall> call_;
+    bool cancelled_ = false;
+    std::uint32_t outputTokens_ = 0;
     std::shared_ptr<link::Connection> router_;
     std::vector<std::shared_ptr<link::Connection>> waiting_;
     std::optional<TimePoint> detachedAt_;
--- a/packages/agent/include/jasminewood/agent/gate.h
+++ b/packages/agent/include/jasminewood/agent/gate.h
@@ -32,6 +32,8 @@
 
 // A router whose connection broke may attach again within this time before its idempotent attempts are cancelled.
 constexpr Milliseconds attachGrace = Milliseconds(5000);
+// How often an attempt makes room for higher tiers before it keeps its slot to the end.
+constexpr std::uint32_t maximumInterruptions = 3;
 // Output of a finished attempt is kept for this long, for a router that attaches or voids late.
 constexpr Milliseconds outputRetention = Milliseconds(60'000);
 
@@ -81,6 +83,19 @@
 
     using Refusals = std::vector<Refusal>;
 
+    // How far an interrupted attempt is.
+    enum class Interruption : std::uint8_t
+    {
+        // Its call is being ended.
+        Ending,
+        // Queued again.
+        Waiting,
+        // Has a slot again.
+        Granted,
+        // Will not continue.
+        Withdrawn,
+    };
+
     auto enqueue(const wire::Dispatch &message, const Router &router, Refusals &refusals)
         -> std::optional<wire::Failed>;
     auto entryOf(const wire::Dispatch &message, TimePoint now) const -> scheduling::Entry;
@@ -91,6 +106,10 @@
         -> void;
     auto assignSlots() -> void;
     auto startAttempt(const scheduling::Entry &entry) -> void;
+    auto withdraw(const AttemptId &attempt, const std::string &reason, Refusals &refusals) -> bool;
+    auto callUpstream(AttemptRun &run) -> CallOutcome;
+    auto awaitSlot(const AttemptRun &run) -> bool;
+    auto interrupt(const AttemptId &attempt) -> void;
     auto runAttempt(AttemptRun &run) -> void;
     auto freeSlot(const wire::Dispatch &dispatch, const CallOutcome &outcome, std::uint32_t outputTokens) -> void;
     auto finish(AttemptRun &run, const CallComplete &outcome) -> void;
@@ -113,6 +132,10 @@
     std::map<std::string, double> accountWeights_;
     std::optional<AttemptLedger> ledger_;
     std::map<AttemptId, std::shared_ptr<AttemptRun>> runs_;
+    // Attempts that were told to make room, until they end or their call was continued.
+    std::map<AttemptId, Interruption> interrupted_;
+    // How often each running attempt was interrupted.
+    std::map<AttemptId, std::uint32_t> interruptions_;
     std::uint32_t activeTasks_ = 0;
     // Counts changes of queue, slots and leaving state.
     std::uint64_t loadVersion_ = 0;
--- a/packages/agent/src/attempt_run.cpp
+++ b/packages/agent/src/attempt_run.cpp
@@ -16,11 +16,67 @@
     return dispatch_;
 }
 
-auto AttemptRun::call() -> http::StreamCall &
+auto AttemptRun::remaining() const -> wire::Dispatch
 {
+    const auto lock = std::lock_guard(mutex_);
+    return wire::Dispatch {.attempt_ = dispatch_.attempt_,
+        .expectedIncarnation_ = dispatch_.expectedIncarnation_,
+        .account_ = dispatch_.account_,
+        .requestClass_ = dispatch_.requestClass_,
+        .tier_ = dispatch_.tier_,
+        .method_ = dispatch_.method_,
+        .path_ = dispatch_.path_,
+        .body_ = dispatch_.body_,
+        .contentType_ = dispatch_.contentType_,
+        .idempotencyKey_ = dispatch_.idempotencyKey_,
+        .stream_ = dispatch_.stream_,
+        .idempotent_ = dispatch_.idempotent_,
+        .suspect_ = dispatch_.suspect_,
+        .maximumWait_ = dispatch_.maximumWait_,
+        .costEstimate_ = dispatch_.costEstimate_,
+        .resumeText_ = dispatch_.resumeText_ + std::string(output_.from(0)),
+        .resumeTokens_ = dispatch_.resumeTokens_ + outputTokens_};
+}
+
+auto AttemptRun::newCall() -> std::shared_ptr<http::StreamCall>
+{
+    const auto lock = std::lock_guard(mutex_);
+    call_ = std::make_shared<http::StreamCall>();
+    if (cancelled_) {
+        call_->cancel();
+    }
     return call_;
 }
 
+auto AttemptRun::endCall() -> void
+{
+    const auto lock = std::lock_guard(mutex_);
+    if (call_) {
+        call_->cancel();
+    }
+}
+
+auto AttemptRun::cancel() -> void
+{
+    const auto lock = std::lock_guard(mutex_);
+    cancelled_ = true;
+    if (call_) {
+        call_->cancel();
+    }
+}
+
+auto AttemptRun::cancelled() const -> bool
+{
+    const auto lock = std::lock_guard(mutex_);
+    return cancelled_;
+}
+
+auto AttemptRun::outputTokens() const -> std::uint32_t
+{
+    const auto lock = std::lock_guard(mutex_);
+    return outputTokens_;
+}
+
 auto AttemptRun::started() -> void
 {
     const auto lock = std::lock_guard(mutex_);
@@ -28,9 +84,10 @@
     send(wire::Started {.attempt_ = dispatch_.attempt_});
 }
 
-auto AttemptRun::append(std::string_view data) -> Status
+auto AttemptRun::append(std::string_view data, std::uint32_t outputTokens) -> Status
 {
     const auto lock = std::lock_guard(mutex_);
+    outputTokens_ = outputTokens;
     const auto offset = output_.length();
     if (const auto failure = output_.append(data)) {
         return failure;
--- a/packages/agent/src/gate.cpp
+++ b/packages/agent/src/gate.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "jasminewood/core/overloaded.h"
+
 namespace jasminewood::agent
 {
 
@@ -36,6 +38,40 @@
         .queueLimit_ = pool.queueLimit_};
 }
 
+// An interrupted attempt queues again without the limits of a new one.
+auto continuedEntry(const scheduling::Entry &entry, std::uint32_t interruptions) -> scheduling::Entry
+{
+    return scheduling::Entry {.attempt_ = entry.attempt_,
+        .account_ = entry.account_,
+        .accountWeight_ = entry.accountWeight_,
+        .requestClass_ = entry.requestClass_,
+        .tier_ = entry.tier_,
+        .costEstimate_ = entry.costEstimate_,
+        .suspect_ = entry.suspect_,
+        .longExpected_ = entry.longExpected_,
+        .preemptible_ = interruptions < maximumInterruptions,
+        .continues_ = true,
+        .enqueuedAt_ = entry.enqueuedAt_};
+}
+
+// Adds the tokens of the calls before an interruption.
+auto withTokensBefore(const CallOutcome &outcome, std::uint32_t before) -> CallOutcome
+{
+    return std::visit(Overloaded {[before](const CallComplete &complete) -> CallOutcome {
+                                      return CallComplete {.status_ = complete.status_,
+                                          .contentType_ = complete.contentType_,
+                                          .finishReason_ = complete.finishReason_,
+                                          .promptTokens_ = complete.promptTokens_,
+                                          .outputTokens_ = complete.outputTokens_ + before};
+                                  },
+                          [before](const CallBroken &broken) -> CallOutcome {
+                              return CallBroken {.failure_ = broken.failure_,
+                                  .crash_ = broken.crash_,
+                                  .outputTokens_ = broken.outputTokens_ + before};
+                          }},
+        outcome);
+}
+
 auto runStateOf(AttemptState state) -> RunState
 {
     switch (state) {
@@ -85,7 +121,7 @@
         stopping_ = true;
         leaving_ = true;
         for (const auto &[attempt, run] : runs_) {
-            run->call().cancel();
+            run->cancel();
         }
         changed_.notify_all();
     }
@@ -153,6 +189,7 @@
         .costEstimate_ = learned.value_or(message.costEstimate_),
         .suspect_ = message.suspect_,
         .longExpected_ = lengths_.likelyLong(message.requestClass_, message.account_, longTokens_),
+        .preemptible_ = message.stream_ && message.idempotent_,
         .maximumWait_ = message.maximumWait_,
         .enqueuedAt_ = now};
 }
@@ -188,13 +225,13 @@
     {
         const auto lock = std::lock_guard(mutex_);
         const auto run = find(message.attempt_);
-        if (queue_.remove(message.attempt_)) {
-            neverStart(message.attempt_, "cancelled before it started", refusals);
+        if (withdraw(message.attempt_, "cancelled before it started", refusals)) {
+            environment_->event(message.attempt_, "withdraw", router->peer().node_.name_);
         } else if (!run) {
             // Also an attempt that is still on its way must not start after this answer.
             unknown = runStateOf(ledger_->voidAttempt(message.attempt_, Clock::now()));
         } else if (run->dispatch().idempotent_) {
-            run->call().cancel();
+            run->cancel();
         }
         loadChanged();
     }
@@ -238,9 +275,7 @@
     auto run = std::shared_ptr<AttemptRun>();
     {
         const auto lock = std::lock_guard(mutex_);
-        if (queue_.remove(message.attempt_)) {
-            neverStart(message.attempt_, "voided by another router", refusals);
-        }
+        withdraw(message.attempt_, "voided by another router", refusals);
         runState = runStateOf(ledger_->voidAttempt(message.attempt_, Clock::now()));
         run = find(message.attempt_);
     }
@@ -331,6 +366,9 @@
             startAttempt(*entry);
             ++loadVersion_;
         }
+        while (const auto victim = queue_.preempt(now)) {
+            interrupt(*victim);
+        }
         if (now >= nextSweep) {
             endUnattached(now, refusals);
             forgetOldRuns(now);
@@ -342,13 +380,20 @@
             lock.lock();
             continue;
         }
-        const auto expiry = queue_.nextExpiry();
-        changed_.wait_until(lock, expiry ? std::min(*expiry, nextSweep) : nextSweep);
+        const auto expiry = queue_.nextExpiry().value_or(nextSweep);
+        const auto preemption = queue_.nextPreemption(now).value_or(nextSweep);
+        changed_.wait_until(lock, std::min({expiry, preemption, nextSweep}));
     }
 }
 
 auto Gate::startAttempt(const scheduling::Entry &entry) -> void
 {
+    const auto interrupted = interrupted_.find(entry.attempt_);
+    if (interrupted != interrupted_.end()) {
+        interrupted->second = Interruption::Granted;
+        changed_.notify_all();
+        return;
+    }
     const auto run = find(entry.attempt_);
     if (!run || !ledger_->start(entry.attempt_)) {
         queue_.finished(entry.attempt_, 0);
@@ -360,18 +405,21 @@
     }).detach();
 }
 
+auto Gate::interrupt(const AttemptId &attempt) -> void
+{
+    if (const auto run = find(attempt)) {
+        environment_->event(attempt, "interrupt");
+        interrupted_.insert_or_assign(attempt, Interruption::Ending);
+        run->endCall();
+    }
+}
+
 auto Gate::runAttempt(AttemptRun &run) -> void
 {
     const auto &dispatch = run.dispatch();
     environment_->event(dispatch.attempt_, "start", "", dispatch.requestClass_);
     run.started();
-    const auto outcome
-        = upstream_->call(dispatch, run.call(), [&](std::string_view text, std::uint32_t outputTokens) -> bool {
-              const auto overflow = run.append(text);
-              const auto lock = std::lock_guard(mutex_);
-              queue_.progress(dispatch.attempt_, outputTokens);
-              return !overflow;
-          });
+    const auto outcome = callUpstream(run);
     const auto outputTokens = std::visit(
         [](const auto &ended) -> std::uint32_t {
             return ended.outputTokens_;
@@ -387,10 +435,74 @@
     const auto *broken = std::get_if<CallBroken>(&outcome);
     const auto lock = std::lock_guard(mutex_);
     ledger_->ended(dispatch.attempt_, broken == nullptr ? RunState::Ran : broken->failure_.runState_);
+    interruptions_.erase(dispatch.attempt_);
     --activeTasks_;
     changed_.notify_all();
 }
 
+auto Gate::callUpstream(AttemptRun &run) -> CallOutcome
+{
+    const auto attempt = run.dispatch().attempt_;
+    while (true) {
+        const auto before = run.outputTokens();
+        const auto call = run.newCall();
+        auto outcome
+            = upstream_->call(run.remaining(), *call, [&](std::string_view text, std::uint32_t outputTokens) -> bool {
+                  const auto overflow = run.append(text, before + outputTokens);
+                  const auto lock = std::lock_guard(mutex_);
+                  queue_.progress(attempt, before + outputTokens);
+                  return !overflow;
+              });
+        const auto *broken = std::get_if<CallBroken>(&outcome);
+        const auto ended = broken != nullptr && broken->failure_.step_ == "cancel";
+        if (!ended || !awaitSlot(run)) {
+            const auto lock = std::lock_guard(mutex_);
+            interrupted_.erase(attempt);
+            return withTokensBefore(outcome, before);
+        }
+    }
+}
+
+auto Gate::awaitSlot(const AttemptRun &run) -> bool
+{
+    const auto &dispatch = run.dispatch();
+    auto lock = std::unique_lock(mutex_);
+    const auto interrupted = interrupted_.find(dispatch.attempt_);
+    if (interrupted == interrupted_.end() || run.cancelled() || stopping_) {
+        return false;
+    }
+    queue_.finished(dispatch.attempt_, run.outputTokens());
+    auto &count = interruptions_[dispatch.attempt_];
+    ++count;
+    interrupted->second = Interruption::Waiting;
+    static_cast<void>(queue_.enqueue(continuedEntry(entryOf(dispatch, Clock::now()), count), Clock::now()));
+    loadChanged();
+    changed_.wait(lock, [&]() -> bool {
+        return interrupted->second != Interruption::Waiting || stopping_;
+    });
+    const auto granted = interrupted->second == Interruption::Granted;
+    if (granted) {
+        interrupted_.erase(interrupted);
+        environment_->event(dispatch.attempt_, "continue");
+    }
+    return granted;
+}
+
+auto Gate::withdraw(const AttemptId &attempt, const std::string &reason, Refusals &refusals) -> bool
+{
+    if (!queue_.remove(attempt)) {
+        return false;
+    }
+    const auto interrupted = interrupted_.find(attempt);
+    if (interrupted != interrupted_.end()) {
+        interrupted->second = Interruption::Withdrawn;
+        changed_.notify_all();
+    } else {
+        neverStart(attempt, reason, refusals);
+    }
+    return true;
+}
+
 auto Gate::freeSlot(const wire::Dispatch &dispatch, const CallOutcome &outcome, std::uint32_t outputTokens) -> void
 {
     const auto lock = std::lock_guard(mutex_);
@@ -420,10 +532,8 @@
         if (!detachedAt || run->endedAt() || now - *detachedAt < attachGrace) {
             continue;
         }
-        if (queue_.remove(attempt)) {
-            neverStart(attempt, "its router is gone", refusals);
-        } else if (run->dispatch().idempotent_) {
-            run->call().cancel();
+        if (!withdraw(attempt, "its router is gone", refusals) && run->dispatch().idempotent_) {
+            run->cancel();
         }
     }
 }
--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -131,7 +131,8 @@
 
 auto RequestRun::remainingWait(TimePoint now) const -> Milliseconds
 {
-    if (request_.maximumWait_ == Milliseconds(0)) {
+    // An answer that the caller has in part is continued, however long that takes.
+    if (request_.maximumWait_ == Milliseconds(0) || !tracker_.delivered().empty()) {
         return Milliseconds(0);
     }
     const auto left = std::chrono::duration_cast<Milliseconds>(arrivedAt_ + request_.maximumWait_ - now);
@@ -275,8 +276,8 @@
 auto RequestRun::mayTryAgain(const Failure &failure) -> bool
 {
     if (failure.runState_ == RunState::NotRun) {
-        const auto waitLeft
-            = request_.maximumWait_ == Milliseconds(0) || Clock::now() < arrivedAt_ + request_.maximumWait_;
+        const auto now = Clock::now();
+        const auto waitLeft = remainingWait(now) == Milliseconds(0) || now < arrivedAt_ + request_.maximumWait_;
         return waitLeft && ++placements_ < maximumPlacements;
     }
     const auto canContinue = request_.resumable_ || tracker_.delivered().empty();
--- a/packages/scheduling/include/jasminewood/scheduling/gate_queue.h
+++ b/packages/scheduling/include/jasminewood/scheduling/gate_queue.h
@@ -78,6 +78,11 @@
     const bool suspect_ = false;
     // True if the request takes a slot of the long lane from the start.
     const bool longExpected_ = false;
+    // True if the attempt may be interrupted for a higher tier and continued later without losing its output.
+    const bool preemptible_ = false;
+    // True if the attempt was interrupted and waits to go on. It is neither refused nor evicted nor expired, because
+    // its caller already has a part of the answer.
+    const bool continues_ = false;
     // Longest time in the queue; zero means the class's limit.
     const Milliseconds maximumWait_ = Milliseconds(0);
     const TimePoint enqueuedAt_;
@@ -126,6 +131,9 @@
 // When a refused request may be sent again.
 constexpr Milliseconds refusedRetryAfter = Milliseconds(1000);
 
+// A waiting entry may preempt after this time. A slot often frees by itself before.
+constexpr Milliseconds preemptAfter = Milliseconds(10);
+
 // Not thread-safe: one service owns it under its mutex. Memory is bounded by the queue limit, the concurrency and the
 // remembered accounts.
 class GateQueue
@@ -149,6 +157,16 @@
     // Returns the earliest time at which expire() returns something; empty if no entry can expire.
     auto nextExpiry() const -> std::optional<TimePoint>;
 
+    // Returns a running attempt that has to make room for a waiting entry of a higher tier, and marks it; empty if
+    // there is none. The caller interrupts it and reports finished(). Takes the newest preemptible attempt of the
+    // lowest tier, from no class at or below its minimum share, and at most one for each entry that has waited for
+    // preemptAfter.
+    auto preempt(TimePoint now) -> std::optional<AttemptId>;
+
+    // Returns the earliest time at which preempt() may return something that it does not return now; empty if there is
+    // nothing to wait for.
+    auto nextPreemption(TimePoint now) const -> std::optional<TimePoint>;
+
     // Output tokens of a running attempt so far. Work above the estimate is charged at once, and the attempt moves into
     // the long lane after GatePolicy::longTokens_. An attempt that does not run is ignored.
     auto progress(const AttemptId &attempt, std::uint32_t outputTokens) -> void;
@@ -192,6 +210,9 @@
         double charged_;
         // True if the work counts in the share window.
         bool shared_;
+        // Starts are numbered; the newest has the highest number.
+        std::uint64_t started_ = 0;
+        bool preempting_ = false;
     };
 
     using Queue = std::map<Arrival, Waiting>;
@@ -213,6 +234,8 @@
     auto reservedPlaces(const std::string &requestClass) const -> std::uint32_t;
     auto placeFree(const std::string &requestClass) const -> bool;
     auto shortfall(const std::string &requestClass) const -> double;
+    auto aboveShare(const std::string &requestClass) const -> bool;
+    auto victimFor(Tier tier) -> Running *;
 
     std::shared_ptr<const GatePolicy> policy_;
     QueueOrder order_;
@@ -221,6 +244,8 @@
     std::map<AttemptId, Arrival> arrivals_;
     std::set<std::pair<TimePoint, Arrival>> deadlines_;
     std::map<AttemptId, Running> running_;
+    std::uint64_t starts_ = 0;
+    std::uint32_t preempting_ = 0;
     std::uint32_t runningLong_ = 0;
     std::uint32_t runningSuspects_ = 0;
     std::map<std::string, FairAccounts> accounts_;
--- a/packages/scheduling/src/gate_queue.cpp
+++ b/packages/scheduling/src/gate_queue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <tuple>
+#include <utility>
 
 namespace jasminewood::scheduling
 {
@@ -39,6 +40,10 @@
     if (arrivals_.contains(entry.attempt_) || running_.contains(entry.attempt_)) {
         return refusal("attempt is already queued or running", RunState::MayHaveRun, std::nullopt);
     }
+    if (entry.continues_) {
+        admit(std::move(entry));
+        return Queued {};
+    }
     if (const auto limit = deadline(entry); limit && *limit <= now) {
         return refusal("maximum wait has passed", RunState::NotRun, std::nullopt);
     }
@@ -84,6 +89,9 @@
 
 auto GateQueue::deadline(const Entry &entry) const -> std::optional<TimePoint>
 {
+    if (entry.continues_) {
+        return std::nullopt;
+    }
     const auto *policy = classPolicy(entry.requestClass_);
     const auto ownWait = entry.maximumWait_ > Milliseconds(0);
     const auto wait = ownWait || policy == nullptr ? entry.maximumWait_ : policy->maximumWait_;
@@ -164,7 +172,7 @@
     auto victim = queue_.end();
     for (auto position = queue_.begin(); position != queue_.end(); ++position) {
         const auto &entry = position->second.entry_;
-        const auto lower = entry.tier_ > arriving;
+        const auto lower = entry.tier_ > arriving && !entry.continues_;
         const auto lowestSoFar = victim == queue_.end() || entry.tier_ >= victim->second.entry_.tier_;
         if (lower && lowestSoFar && waitingOf(entry.requestClass_) > reservedPlaces(entry.requestClass_)) {
             victim = position;
@@ -184,7 +192,7 @@
     if (shared) {
         shares_.charge(entry.requestClass_, work, now);
     }
-    running_.emplace(entry.attempt_, Running {entry, entry.longExpected_, work, shared});
+    running_.emplace(entry.attempt_, Running {entry, entry.longExpected_, work, shared, ++starts_, false});
     runningLong_ += entry.longExpected_ ? 1 : 0;
     runningSuspects_ += entry.suspect_ ? 1 : 0;
     drop(position);
@@ -217,6 +225,65 @@
     return deadlines_.empty() ? std::nullopt : std::optional(deadlines_.begin()->first);
 }
 
+auto GateQueue::preempt(TimePoint now) -> std::optional<AttemptId>
+{
+    if (!std::holds_alternative<TierAndShare>(order_) || freeSlots() > 0) {
+        return std::nullopt;
+    }
+    auto waited = std::vector<Tier>();
+    for (const auto &[arrival, waiting] : queue_) {
+        if (mayStart(waiting, now) && laneFree(waiting.entry_) && now - waiting.entry_.enqueuedAt_ >= preemptAfter) {
+            waited.push_back(waiting.entry_.tier_);
+        }
+    }
+    if (waited.size() <= preempting_) {
+        return std::nullopt;
+    }
+    // Slots on their way go to the highest tiers; the next one decides whether another attempt has to go.
+    std::sort(waited.begin(), waited.end());
+    auto *victim = victimFor(waited[preempting_]);
+    if (victim == nullptr) {
+        return std::nullopt;
+    }
+    victim->preempting_ = true;
+    ++preempting_;
+    return victim->entry_.attempt_;
+}
+
+auto GateQueue::nextPreemption(TimePoint now) const -> std::optional<TimePoint>
+{
+    auto next = std::optional<TimePoint>();
+    for (const auto &[arrival, waiting] : queue_) {
+        const auto due = waiting.entry_.enqueuedAt_ + preemptAfter;
+        if (due > now && (!next || due < *next)) {
+            next = due;
+        }
+    }
+    return next;
+}
+
+auto GateQueue::victimFor(Tier tier) -> Running *
+{
+    Running *victim = nullptr;
+    for (auto &[attempt, running] : running_) {
+        const auto lower = running.entry_.tier_ > tier && running.entry_.preemptible_;
+        if (!lower || running.preempting_ || !aboveShare(running.entry_.requestClass_)) {
+            continue;
+        }
+        const auto rank = std::pair(running.entry_.tier_, running.started_);
+        if (victim == nullptr || rank > std::pair(victim->entry_.tier_, victim->started_)) {
+            victim = &running;
+        }
+    }
+    return victim;
+}
+
+auto GateQueue::aboveShare(const std::string &requestClass) const -> bool
+{
+    const auto *policy = classPolicy(requestClass);
+    return policy == nullptr || policy->minimumShare_ <= 0 || shares_.share(requestClass) > policy->minimumShare_;
+}
+
 auto GateQueue::progress(const AttemptId &attempt, std::uint32_t outputTokens) -> void
 {
     const auto found = running_.find(attempt);
@@ -241,6 +308,7 @@
     settle(running, chargeable(outputTokens));
     runningLong_ -= running.long_ ? 1 : 0;
     runningSuspects_ -= running.entry_.suspect_ ? 1 : 0;
+    preempting_ -= running.preempting_ ? 1 : 0;
     accounts_.at(running.entry_.requestClass_).finished(running.entry_.account_);
     running_.erase(found);
 }
