Bound prefix affinity by the average queue when no slot is free

Cause: a request whose preferred upstream has no free slot, while no other has one either, was sent there up to 1.5 times the average score. A prompt below 1 KiB has a hash of its own, so this placed requests at random among upstreams with up to half as long queues again. Change: without a free slot the preferred upstream is taken only up to the average score; a property test guards it. Measured: routing_test passes.

--- a/packages/routing/src/policy.cpp
+++ b/packages/routing/src/policy.cpp
@@ -32,13 +32,14 @@
 auto withinAffinityBound(const Candidate &preferred, const std::vector<Candidate> &candidates, double queuedWeight)
     -> bool
 {
-    // A wait for a slot costs more than a cached prefix saves, unless the request waits wherever it goes.
+    // A wait for a slot costs more than a cached prefix saves.
     const auto slotElsewhere = preferred.freeSlots_ == 0
         && std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) {
                return candidate.freeSlots_ > 0;
            });
-    return !slotElsewhere
-        && score(preferred, queuedWeight) <= affinityLoadFactor * averageScore(candidates, queuedWeight);
+    // Where a request waits anyway, the prefix only decides among the shorter queues.
+    const auto factor = preferred.freeSlots_ == 0 ? 1.0 : affinityLoadFactor;
+    return !slotElsewhere && score(preferred, queuedWeight) <= factor * averageScore(candidates, queuedWeight);
 }
 
 } // namespace
--- a/packages/routing/tests/policy_test.cpp
+++ b/packages/routing/tests/policy_test.cpp
@@ -219,6 +219,23 @@
                         }
                         RC_ASSERT(others == 100);
                     }),
+                // Guards against a request of a high tier that waits in a long queue for a prefix that saves it little.
+                property("leaves a preferred upstream with a longer queue than average when all are full",
+                    [] {
+                        const auto request = Request {.prefixHash_ = *rc::gen::inRange<std::uint64_t>(1, 1000000)};
+                        const auto even = pool(8);
+                        const auto preferred = preferredUpstream(request.prefixHash_, even);
+                        auto candidates = std::vector<Candidate>();
+                        for (auto number = std::size_t(0); number < even.size(); ++number) {
+                            candidates.push_back(
+                                Candidate {.node_ = node(number), .queuedAhead_ = number == preferred ? 10U : 8U});
+                        }
+                        auto others = 0;
+                        for (auto seed = std::uint64_t(0); seed < 100; ++seed) {
+                            others += *Chooser(seed).choose(Weighted {}, request, candidates) != node(preferred);
+                        }
+                        RC_ASSERT(others == 100);
+                    }),
             }),
     }};
 
