--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -131,8 +131,8 @@
 
 auto RequestRun::remainingWait(TimePoint now) const -> Milliseconds
 {
-    // An answer that the caller has in part is continued, however long that takes.
-    if (request_.maximumWait_ == Milliseconds(0) || !tracker_.delivered().empty()) {
+    // A request that has started once is over its wait; it is resumed however long that takes.
+    if (request_.maximumWait_ == Milliseconds(0) || starts_ > 0) {
         return Milliseconds(0);
     }
     const auto left = std::chrono::duration_cast<Milliseconds>(arrivedAt_ + request_.maximumWait_ - now);
