Let the booking stories prove that the fault met a claim

It now waits for the fourth dispatch of the killed router, and both stories require that an agent was asked about another router's claim.

--- a/packages/testbench/tests/failures/booking_stories_test.cpp
+++ b/packages/testbench/tests/failures/booking_stories_test.cpp
@@ -53,6 +53,13 @@
     check(outcomes.answered_ == count, outcomes.text());
 }
 
+// Fails if no router met another router's claim, since the fault hit no booking in flight then.
+auto expectAsked(Scene &scene) -> void
+{
+    check(scene.loggedSteps("booking-1-agent", "void") + scene.loggedSteps("booking-2-agent", "void") > 0,
+        "no claim of another router was met");
+}
+
 const testkit::Story story = {"a booking",
     {
         section("whose claim's answer is lost",
@@ -130,12 +137,14 @@
                         auto scene = Scene({.bookingWork_ = Milliseconds(300)});
                         auto outcomes = Outcomes();
                         auto running = Callers(callers, bookEach(scene, outcomes, 4));
-                        outcomes.ended_.waitFor(5);
+                        // Three callers use router-1, so with the fourth start one of its bookings is running.
+                        scene.awaitLogged("router-1", "dispatch", 4);
                         scene.kill("router-1");
                         outcomes.ended_.waitFor(16);
                         scene.restart("router-1");
                         running.join();
                         expectAllAnswered(outcomes, callers * 4);
+                        expectAsked(scene);
                         scene.checkHistory();
                     }),
             }),
@@ -173,6 +182,7 @@
                         scene.system().thaw("router-1");
                         abandoned.join();
                         check(retried == callers * 6, fmt::format("{} of {} answered", retried, callers * 6));
+                        expectAsked(scene);
                         scene.checkHistory();
                     }),
             }),
--- a/packages/testbench/tests/failures/scene.cpp
+++ b/packages/testbench/tests/failures/scene.cpp
@@ -365,6 +365,15 @@
     return countLogged(system_->logPath(name), step);
 }
 
+auto Scene::awaitLogged(const std::string &name, const std::string &step, std::size_t count) -> void
+{
+    const auto end = Clock::now() + storyDeadline;
+    while (loggedSteps(name, step) < count) {
+        check(Clock::now() < end, fmt::format("{} does not log {} {} in time", name, step, count));
+        std::this_thread::sleep_for(lookInterval);
+    }
+}
+
 auto Scene::awaitPeers() -> void
 {
     const auto routers = system_->routers();
--- a/packages/testbench/tests/failures/scene.h
+++ b/packages/testbench/tests/failures/scene.h
@@ -138,6 +138,9 @@
     // How often a process logged a step of an attempt since the start, for example "void".
     auto loggedSteps(const std::string &name, const std::string &step) -> std::size_t;
 
+    // Waits until a process has logged a step of attempts so often; fails the test otherwise.
+    auto awaitLogged(const std::string &name, const std::string &step, std::size_t count) -> void;
+
     // Waits until a manifest of at least this revision is in force in each named process; fails the test otherwise.
     auto awaitManifest(const std::vector<std::string> &names, std::uint64_t revision) -> void;
 
