Pass the crash handler and history events by reference

clang-tidy reports performance-unnecessary-value-param for Limits::onCrash() and Scene::record(), whose parameters were copied although they are only read. Both take a constant reference now.

--- a/packages/router/include/jasminewood/router/limits.h
+++ b/packages/router/include/jasminewood/router/limits.h
@@ -46,7 +46,7 @@
     auto firstToken(const std::string &requestClass, Microseconds duration) -> void;
 
     // Calls the handler after each crash that this router notes. To be set before the first request.
-    auto onCrash(std::function<auto()->void> handler) -> void;
+    auto onCrash(const std::function<auto()->void> &handler) -> void;
     auto crashed(const std::string &crash, std::uint64_t fingerprint) -> void;
     auto completed(std::uint64_t fingerprint) -> void;
     auto verdict(std::uint64_t fingerprint) const -> routing::Verdict;
--- a/packages/router/src/limits.cpp
+++ b/packages/router/src/limits.cpp
@@ -1,7 +1,5 @@
 #include "jasminewood/router/limits.h"
 
-#include <utility>
-
 #include <algorithm>
 
 namespace jasminewood::router
@@ -91,9 +89,9 @@
     hedges_.firstToken(requestClass, duration);
 }
 
-auto Limits::onCrash(std::function<auto()->void> handler) -> void
+auto Limits::onCrash(const std::function<auto()->void> &handler) -> void
 {
-    crashHandler_ = std::move(handler);
+    crashHandler_ = handler;
 }
 
 auto Limits::crashed(const std::string &crash, std::uint64_t fingerprint) -> void
--- a/packages/testbench/tests/failures/scene.cpp
+++ b/packages/testbench/tests/failures/scene.cpp
@@ -213,11 +213,11 @@
     return *system_;
 }
 
-auto Scene::record(decltype(HistoryEvent::what_) what) -> void
+auto Scene::record(const decltype(HistoryEvent::what_) &what) -> void
 {
     const auto time = std::chrono::duration_cast<Microseconds>(std::chrono::system_clock::now() - origin_);
     const auto lock = std::scoped_lock(mutex_);
-    history_.push_back(HistoryEvent {.time_ = time, .what_ = std::move(what)});
+    history_.push_back(HistoryEvent {.time_ = time, .what_ = what});
 }
 
 auto Scene::nextCall() -> std::string
--- a/packages/testbench/tests/failures/scene.h
+++ b/packages/testbench/tests/failures/scene.h
@@ -127,7 +127,7 @@
     // Starts a process again; fails the test if that fails.
     auto restart(const std::string &name) -> void;
 
-    auto record(decltype(HistoryEvent::what_) what) -> void;
+    auto record(const decltype(HistoryEvent::what_) &what) -> void;
 
     // Calls at the key-value service so far, by its own count.
     auto storeCalls() -> std::size_t;
