--- a/packages/router/include/jasminewood/router/request_run.h
+++ b/packages/router/include/jasminewood/router/request_run.h
@@ -156,6 +156,8 @@
     const RouteRequest request_;
     const std::shared_ptr<Mailbox> mailbox_;
     const TimePoint arrivedAt_;
+    // The class limits the wait for a start. A request whose attempt was lost after its start waits anew.
+    TimePoint waitingSince_;
     delivery::AnswerTracker tracker_;
     std::vector<std::unique_ptr<Flight>> flights_;
     std::vector<NodeId> tried_;
--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -22,6 +22,7 @@
     , request_(std::move(request))
     , mailbox_(std::make_shared<Mailbox>())
     , arrivedAt_(Clock::now())
+    , waitingSince_(arrivedAt_)
 {
 }
 
@@ -124,7 +125,7 @@
     if (request_.maximumWait_ == Milliseconds(0)) {
         return Milliseconds(0);
     }
-    const auto left = std::chrono::duration_cast<Milliseconds>(arrivedAt_ + request_.maximumWait_ - now);
+    const auto left = std::chrono::duration_cast<Milliseconds>(waitingSince_ + request_.maximumWait_ - now);
     // Zero would mean no limit.
     return std::max(left, Milliseconds(1));
 }
@@ -249,6 +250,9 @@
     if (!flights_.empty()) {
         return std::nullopt;
     }
+    if (failedFlight.startedAt_) {
+        waitingSince_ = Clock::now();
+    }
     if (!failedFlight.recalled_) {
         tried_.push_back(failedFlight.agent_);
     }
@@ -262,7 +266,7 @@
 {
     if (failure.runState_ == RunState::NotRun) {
         const auto waitLeft
-            = request_.maximumWait_ == Milliseconds(0) || Clock::now() < arrivedAt_ + request_.maximumWait_;
+            = request_.maximumWait_ == Milliseconds(0) || Clock::now() < waitingSince_ + request_.maximumWait_;
         return waitLeft && ++placements_ < maximumPlacements;
     }
     const auto canContinue = request_.resumable_ || tracker_.delivered().empty();
