--- a/packages/router/include/jasminewood/router/claim_store.h
+++ b/packages/router/include/jasminewood/router/claim_store.h
@@ -29,6 +29,9 @@
 constexpr std::chrono::hours claimLeaseRenewal = std::chrono::hours(1);
 // Transactions in flight. One slow transaction does not hold up later claims.
 constexpr std::size_t claimTasks = 4;
+// Longest time between trials while the service is out. Callers are told to retry after a second or more, so bookings
+// resume soon after the service does.
+constexpr Milliseconds longestClaimBackoff = Milliseconds(2'000);
 // Claims whose end is still to be written; further ones are left claimed, and a retry asks the agent.
 constexpr std::size_t maximumBackgroundClaims = 256;
 
--- a/packages/router/include/jasminewood/router/upstreams.h
+++ b/packages/router/include/jasminewood/router/upstreams.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -66,7 +67,8 @@
     auto reserveFreeSlot(const std::string &pool, const NodeId &agent) -> std::optional<NodeId>;
 
     // Registers the attempt: its events go to the mailbox until close().
-    auto open(const AttemptId &attempt, const NodeId &agent, bool suspect, std::shared_ptr<Mailbox> mailbox) -> void;
+    auto open(const AttemptId &attempt, const NodeId &agent, Tier tier, bool suspect, std::shared_ptr<Mailbox> mailbox)
+        -> void;
     auto close(const AttemptId &attempt) -> void;
 
     // Sends to this incarnation of the agent. Fails as not run if there is no connection to it; a failure after the
@@ -97,6 +99,7 @@
     struct Open
     {
         NodeId agent_;
+        Tier tier_;
         bool suspect_;
         std::shared_ptr<Mailbox> mailbox_;
     };
@@ -111,6 +114,8 @@
     auto tellAttempts(const NodeId &agent, const std::optional<Failure> &lost) -> void;
     auto candidates(const std::string &pool, Tier tier, TimePoint now) const -> std::vector<routing::Candidate>;
     auto outstanding(const NodeId &agent) const -> std::uint32_t;
+    // Attempts of this router there that a request of the tier does not overtake.
+    auto outstandingUpTo(const NodeId &agent, Tier tier) const -> std::uint32_t;
     auto useFreeSlot(const std::string &name) -> void;
     auto hasRoom(const NodeId &agent, Tier tier) const -> bool;
     auto healthOf(const NodeId &agent) -> routing::UpstreamHealth &;
@@ -127,7 +132,7 @@
     std::map<std::string, std::string> poolByAgent_;
     std::map<std::string, routing::UpstreamHealth> healthByPool_;
     std::map<AttemptId, Open> open_;
-    std::map<NodeId, std::uint32_t> outstanding_;
+    std::map<NodeId, std::array<std::uint32_t, tierCount>> outstanding_;
     std::map<NodeId, std::uint32_t> suspects_;
     bool stopping_ = false;
 };
--- a/packages/router/src/claim_store.cpp
+++ b/packages/router/src/claim_store.cpp
@@ -87,7 +87,7 @@
 
 ClaimStore::ClaimStore(std::shared_ptr<platform::KeyValueClient> keyValues, std::uint64_t seed)
     : keyValues_(std::move(keyValues))
-    , backoff_(seed)
+    , backoff_(seed, membership::shortestBackoff, longestClaimBackoff)
 {
 }
 
--- a/packages/router/src/claimed_run.cpp
+++ b/packages/router/src/claimed_run.cpp
@@ -123,7 +123,7 @@
 auto ClaimedRun::perform(const claims::DispatchNow &action) -> claims::Event
 {
     const auto mailbox = std::make_shared<Mailbox>();
-    services_.upstreams_->open(action.attempt_, action.agent_, false, mailbox);
+    services_.upstreams_->open(action.attempt_, action.agent_, request_.tier_, false, mailbox);
     services_.environment_->event(action.attempt_, observe::dispatchStep, action.agent_.name_, request_.requestClass_);
     const auto failure = services_.upstreams_->send(action.agent_,
         wire::Dispatch {.attempt_ = action.attempt_,
@@ -205,7 +205,7 @@
 {
     recordEvent("ask", action.agent_.name_, toString(action.attempt_));
     const auto mailbox = std::make_shared<Mailbox>();
-    services_.upstreams_->open(action.attempt_, action.agent_, false, mailbox);
+    services_.upstreams_->open(action.attempt_, action.agent_, request_.tier_, false, mailbox);
     auto outcome = voided(action.agent_, action.attempt_, *mailbox, Clock::now() + voidDeadline, false);
     services_.upstreams_->close(action.attempt_);
     return outcome;
@@ -215,7 +215,7 @@
 {
     recordEvent("wait", action.agent_.name_, toString(action.attempt_));
     const auto mailbox = std::make_shared<Mailbox>();
-    services_.upstreams_->open(action.attempt_, action.agent_, false, mailbox);
+    services_.upstreams_->open(action.attempt_, action.agent_, request_.tier_, false, mailbox);
     auto outcome = voided(action.agent_, action.attempt_, *mailbox, Clock::now() + claimedAnswerDeadline, true);
     services_.upstreams_->close(action.attempt_);
     return outcome;
--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -99,7 +99,7 @@
     const auto now = Clock::now();
     const auto attempt = AttemptId {.request_ = request_.id_, .number_ = ++attempts_};
     const auto suspect = limits_->verdict(request_.fingerprint_) == routing::Verdict::Suspect;
-    upstreams_->open(attempt, agent, suspect, mailbox_);
+    upstreams_->open(attempt, agent, request_.tier_, suspect, mailbox_);
     flights_.push_back(std::make_unique<Flight>(
         Flight {.attempt_ = attempt, .agent_ = agent, .dispatchedAt_ = now, .suspect_ = suspect}));
     isHedge ? tracker_.beginHedge(attempt) : tracker_.begin(attempt);
--- a/packages/router/src/upstreams.cpp
+++ b/packages/router/src/upstreams.cpp
@@ -2,6 +2,7 @@
 #include "jasminewood/core/overloaded.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace jasminewood::router
@@ -270,7 +271,7 @@
         const auto own = outstanding(member.node_);
         found.push_back(routing::Candidate {.node_ = member.node_,
             .dataCentre_ = member.dataCentre_,
-            .outstanding_ = own,
+            .outstanding_ = outstandingUpTo(member.node_, tier),
             .queuedAhead_ = reported > own ? reported - own : 0,
             .freeSlots_ = load.freeSlots_,
             .slowness_ = health == healthByPool_.end() ? 1.0 : health->second.slowness(member.node_, now),
@@ -338,12 +339,12 @@
         .leaving_ = load.leaving_});
 }
 
-auto Upstreams::open(const AttemptId &attempt, const NodeId &agent, bool suspect, std::shared_ptr<Mailbox> mailbox)
-    -> void
+auto Upstreams::open(
+    const AttemptId &attempt, const NodeId &agent, Tier tier, bool suspect, std::shared_ptr<Mailbox> mailbox) -> void
 {
     const auto lock = std::lock_guard(mutex_);
-    open_.emplace(attempt, Open {.agent_ = agent, .suspect_ = suspect, .mailbox_ = std::move(mailbox)});
-    ++outstanding_[agent];
+    open_.emplace(attempt, Open {.agent_ = agent, .tier_ = tier, .suspect_ = suspect, .mailbox_ = std::move(mailbox)});
+    ++outstanding_[agent].at(tier);
     useFreeSlot(agent.name_);
     if (suspect) {
         ++suspects_[agent];
@@ -357,7 +358,12 @@
     if (open == open_.end()) {
         return;
     }
-    decrement(outstanding_, open->second.agent_);
+    const auto &[attemptId, ended] = *open;
+    const auto counts = outstanding_.find(ended.agent_);
+    --counts->second.at(ended.tier_);
+    if (outstanding(ended.agent_) == 0) {
+        outstanding_.erase(counts);
+    }
     if (open->second.suspect_) {
         decrement(suspects_, open->second.agent_);
     }
@@ -444,9 +450,17 @@
 }
 
 auto Upstreams::outstanding(const NodeId &agent) const -> std::uint32_t
+{
+    return outstandingUpTo(agent, lowestTier);
+}
+
+auto Upstreams::outstandingUpTo(const NodeId &agent, Tier tier) const -> std::uint32_t
 {
     const auto found = outstanding_.find(agent);
-    return found == outstanding_.end() ? 0 : found->second;
+    if (found == outstanding_.end()) {
+        return 0;
+    }
+    return std::accumulate(found->second.begin(), found->second.begin() + tier + 1, std::uint32_t(0));
 }
 
 auto Upstreams::healthOf(const NodeId &agent) -> routing::UpstreamHealth &
--- a/packages/testbench/tests/failures/scene.cpp
+++ b/packages/testbench/tests/failures/scene.cpp
@@ -213,11 +213,11 @@
     return *system_;
 }
 
-auto Scene::record(decltype(HistoryEvent::what_) what) -> void
+auto Scene::record(const decltype(HistoryEvent::what_) &what) -> void
 {
     const auto time = std::chrono::duration_cast<Microseconds>(std::chrono::system_clock::now() - origin_);
     const auto lock = std::scoped_lock(mutex_);
-    history_.push_back(HistoryEvent {.time_ = time, .what_ = std::move(what)});
+    history_.push_back(HistoryEvent {.time_ = time, .what_ = what});
 }
 
 auto Scene::nextCall() -> std::string
@@ -365,6 +365,15 @@
     return countLogged(system_->logPath(name), step);
 }
 
+auto Scene::awaitLogged(const std::string &name, const std::string &step, std::size_t count) -> void
+{
+    const auto end = Clock::now() + storyDeadline;
+    while (loggedSteps(name, step) < count) {
+        check(Clock::now() < end, fmt::format("{} does not log {} {} in time", name, step, count));
+        std::this_thread::sleep_for(lookInterval);
+    }
+}
+
 auto Scene::awaitPeers() -> void
 {
     const auto routers = system_->routers();
