--- a/cmake/JasminewoodPackage.cmake
+++ b/cmake/JasminewoodPackage.cmake
@@ -38,5 +38,6 @@
         target_link_libraries(${TST_NAME}_test PRIVATE jasminewood_${dependency})
     endforeach()
     add_test(NAME ${TST_NAME} COMMAND ${TST_NAME}_test)
-    set_tests_properties(${TST_NAME} PROPERTIES TIMEOUT ${TST_TIMEOUT})
+    set_tests_properties(${TST_NAME} PROPERTIES TIMEOUT ${TST_TIMEOUT}
+        ENVIRONMENT "JASMINEWOOD_KNOWN_RED=${CMAKE_SOURCE_DIR}/KNOWN-RED.txt")
 endfunction()
--- a/packages/testkit/include/jasminewood/testkit/story.h
+++ b/packages/testkit/include/jasminewood/testkit/story.h
@@ -14,6 +14,7 @@
 //     }};
 //
 // A test program may define several stories, in several files. An argument runs only the tests whose path contains it.
+// If JASMINEWOOD_KNOWN_RED names a file, the tests that it lists as "test: PATH" are passed over and printed.
 
 namespace jasminewood::testkit
 {
