--- a/packages/router/src/upstreams.cpp
+++ b/packages/router/src/upstreams.cpp
@@ -2,6 +2,7 @@
 #include "jasminewood/core/overloaded.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -19,6 +20,18 @@
     }
 }
 
+// From this slowness on an upstream gets work only when no other one has a free slot. The estimate decays to 1, so it
+// is tried again after a few seconds.
+constexpr double stragglerSlowness = 2;
+
+// Free slots decide the choice while at least one in this many upstreams is ready.
+constexpr std::size_t readyShare = 2;
+
+auto isReady(const routing::Candidate &candidate) -> bool
+{
+    return candidate.freeSlots_ > 0 && candidate.slowness_ < stragglerSlowness;
+}
+
 } // namespace
 
 Upstreams::Upstreams(routing::Policy policy, std::uint64_t seed)
@@ -251,7 +264,19 @@
 auto Upstreams::choose(const std::string &pool, const routing::Request &request) -> Result<NodeId>
 {
     const auto lock = std::lock_guard(mutex_);
-    return chooser_.choose(policy_, request, candidates(pool, request.tier_, Clock::now()));
+    const auto all = candidates(pool, request.tier_, Clock::now());
+    if (std::holds_alternative<routing::Weighted>(policy_)) {
+        auto ready = std::vector<routing::Candidate>();
+        std::copy_if(all.begin(), all.end(), std::back_inserter(ready), isReady);
+        // Near saturation the few free slots of the last reports are gone when all routers send there.
+        if (ready.size() * readyShare >= all.size()) {
+            auto chosen = chooser_.choose(policy_, request, ready);
+            if (chosen) {
+                return chosen;
+            }
+        }
+    }
+    return chooser_.choose(policy_, request, all);
 }
 
 auto Upstreams::candidates(const std::string &pool, Tier tier, TimePoint now) const -> std::vector<routing::Candidate>
--- a/packages/testbench/src/figures.cpp
+++ b/packages/testbench/src/figures.cpp
@@ -25,10 +25,13 @@
     return std::holds_alternative<WholeAnswer>(record.outcome_);
 }
 
+constexpr auto overLimitStatus = 429;
+
 auto isShed(const RequestRecord &record) -> bool
 {
     const auto *error = std::get_if<ErrorAnswer>(&record.outcome_);
-    return error != nullptr && error->runState_ == "not_run";
+    // A request over its account's own limit is not shed for others.
+    return error != nullptr && error->runState_ == "not_run" && error->status_ != overLimitStatus;
 }
 
 auto isWrong(const RequestRecord &record) -> bool
