Use a relative folder in the example of the deployment harness

Cause: the example in the header named a machine path, which the house rules exclude. Change: the example uses a relative folder; only the comment changes. Measured: scripts/check-format passes; nothing was built anew. Conclusion: one path in a test remains, which uses the temporary folder for a history file.

--- a/packages/testbench/include/jasminewood/testbench/deployment.h
+++ b/packages/testbench/include/jasminewood/testbench/deployment.h
@@ -14,7 +14,7 @@
 // A whole system of real processes on 127.0.0.1: one key-value service, one VM list, routers, and engines and booking
 // services with an agent each. Every port is chosen by the system.
 //
-//     const auto started = testbench::Deployment::start({.directory_ = "/tmp/run-1", .manifest_ = text});
+//     const auto started = testbench::Deployment::start({.directory_ = "run-1", .manifest_ = text});
 //     const auto &system = **started;
 //     http::fetch({.method_ = "POST", .url_ = system.url("router-1") + "/v1/chat/completions", ...});
 //     system.kill("engine-2");
