Separate long prompts from short streams and refuse after the stop notice

(2) Half of the film questions were late although their first event came after 52 ms: engines read long prompts in chunks between the tokens of all streams beside them, which stretches pauses beyond the 120 ms of the route. 482 thousand tokens of shared parts were read again, because the load bound of the prefix affinity spread them.

Change: (1) After the notice a stopping front refuses requests on open connections as not run. (2) routing gets engine_choice (lanes for long and for other prompts, cost in tokens to be read), prefix_memory (which engine holds which part) and prompt_mix (which routes are long, and the share of engines they need).

--- a/packages/forward/include/jasminewood/forward/dialect.h
+++ b/packages/forward/include/jasminewood/forward/dialect.h
@@ -13,6 +13,7 @@
 #include "jasminewood/http/server.h"
 #include "jasminewood/membership/directory.h"
 #include "jasminewood/routes/configuration.h"
+#include "jasminewood/routing/prefix_memory.h"
 
 // What callers, upstreams and the operators' documents say, as values, and the functions that read and write them. An
 // adapter supplies one Dialect; no other part of this package knows a name of its fields.
@@ -20,15 +21,6 @@
 namespace jasminewood::forward
 {
 
-// One part of a prompt. Requests share parts; two parts with one id have the same content.
-struct PromptPart
-{
-    const std::uint64_t id_ = 0;
-    const std::uint32_t tokens_ = 0;
-
-    auto operator<=>(const PromptPart &) const = default;
-};
-
 // The size of a request to a model engine.
 struct Prompt
 {
@@ -38,7 +30,7 @@
     // The caller's estimate of the output tokens.
     const std::optional<std::uint32_t> expectedOutputTokens_;
     // In the order of the prompt. The last part belongs to this request or its session.
-    const std::vector<PromptPart> parts_;
+    const std::vector<routing::PromptPart> parts_;
 
     auto operator<=>(const Prompt &) const = default;
 };
--- a/packages/forward/include/jasminewood/forward/front.h
+++ b/packages/forward/include/jasminewood/forward/front.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -34,10 +36,16 @@
     auto stop() -> void;
 
     // Answers requests on open connections and on new ones for the time of notice, in which the load balancer learns
-    // that this process stops; then accepts no more connections and waits for requests in flight. Returns whether all
-    // were answered within the limit.
+    // that this process stops; then accepts no more connections, refuses requests on open ones as not run, and waits
+    // for requests in flight. Returns whether all were answered within the limit, which counts from the call.
     auto drain(Milliseconds notice, Milliseconds limit) -> bool;
 
+    // Whether requests are refused because the process stops.
+    auto refusing() const -> bool;
+
+    // The port on which callers connect.
+    auto port() const -> std::uint16_t;
+
 private:
     friend class RequestRun;
 
@@ -48,6 +56,7 @@
     std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<ConfigurationFeed> configuration_;
     std::shared_ptr<UpstreamFeed> upstreams_;
+    std::atomic<bool> refusing_ = false;
     std::mutex mutex_;
     routing::RetryBudget retries_;
     std::optional<observe::Counter> requests_;
--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -12,13 +12,17 @@
 #include "jasminewood/core/result.h"
 #include "jasminewood/forward/dialect.h"
 #include "jasminewood/membership/directory.h"
+#include "jasminewood/routing/engine_choice.h"
 #include "jasminewood/routing/policy.h"
+#include "jasminewood/routing/prefix_memory.h"
+#include "jasminewood/routing/prompt_mix.h"
 #include "jasminewood/routing/upstream_health.h"
 
 // What this process knows of each upstream, and the choice among them.
 //
-//     const auto chosen = pool.choose(service, request, excluded, Clock::now());
-//     pool.released(chosen->id_, outcome, Clock::now());
+//     const auto chosen = pool.choose({.service_ = service, .prompt_ = prompt}, Clock::now());
+//     pool.begun(*chosen, Clock::now());
+//     pool.released(*chosen, AttemptResult::Answered, Clock::now());
 
 namespace jasminewood::forward
 {
@@ -39,6 +43,33 @@
 constexpr Milliseconds firstRest = Milliseconds(500);
 constexpr Milliseconds longestRest = Milliseconds(4'000);
 
+// What the choice depends on in a request.
+struct Wanted
+{
+    const std::string service_;
+    const std::string route_;
+    // Empty for a service that runs no model.
+    const std::optional<Prompt> prompt_;
+    // Tokens that the memory of one engine of the service holds.
+    const std::uint64_t engineMemory_ = 0;
+    // Ids of upstreams that were already tried.
+    const std::vector<std::string> excluded_;
+};
+
+// One attempt at an upstream.
+struct Assignment
+{
+    const membership::UpstreamRecord upstream_;
+    // Prompt tokens that the upstream reads before it answers.
+    const std::uint64_t unreadTokens_ = 0;
+    const TimePoint since_;
+
+    auto operator<=>(const Assignment &) const = default;
+};
+
+// A reported slowness loses half of its excess in this time: neighbours of an upstream's VM come and go.
+constexpr Milliseconds reportHalfLife = Milliseconds(600);
+
 // Thread-safe.
 class UpstreamPool
 {
@@ -48,21 +79,23 @@
     // Replaces the upstreams that take new work.
     auto replace(const std::vector<membership::UpstreamRecord> &records) -> void;
 
+    // A request arrived, before its first choose().
+    auto arrived(const Wanted &wanted, TimePoint now) -> void;
+
     // Chooses an upstream of the service and counts the attempt. Fails with step "choose" if there is none.
-    auto choose(const std::string &service, const std::optional<Prompt> &prompt,
-        const std::vector<std::string> &excluded, TimePoint now) -> Result<membership::UpstreamRecord>;
+    auto choose(const Wanted &wanted, TimePoint now) -> Result<Assignment>;
+
+    // The answer has begun, so that the prompt has been read.
+    auto begun(const Assignment &assignment, TimePoint now) -> void;
 
     // The attempt is over. Each choose() that succeeds is followed by one call.
-    auto released(const std::string &id, AttemptResult result, TimePoint now) -> void;
+    auto released(const Assignment &assignment, AttemptResult result, TimePoint now) -> void;
 
     // The upstream's answer stated its load.
-    auto reported(const std::string &id, const LoadReport &report) -> void;
-
-    // Time from the order to the beginning of the answer.
-    auto answeredAfter(const std::string &id, Microseconds time, TimePoint now) -> void;
+    auto reported(const std::string &id, const LoadReport &report, TimePoint now) -> void;
 
-    // Returns whether any upstream takes work for the service.
-    auto serves(const std::string &service) const -> bool;
+    // Returns whether the upstream takes work.
+    auto knows(const std::string &id) const -> bool;
 
 private:
     struct Upstream
@@ -74,16 +107,29 @@
         std::uint32_t reportedWaiting_ = 0;
         std::uint32_t outstandingAtReport_ = 0;
         double slowness_ = 1;
+        TimePoint reportedAt_;
+        // The prompts of attempts whose answer has not begun, by the time of the choice.
+        std::multimap<TimePoint, std::uint64_t> unread_;
         std::uint32_t failures_ = 0;
         std::optional<TimePoint> restsUntil_;
         bool replaced_ = false;
     };
 
-    auto candidate(const Upstream &upstream, routing::UpstreamHealth &health, TimePoint now) const
-        -> routing::Candidate;
+    // The upstreams of the service that may be chosen; those that rest only if there is no other.
+    auto eligible(const Wanted &wanted, TimePoint now) const -> std::vector<const Upstream *>;
+    auto pickUpstream(const Wanted &wanted, const std::vector<const Upstream *> &eligible, TimePoint now)
+        -> Result<std::string>;
+    auto pickEngine(const Wanted &wanted, const std::vector<const Upstream *> &eligible, TimePoint now) -> std::string;
+    // Requests that run or wait at the upstream.
+    static auto busy(const Upstream &upstream) -> std::uint32_t;
+    auto slowness(const Upstream &upstream, TimePoint now) -> double;
+    auto dropUnread(Upstream &upstream, const Assignment &assignment) -> void;
 
     mutable std::mutex mutex_;
     routing::Chooser chooser_;
+    routing::EngineChooser engineChooser_;
+    routing::PrefixMemory prefixes_;
+    std::map<std::string, routing::PromptMix> mixes_;
     std::map<std::string, Upstream> upstreams_;
     std::map<std::string, routing::UpstreamHealth> health_;
 };
--- a/packages/forward/src/front.cpp
+++ b/packages/forward/src/front.cpp
@@ -51,10 +51,21 @@
     const auto end = Clock::now() + limit;
     server_->closeAfterAnswers();
     std::this_thread::sleep_for(notice);
+    refusing_ = true;
     server_->quiesce();
     return server_->waitIdle(std::chrono::ceil<Milliseconds>(end - Clock::now()));
 }
 
+auto Front::refusing() const -> bool
+{
+    return refusing_;
+}
+
+auto Front::port() const -> std::uint16_t
+{
+    return server_->port();
+}
+
 auto Front::answer(const http::Request &request) -> http::Response
 {
     requests_->add();
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -27,11 +27,8 @@
 constexpr Milliseconds silenceLimit = Milliseconds(2'000);
 // When a request without any upstream may be sent again.
 constexpr Milliseconds noUpstreamRetryAfter = Milliseconds(500);
-
-auto sinceMicroseconds(TimePoint start) -> Microseconds
-{
-    return std::chrono::duration_cast<Microseconds>(Clock::now() - start);
-}
+// A caller that asks again on a new connection is led to another process.
+constexpr Milliseconds otherProcessRetryAfter = Milliseconds(50);
 
 auto milliseconds(Clock::duration time) -> std::int64_t
 {
@@ -62,6 +59,12 @@
 
 auto RequestRun::answer() -> http::Response
 {
+    if (front_.refusing()) {
+        return refuse({.status_ = unavailable,
+            .code_ = "stopping",
+            .message_ = "this process stops",
+            .retryAfter_ = otherProcessRetryAfter});
+    }
     if (!table_) {
         return refuse({.status_ = unavailable,
             .code_ = "no_configuration",
@@ -84,6 +87,7 @@
         const auto lock = std::scoped_lock(front_.mutex_);
         front_.retries_.requested(Clock::now());
     }
+    front_.upstreams_->pool().arrived(wanted(), arrivedAt_);
     do {
         if (const auto failure = begin(admitted)) {
             if (last_) {
@@ -102,23 +106,34 @@
     return giveUp();
 }
 
+auto RequestRun::wanted() const -> Wanted
+{
+    const auto *service = table_->service(service_);
+    return {.service_ = service_,
+        .route_ = route_,
+        .prompt_ = demand_.prompt_,
+        .engineMemory_ = service != nullptr && service->engine_ ? service->engine_->memoryTokens_ : 0,
+        .excluded_ = tried_};
+}
+
 auto RequestRun::begin(const Admitted &admitted) -> Status
 {
     const auto now = Clock::now();
-    const auto chosen = front_.upstreams_->pool().choose(service_, demand_.prompt_, tried_, now);
+    const auto chosen = front_.upstreams_->pool().choose(wanted(), now);
     if (!chosen) {
         return chosen.reason();
     }
-    upstream_.emplace(*chosen);
-    tried_.push_back(chosen->id_);
-    const auto order = Order {.upstreamId_ = chosen->id_,
+    assignment_.emplace(*chosen);
+    const auto &upstream = chosen->upstream_;
+    tried_.push_back(upstream.id_);
+    const auto order = Order {.upstreamId_ = upstream.id_,
         .account_ = admitted.account_ == nullptr ? "" : admitted.account_->name_,
         .patience_ = std::max(Milliseconds(1), remaining()),
         .priority_ = admitted.priority_,
         .prioritised_ = demand_.prompt_.has_value()};
     exchange_.reset();
     order_ = std::make_unique<http::ClientRequest>(http::ClientRequest {.method_ = request_.method_,
-        .url_ = "http://" + chosen->address_ + "/",
+        .url_ = "http://" + upstream.address_ + "/",
         .headers_ = front_.dialect_.writeOrder_(internal::endToEnd(request_.fields_), order),
         .body_ = request_.body_,
         .connectTimeout_ = connectLimit,
@@ -128,7 +143,6 @@
         .exactFields_ = true,
         .target_ = request_.target_,
         .watchedDescriptor_ = request_.callerDescriptor_});
-    sentAt_ = now;
     exchange_ = std::make_unique<http::Exchange>(*order_);
     return std::nullopt;
 }
@@ -166,11 +180,11 @@
     const auto facts = front_.dialect_.readFacts_(head);
     auto &pool = front_.upstreams_->pool();
     if (facts.load_) {
-        pool.reported(upstream_->id_, *facts.load_);
+        pool.reported(assignment_->upstream_.id_, *facts.load_, Clock::now());
     }
     const auto problem = [this, &head](RunState state, const std::string &reason) {
         return Failure {.step_ = "answer",
-            .peer_ = upstream_->address_,
+            .peer_ = assignment_->upstream_.address_,
             .reason_ = fmt::format("status {}: {}", head.status_, reason),
             .runState_ = state};
     };
@@ -185,7 +199,7 @@
     if (!facts.genuine_) {
         return broken(problem(RunState::MayHaveRun, "the answer is not one of the service"));
     }
-    pool.answeredAfter(upstream_->id_, sinceMicroseconds(sentAt_), Clock::now());
+    pool.begun(*assignment_, Clock::now());
     front_.seconds_->observe(std::chrono::duration<double>(Clock::now() - arrivedAt_).count());
     return Begun {.head_ = head, .facts_ = facts};
 }
@@ -203,7 +217,7 @@
         .status_ = begun.head_.status_, .headers_ = internal::endToEnd(begun.head_.fields_), .body_ = *body};
     if (begun.head_.status_ >= firstError && repeatable(*admitted.route_)) {
         return lost({.step_ = "answer",
-                        .peer_ = upstream_->address_,
+                        .peer_ = assignment_->upstream_.address_,
                         .reason_ = fmt::format("status {}", begun.head_.status_),
                         .runState_ = RunState::Ran},
             AttemptResult::Answered, answer);
@@ -262,8 +276,9 @@
     started_ += lost.failure_.runState_ == RunState::NotRun ? 0 : 1;
     last_.emplace(lost);
     front_.environment_->log().info("lost an attempt",
-        observe::joined({{"request", demand_.id_}, {"attempt", std::int64_t(sent_)}, {"upstream", upstream_->id_},
-                            {"ms", milliseconds(Clock::now() - sentAt_)}},
+        observe::joined(
+            {{"request", demand_.id_}, {"attempt", std::int64_t(sent_)}, {"upstream", assignment_->upstream_.id_},
+                {"ms", milliseconds(Clock::now() - assignment_->since_)}},
             observe::fieldsOf(lost.failure_)));
 }
 
@@ -305,9 +320,9 @@
 
 auto RequestRun::release(AttemptResult result) -> void
 {
-    if (upstream_) {
-        front_.upstreams_->pool().released(upstream_->id_, result, Clock::now());
-        upstream_.reset();
+    if (assignment_) {
+        front_.upstreams_->pool().released(*assignment_, result, Clock::now());
+        assignment_.reset();
     }
 }
 
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -43,7 +43,8 @@
 
 private:
     auto forward(const Admitted &admitted) -> http::Response;
-    // Chooses an upstream and sends the request there; sets upstream_ and exchange_.
+    auto wanted() const -> Wanted;
+    // Chooses an upstream and sends the request there; sets assignment_ and exchange_.
     auto begin(const Admitted &admitted) -> Status;
     auto awaitAnswer(const Admitted &admitted) -> std::variant<http::Response, Lost>;
     auto judge(const http::ResponseHead &head) -> std::variant<Begun, Lost>;
@@ -76,10 +77,9 @@
     std::uint32_t sent_ = 0;
     std::optional<Lost> last_;
     std::vector<std::string> tried_;
-    std::optional<membership::UpstreamRecord> upstream_;
+    std::optional<Assignment> assignment_;
     std::unique_ptr<http::ClientRequest> order_;
     std::unique_ptr<http::Exchange> exchange_;
-    TimePoint sentAt_;
     std::size_t bytes_ = 0;
     bool finished_ = false;
 };
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -1,6 +1,8 @@
 #include "jasminewood/forward/upstream_pool.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 #include <set>
 
 namespace jasminewood::forward
@@ -11,22 +13,45 @@
 
 // Few routers send most of an upstream's load and know it, so they compare more upstreams than many would.
 constexpr std::uint32_t draws = 4;
+// The part of an engine's memory that holds prompts which are not running.
+constexpr double cachePart = 0.6;
 
 auto nodeOf(const membership::UpstreamRecord &record) -> NodeId
 {
     return {.name_ = record.id_, .incarnation_ = std::uint64_t(record.incarnation_)};
 }
 
-// The part before the last is the longest one that several requests share.
-auto sharedPart(const std::optional<Prompt> &prompt) -> std::uint64_t
+auto tokensOf(const Prompt &prompt) -> std::uint64_t
 {
-    return prompt && prompt->parts_.size() > 1 ? prompt->parts_[prompt->parts_.size() - 2].id_ : 0;
+    const auto add = [](std::uint64_t sum, const routing::PromptPart &part) {
+        return sum + part.tokens_;
+    };
+    const auto parts = std::accumulate(prompt.parts_.begin(), prompt.parts_.end(), std::uint64_t(0), add);
+    return std::max<std::uint64_t>(prompt.promptTokens_, parts);
+}
+
+// The tokens of the part that the prompt shares with no other one.
+auto ownTokens(const Prompt &prompt) -> std::uint64_t
+{
+    return prompt.parts_.empty() ? prompt.promptTokens_ : prompt.parts_.back().tokens_;
+}
+
+// The part before the last ends the longest beginning that several requests share.
+auto promptRequest(const Prompt &prompt, bool longLane) -> routing::PromptRequest
+{
+    const auto shared = prompt.parts_.size() > 1;
+    const auto tokens = tokensOf(prompt);
+    return {.tokens_ = tokens,
+        .longLane_ = longLane,
+        .sharedPart_ = shared ? prompt.parts_[prompt.parts_.size() - 2].id_ : 0,
+        .sharedTokens_ = shared ? tokens - ownTokens(prompt) : 0};
 }
 
 } // namespace
 
 UpstreamPool::UpstreamPool(std::uint64_t seed, const std::string &dataCentre)
     : chooser_(seed, dataCentre)
+    , engineChooser_(seed, dataCentre)
 {
 }
 
@@ -40,65 +65,156 @@
         const auto restarted = upstream.record_ && upstream.record_->incarnation_ != record.incarnation_;
         const auto moved = upstream.record_ && upstream.record_->address_ != record.address_;
         if (restarted || moved) {
+            prefixes_.forget(record.id_);
             upstream = Upstream {.record_ = nullptr, .outstanding_ = upstream.outstanding_};
         }
         upstream.record_ = std::make_shared<const membership::UpstreamRecord>(record);
     }
     for (auto entry = upstreams_.begin(); entry != upstreams_.end();) {
         const auto gone = !present.contains(entry->first);
+        if (gone) {
+            prefixes_.forget(entry->first);
+        }
         entry = gone ? upstreams_.erase(entry) : std::next(entry);
     }
 }
 
-auto UpstreamPool::candidate(const Upstream &upstream, routing::UpstreamHealth &health, TimePoint now) const
-    -> routing::Candidate
+auto UpstreamPool::busy(const Upstream &upstream) -> std::uint32_t
 {
-    const auto node = nodeOf(*upstream.record_);
-    const auto own = std::max(upstream.outstanding_, upstream.outstandingAtReport_) - upstream.outstandingAtReport_;
-    const auto busy = upstream.reportedRunning_ + upstream.reportedWaiting_ + own;
-    const auto load = std::max(busy, upstream.outstanding_);
-    const auto slots = upstream.record_->slots_;
-    return {.node_ = node,
-        .dataCentre_ = upstream.record_->dataCentre_,
-        .outstanding_ = load,
-        .queuedAhead_ = upstream.reportedWaiting_,
-        .freeSlots_ = slots > load ? slots - load : 0,
-        .slowness_ = health.slowness(node, now) * std::max(1.0, upstream.slowness_)};
+    const auto since = std::max(upstream.outstanding_, upstream.outstandingAtReport_) - upstream.outstandingAtReport_;
+    return std::max(upstream.reportedRunning_ + upstream.reportedWaiting_ + since, upstream.outstanding_);
 }
 
-auto UpstreamPool::choose(const std::string &service, const std::optional<Prompt> &prompt,
-    const std::vector<std::string> &excluded, TimePoint now) -> Result<membership::UpstreamRecord>
+auto UpstreamPool::slowness(const Upstream &upstream, TimePoint now) -> double
 {
-    const auto lock = std::scoped_lock(mutex_);
-    auto rested = std::vector<routing::Candidate>();
-    auto resting = std::vector<routing::Candidate>();
-    auto &health = health_[service];
+    const auto age = std::chrono::duration<double>(now - upstream.reportedAt_) / reportHalfLife;
+    const auto reported = 1 + std::max(0.0, upstream.slowness_ - 1) * std::exp2(-age);
+    return reported * health_[upstream.record_->service_].slowness(nodeOf(*upstream.record_), now);
+}
+
+auto UpstreamPool::eligible(const Wanted &wanted, TimePoint now) const -> std::vector<const Upstream *>
+{
+    auto rested = std::vector<const Upstream *>();
+    auto resting = std::vector<const Upstream *>();
     for (const auto &[id, upstream] : upstreams_) {
-        const auto tried = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-        if (upstream.record_->service_ == service && !upstream.replaced_ && !tried) {
+        const auto tried = std::find(wanted.excluded_.begin(), wanted.excluded_.end(), id) != wanted.excluded_.end();
+        if (upstream.record_->service_ == wanted.service_ && !upstream.replaced_ && !tried) {
             const auto rests = upstream.restsUntil_ && now < *upstream.restsUntil_;
-            (rests ? resting : rested).push_back(candidate(upstream, health, now));
+            (rests ? resting : rested).push_back(&upstream);
         }
     }
-    const auto request = routing::Request {.prefixHash_ = sharedPart(prompt)};
-    const auto policy = routing::Weighted {.draws_ = draws};
-    const auto node = chooser_.choose(policy, request, rested.empty() ? resting : rested);
+    return rested.empty() ? resting : rested;
+}
+
+auto UpstreamPool::pickUpstream(const Wanted & /*wanted*/, const std::vector<const Upstream *> &eligible, TimePoint now)
+    -> Result<std::string>
+{
+    auto candidates = std::vector<routing::Candidate>();
+    for (const auto *upstream : eligible) {
+        const auto load = busy(*upstream);
+        const auto slots = upstream->record_->slots_;
+        candidates.push_back({.node_ = nodeOf(*upstream->record_),
+            .dataCentre_ = upstream->record_->dataCentre_,
+            .outstanding_ = load,
+            .queuedAhead_ = upstream->reportedWaiting_,
+            .freeSlots_ = slots > load ? slots - load : 0,
+            .slowness_ = slowness(*upstream, now)});
+    }
+    const auto node = chooser_.choose(routing::Weighted {.draws_ = draws}, {}, candidates);
     if (!node) {
         return node.reason();
     }
-    auto &upstream = upstreams_.at(node->name_);
+    return node->name_;
+}
+
+auto UpstreamPool::pickEngine(const Wanted &wanted, const std::vector<const Upstream *> &eligible, TimePoint now)
+    -> std::string
+{
+    const auto &mix = mixes_[wanted.service_];
+    auto ids = std::vector<std::string>();
+    for (const auto *upstream : eligible) {
+        ids.push_back(upstream->record_->id_);
+    }
+    const auto lanes = routing::longLane(ids, mix.longShare());
+    auto candidates = std::vector<routing::EngineCandidate>();
+    for (auto index = std::size_t(0); index < ids.size(); ++index) {
+        const auto &upstream = *eligible[index];
+        auto unread = std::uint64_t(0);
+        for (const auto &[since, tokens] : upstream.unread_) {
+            unread += tokens;
+        }
+        candidates.push_back({.id_ = ids[index],
+            .dataCentre_ = upstream.record_->dataCentre_,
+            .unreadTokens_ = unread,
+            .cachedTokens_ = prefixes_.cached(ids[index], wanted.prompt_->parts_),
+            .busy_ = busy(upstream),
+            .slots_ = upstream.record_->slots_,
+            .slowness_ = slowness(upstream, now),
+            .longLane_ = lanes[index]});
+    }
+    return ids[engineChooser_.choose(promptRequest(*wanted.prompt_, mix.isLong(wanted.route_)), candidates)];
+}
+
+auto UpstreamPool::arrived(const Wanted &wanted, TimePoint now) -> void
+{
+    if (wanted.prompt_) {
+        const auto lock = std::scoped_lock(mutex_);
+        mixes_[wanted.service_].arrived(wanted.route_, ownTokens(*wanted.prompt_), now);
+    }
+}
+
+auto UpstreamPool::choose(const Wanted &wanted, TimePoint now) -> Result<Assignment>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto candidates = eligible(wanted, now);
+    const auto picked = wanted.prompt_ && !candidates.empty() ? Result<std::string>(pickEngine(wanted, candidates, now))
+                                                              : pickUpstream(wanted, candidates, now);
+    if (!picked) {
+        return picked.reason();
+    }
+    auto &upstream = upstreams_.at(*picked);
     ++upstream.outstanding_;
-    return *upstream.record_;
+    auto unread = std::uint64_t(0);
+    if (wanted.prompt_) {
+        unread = tokensOf(*wanted.prompt_) - prefixes_.cached(*picked, wanted.prompt_->parts_);
+        prefixes_.sent(*picked, wanted.prompt_->parts_, std::uint64_t(cachePart * double(wanted.engineMemory_)));
+        upstream.unread_.emplace(now, unread);
+    }
+    return Assignment {.upstream_ = *upstream.record_, .unreadTokens_ = unread, .since_ = now};
 }
 
-auto UpstreamPool::released(const std::string &id, AttemptResult result, TimePoint now) -> void
+auto UpstreamPool::dropUnread(Upstream &upstream, const Assignment &assignment) -> void
+{
+    const auto [first, last] = upstream.unread_.equal_range(assignment.since_);
+    const auto found = std::find_if(first, last, [&assignment](const auto &entry) {
+        return entry.second == assignment.unreadTokens_;
+    });
+    if (found != last) {
+        upstream.unread_.erase(found);
+    }
+}
+
+auto UpstreamPool::begun(const Assignment &assignment, TimePoint now) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    const auto found = upstreams_.find(id);
+    const auto found = upstreams_.find(assignment.upstream_.id_);
+    if (found == upstreams_.end()) {
+        return;
+    }
+    dropUnread(found->second, assignment);
+    const auto time = std::chrono::duration_cast<Microseconds>(now - assignment.since_);
+    health_[assignment.upstream_.service_].firstToken(nodeOf(assignment.upstream_), time, now);
+}
+
+auto UpstreamPool::released(const Assignment &assignment, AttemptResult result, TimePoint now) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = upstreams_.find(assignment.upstream_.id_);
     if (found == upstreams_.end()) {
         return;
     }
     auto &upstream = found->second;
+    dropUnread(upstream, assignment);
     upstream.outstanding_ -= std::min(upstream.outstanding_, 1U);
     upstream.outstandingAtReport_ = std::min(upstream.outstandingAtReport_, upstream.outstanding_);
     if (result == AttemptResult::Answered) {
@@ -114,7 +230,7 @@
     }
 }
 
-auto UpstreamPool::reported(const std::string &id, const LoadReport &report) -> void
+auto UpstreamPool::reported(const std::string &id, const LoadReport &report, TimePoint now) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
     const auto found = upstreams_.find(id);
@@ -126,23 +242,13 @@
     upstream.reportedWaiting_ = report.waiting_;
     upstream.outstandingAtReport_ = upstream.outstanding_;
     upstream.slowness_ = report.slowness_;
+    upstream.reportedAt_ = now;
 }
 
-auto UpstreamPool::answeredAfter(const std::string &id, Microseconds time, TimePoint now) -> void
-{
-    const auto lock = std::scoped_lock(mutex_);
-    const auto found = upstreams_.find(id);
-    if (found != upstreams_.end()) {
-        health_[found->second.record_->service_].firstToken(nodeOf(*found->second.record_), time, now);
-    }
-}
-
-auto UpstreamPool::serves(const std::string &service) const -> bool
+auto UpstreamPool::knows(const std::string &id) const -> bool
 {
     const auto lock = std::scoped_lock(mutex_);
-    return std::any_of(upstreams_.begin(), upstreams_.end(), [&service](const auto &entry) {
-        return entry.second.record_->service_ == service;
-    });
+    return upstreams_.contains(id);
 }
 
 } // namespace jasminewood::forward
--- /dev/null
+++ b/packages/forward/tests/front_test.cpp
@@ -0,0 +1,149 @@
+#include "jasminewood/forward/front.h"
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "front_under_test.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace jasminewood::forward;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+auto call(const FrontUnderTest &front, const std::string &method, const std::string &path,
+    std::vector<http::Header> fields, const std::string &body = {}) -> http::ClientResponse
+{
+    const auto answer = http::fetch(
+        {.method_ = method, .url_ = front.url(path), .headers_ = fields, .body_ = body, .mayRepeat_ = false});
+    check(bool(answer), answer ? "" : toString(answer.reason()));
+    return *answer;
+}
+
+const testkit::Story forwarding = {"a front",
+    {
+        section("that forwards a request",
+            {
+                // Guards against a changed path, body or field, and against an answer of another run.
+                test("passes path, query and body on unchanged",
+                    [] {
+                        auto front = FrontUnderTest();
+                        auto seen = std::promise<std::string>();
+                        front.addUpstream("a", [&seen](const http::Request &request) -> http::Response {
+                            seen.set_value(request.method_ + " " + request.target_ + " " + request.body_ + " "
+                                + request.headers_.at("x-own") + " " + request.headers_.at("upstream"));
+                            return genuine(request, 200, "whole");
+                        });
+                        auto fields = FrontUnderTest::fields("r1");
+                        fields.push_back({.name_ = "X-Own", .value_ = "kept"});
+                        const auto answer = http::fetch({.method_ = "POST",
+                            .url_ = front.url("/"),
+                            .headers_ = fields,
+                            .body_ = "body",
+                            .target_ = "/once/a%20b/../c?x=%2F&y"});
+                        check(answer && answer->status_ == 200 && answer->body_ == "whole");
+                        check(seen.get_future().get() == "POST /once/a%20b/../c?x=%2F&y body kept a");
+                    }),
+                // Guards against a request without account or route that reaches an upstream.
+                test("refuses unknown keys and paths",
+                    [] {
+                        auto front = FrontUnderTest();
+                        check(call(front, "GET", "/none/", FrontUnderTest::fields("r1")).status_ == 404);
+                        check(call(front, "GET", "/again/", {{.name_ = "Host", .value_ = "shop"}}).status_ == 401);
+                        check(call(front, "GET", "/again/", FrontUnderTest::fields("r1")).status_ == 503);
+                    }),
+            }),
+        section("whose upstream did not run the request",
+            {
+                // Guards against a caller that is told of a failure although another upstream could serve it.
+                test("tries another one, also for a request that runs once",
+                    [] {
+                        auto front = FrontUnderTest();
+                        auto runs = std::make_shared<std::atomic<int>>(0);
+                        for (const auto *id : {"a", "b"}) {
+                            front.addUpstream(id, [runs](const http::Request &request) -> http::Response {
+                                if ((*runs)++ == 0) {
+                                    return http::WholeResponse {
+                                        .status_ = 503, .headers_ = {{.name_ = "Not-Run", .value_ = "1"}}};
+                                }
+                                return genuine(request, 200, "done");
+                            });
+                        }
+                        check(call(front, "POST", "/once/", FrontUnderTest::fields("r1")).body_ == "done");
+                        check(*runs == 2);
+                    }),
+            }),
+        section("whose upstream closes without an answer",
+            {
+                // Guards against a request that runs twice, and against a false "not run".
+                test("does not send a request that runs once again, and promises nothing",
+                    [] {
+                        auto front = FrontUnderTest();
+                        auto runs = std::make_shared<std::atomic<int>>(0);
+                        for (const auto *id : {"a", "b"}) {
+                            front.addUpstream(id, [runs](const http::Request & /*request*/) -> http::Response {
+                                ++*runs;
+                                return http::WholeResponse {.status_ = http::noAnswer};
+                            });
+                        }
+                        check(call(front, "POST", "/once/", FrontUnderTest::fields("r1")).status_ == 502);
+                        check(*runs == 1);
+                        check(call(front, "GET", "/again/", FrontUnderTest::fields("r2")).status_ == 502);
+                        check(*runs == 3);
+                    }),
+                // Guards against an answer to another request that reaches the caller.
+                test("does not pass on an answer of another request",
+                    [] {
+                        auto front = FrontUnderTest();
+                        front.addUpstream("a", [](const http::Request & /*request*/) -> http::Response {
+                            return http::WholeResponse {.status_ = 200,
+                                .headers_
+                                = {{.name_ = "Genuine", .value_ = "1"}, {.name_ = "Request-Id", .value_ = "other"}}};
+                        });
+                        check(call(front, "POST", "/once/", FrontUnderTest::fields("r1")).status_ == 502);
+                    }),
+            }),
+        section("that stops",
+            {
+                // Guards against a request that is taken on an open connection long after the stop began and is cut
+                // off when the process is killed.
+                test("refuses requests on open connections once the notice is over",
+                    [] {
+                        auto front = FrontUnderTest();
+                        front.addUpstream("a", [](const http::Request &request) -> http::Response {
+                            return genuine(request, 200, "done");
+                        });
+                        auto release = std::make_shared<std::promise<void>>();
+                        auto released = release->get_future().share();
+                        front.addUpstream("slow", [released](const http::Request &request) -> http::Response {
+                            if (request.path_.ends_with("slow")) {
+                                released.wait();
+                            }
+                            return genuine(request, 200, "done");
+                        });
+                        check(call(front, "POST", "/once/1", FrontUnderTest::fields("r1")).status_ == 200);
+                        auto drained = std::async(std::launch::async, [&front] {
+                            return front.front().drain(Milliseconds(0), Milliseconds(30'000));
+                        });
+                        await(
+                            [&front] {
+                                return front.front().refusing();
+                            },
+                            "the front refuses");
+                        const auto late = http::fetch({.method_ = "POST",
+                            .url_ = front.url("/once/2"),
+                            .headers_ = FrontUnderTest::fields("r2"),
+                            .mayRepeat_ = false});
+                        check(!late || (late->status_ == 503 && late->headers_.contains("retry-after")));
+                        release->set_value();
+                        check(drained.get());
+                    }),
+            }),
+    }};
+
+} // namespace
--- /dev/null
+++ b/packages/routing/include/jasminewood/routing/engine_choice.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "jasminewood/core/result.h"
+
+// Choice of the model engine for a prompt: where the beginning of the prompt is cached, where little has to be read
+// before it, and apart from prompts of the other lane.
+//
+// An engine reads prompts in chunks between the tokens of the requests that run there, so a long prompt stretches the
+// pauses of all streams beside it. Each engine therefore belongs to one of two lanes: prompts that are long by
+// comparison, and the others. A lane takes engines of the other one only while its own are overloaded.
+//
+//     const auto lanes = routing::longLane(ids, 0.5);
+//     const auto index = chooser.choose(prompt, candidates);
+
+namespace jasminewood::routing
+{
+
+struct EngineCandidate
+{
+    const std::string id_;
+    const std::string dataCentre_;
+    // Prompt tokens that this router sent there and that the engine has not read yet.
+    const std::uint64_t unreadTokens_ = 0;
+    // Tokens of the prompt that need not be read there, as far as this router knows.
+    const std::uint64_t cachedTokens_ = 0;
+    // Requests running and waiting there, as last reported.
+    const std::uint32_t busy_ = 0;
+    const std::uint32_t slots_ = 1;
+    // How long work takes there, relative to the usual time; at least 1.
+    const double slowness_ = 1;
+    const bool longLane_ = false;
+
+    auto operator<=>(const EngineCandidate &) const = default;
+};
+
+struct PromptRequest
+{
+    const std::uint64_t tokens_ = 0;
+    const bool longLane_ = false;
+    // Identifies the longest beginning that other requests share; 0 if there is none.
+    const std::uint64_t sharedPart_ = 0;
+    // Tokens up to the end of that part.
+    const std::uint64_t sharedTokens_ = 0;
+
+    auto operator<=>(const PromptRequest &) const = default;
+};
+
+// A running request delays a new one about as much as this many unread prompt tokens.
+constexpr double tokensPerRunningRequest = 20;
+// A request that waits for a slot delays a new one by about this many tokens.
+constexpr double tokensPerMissingSlot = 4'000;
+// An engine of the other lane is taken if it is better by this many tokens.
+constexpr double otherLaneTokens = 12'000;
+// Choices whose costs differ by less are equal, and the engine of the same data centre is preferred.
+constexpr double nearTokens = 64;
+
+// Returns the cost of the choice in prompt tokens that have to be read before the first output token.
+auto costOf(const PromptRequest &request, const EngineCandidate &candidate, bool home) -> double;
+
+// Returns for each engine whether it belongs to the lane of long prompts. The share of that lane is rounded to whole
+// engines, at least one for each lane if there are two or more. All routers that know the same engines get the same
+// lanes, and an engine that comes or goes changes the lane of few others.
+auto longLane(const std::vector<std::string> &ids, double share) -> std::vector<bool>;
+
+// Not thread-safe. Two choosers with the same seed and inputs choose alike.
+class EngineChooser
+{
+public:
+    explicit EngineChooser(std::uint64_t seed, std::string dataCentre = {});
+
+    // Returns the position of the best candidate. Precondition: candidates is not empty.
+    auto choose(const PromptRequest &request, const std::vector<EngineCandidate> &candidates) -> std::size_t;
+
+private:
+    std::mt19937_64 random_;
+    std::string dataCentre_;
+};
+
+} // namespace jasminewood::routing
--- /dev/null
+++ b/packages/routing/src/engine_choice.cpp
@@ -0,0 +1,88 @@
+#include "jasminewood/routing/engine_choice.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+#include "rendezvous.h"
+
+namespace jasminewood::routing
+{
+
+namespace
+{
+
+// The key under which engines are ordered for the lanes.
+constexpr std::uint64_t laneKey = 0x6c616e65;
+
+} // namespace
+
+auto costOf(const PromptRequest &request, const EngineCandidate &candidate, bool home) -> double
+{
+    // Routers agree on the home of a shared part, so that it is probably cached there through another router.
+    const auto assumed = home ? request.sharedTokens_ : 0;
+    const auto cached = std::min(request.tokens_, std::max(candidate.cachedTokens_, assumed));
+    const auto missingSlots = candidate.busy_ >= candidate.slots_ ? candidate.busy_ - candidate.slots_ + 1 : 0;
+    const auto tokens = double(candidate.unreadTokens_) + double(request.tokens_ - cached)
+        + tokensPerRunningRequest * candidate.busy_ + tokensPerMissingSlot * missingSlots;
+    return tokens * candidate.slowness_ + (candidate.longLane_ == request.longLane_ ? 0 : otherLaneTokens);
+}
+
+auto longLane(const std::vector<std::string> &ids, double share) -> std::vector<bool>
+{
+    auto order = std::vector<std::size_t>(ids.size());
+    std::iota(order.begin(), order.end(), std::size_t(0));
+    std::sort(order.begin(), order.end(), [&ids](std::size_t left, std::size_t right) {
+        const auto &first = ids[left];
+        const auto &second = ids[right];
+        return std::pair(internal::rendezvousWeight(first, laneKey), first)
+            > std::pair(internal::rendezvousWeight(second, laneKey), second);
+    });
+    auto members = std::vector<bool>(ids.size(), false);
+    if (share <= 0 || ids.size() < 2) {
+        return members;
+    }
+    const auto wanted = std::size_t(std::lround(share * double(ids.size())));
+    const auto count = std::clamp<std::size_t>(wanted, 1, ids.size() - 1);
+    for (auto index = std::size_t(0); index < count; ++index) {
+        members[order[index]] = true;
+    }
+    return members;
+}
+
+EngineChooser::EngineChooser(std::uint64_t seed, std::string dataCentre)
+    : random_(seed)
+    , dataCentre_(std::move(dataCentre))
+{
+}
+
+auto EngineChooser::choose(const PromptRequest &request, const std::vector<EngineCandidate> &candidates) -> std::size_t
+{
+    assert(!candidates.empty());
+    auto home = std::size_t(candidates.size());
+    auto homeWeight = std::uint64_t(0);
+    for (auto index = std::size_t(0); index < candidates.size(); ++index) {
+        const auto weight = internal::rendezvousWeight(candidates[index].id_, request.sharedPart_);
+        if (request.sharedPart_ != 0 && candidates[index].longLane_ == request.longLane_ && weight >= homeWeight) {
+            home = index;
+            homeWeight = weight;
+        }
+    }
+    auto best = std::size_t(0);
+    auto bestCost = std::numeric_limits<double>::infinity();
+    auto spread = std::uniform_real_distribution<double>(0, nearTokens);
+    for (auto index = std::size_t(0); index < candidates.size(); ++index) {
+        const auto &candidate = candidates[index];
+        const auto far = candidate.dataCentre_ == dataCentre_ ? 0 : nearTokens;
+        const auto cost = costOf(request, candidate, index == home) + far + spread(random_);
+        if (cost < bestCost) {
+            best = index;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace jasminewood::routing
--- a/packages/routing/src/policy.cpp
+++ b/packages/routing/src/policy.cpp
@@ -5,7 +5,7 @@
 #include <numeric>
 #include <tuple>
 
-#include <xxhash.h>
+#include "rendezvous.h"
 
 namespace jasminewood::routing
 {
@@ -53,10 +53,9 @@
 {
     assert(!candidates.empty());
     auto best = std::size_t(0);
-    auto bestHash = XXH64_hash_t(0);
+    auto bestHash = std::uint64_t(0);
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
-        const auto &name = candidates[index].node_.name_;
-        const auto hash = XXH3_64bits_withSeed(name.data(), name.size(), prefixHash);
+        const auto hash = internal::rendezvousWeight(candidates[index].node_.name_, prefixHash);
         if (hash >= bestHash) {
             best = index;
             bestHash = hash;
--- /dev/null
+++ b/packages/routing/tests/engine_choice_test.cpp
@@ -0,0 +1,105 @@
+#include "jasminewood/routing/engine_choice.h"
+
+#include <algorithm>
+
+#include "jasminewood/testkit/property.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace jasminewood::routing;
+using jasminewood::testkit::check;
+using jasminewood::testkit::property;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+auto engineIds(std::size_t count) -> std::vector<std::string>
+{
+    auto ids = std::vector<std::string>();
+    for (auto index = std::size_t(0); index < count; ++index) {
+        ids.push_back("engine-" + std::to_string(index));
+    }
+    return ids;
+}
+
+const testkit::Story story = {"a choice of an engine",
+    {
+        section("with lanes",
+            {
+                // Guards against a lane without an engine, and against routers that disagree about the lanes.
+                property("gives each lane its share, whatever the order of the engines",
+                    [](std::uint8_t size, std::uint8_t part) {
+                        auto ids = engineIds(size % 30 + 2);
+                        const auto share = (part % 100 + 1) / 101.0;
+                        const auto lanes = longLane(ids, share);
+                        const auto members = std::size_t(std::count(lanes.begin(), lanes.end(), true));
+                        RC_ASSERT(members >= 1 && members < ids.size());
+                        RC_ASSERT(std::abs(double(members) - share * double(ids.size())) <= 1);
+                        const auto first = ids.front();
+                        std::reverse(ids.begin(), ids.end());
+                        const auto reversed = longLane(ids, share);
+                        RC_ASSERT(reversed.back() == lanes.front());
+                    }),
+                // Guards against a long prompt that stretches the pauses of short streams although its lane has room.
+                test("keeps a long prompt in its lane until the lane is overloaded",
+                    [] {
+                        auto chooser = EngineChooser(1);
+                        const auto request = PromptRequest {.tokens_ = 9'000, .longLane_ = true};
+                        const auto lane = [](std::uint64_t unread) {
+                            return std::vector<EngineCandidate> {
+                                {.id_ = "a", .unreadTokens_ = unread, .slots_ = 8, .longLane_ = true},
+                                {.id_ = "b", .slots_ = 8}};
+                        };
+                        check(chooser.choose(request, lane(8'000)) == 0);
+                        check(chooser.choose(request, lane(30'000)) == 1);
+                    }),
+            }),
+        section("with a cached beginning",
+            {
+                // Guards against a shared part that is read again at one engine after the other.
+                test("prefers the engine that holds it unless much is unread there",
+                    [] {
+                        auto chooser = EngineChooser(1);
+                        const auto request = PromptRequest {.tokens_ = 9'000};
+                        const auto engines = [](std::uint64_t unread) {
+                            return std::vector<EngineCandidate> {{.id_ = "a", .slots_ = 8},
+                                {.id_ = "b", .unreadTokens_ = unread, .cachedTokens_ = 6'300, .slots_ = 8}};
+                        };
+                        check(chooser.choose(request, engines(3'000)) == 1);
+                        check(chooser.choose(request, engines(8'000)) == 0);
+                    }),
+                // Guards against routers that each warm another engine for the same part.
+                test("starts at the part's home, which all routers know",
+                    [] {
+                        const auto request
+                            = PromptRequest {.tokens_ = 9'000, .sharedPart_ = 77, .sharedTokens_ = 6'000};
+                        auto engines = std::vector<EngineCandidate>();
+                        for (const auto &id : engineIds(6)) {
+                            engines.push_back({.id_ = id, .slots_ = 8});
+                        }
+                        const auto first = EngineChooser(1).choose(request, engines);
+                        for (auto seed = 2; seed < 20; ++seed) {
+                            check(EngineChooser(std::uint64_t(seed)).choose(request, engines) == first);
+                        }
+                    }),
+            }),
+        section("whose engines are full or slow",
+            {
+                // Guards against a request that waits for a slot while another engine has one.
+                test("avoids them",
+                    [] {
+                        auto chooser = EngineChooser(1);
+                        const auto request = PromptRequest {.tokens_ = 800};
+                        check(chooser.choose(request,
+                                  {{.id_ = "a", .busy_ = 8, .slots_ = 8}, {.id_ = "b", .busy_ = 7, .slots_ = 8}})
+                            == 1);
+                        check(chooser.choose(
+                                  request, {{.id_ = "a", .slots_ = 8}, {.id_ = "b", .slots_ = 8, .slowness_ = 3}})
+                            == 0);
+                    }),
+            }),
+    }};
+
+} // namespace
