Order urgencies by account and route, and hold ended entries for a second

Change: (1) RouteTable::urgency() ranks the pairs of both priorities, spread over the ten levels of the engines. (2) An entry that ends after an outage counts for a second at most, and the pool checks that time at each choice.

--- a/packages/forward/include/jasminewood/forward/admission.h
+++ b/packages/forward/include/jasminewood/forward/admission.h
@@ -33,7 +33,8 @@
     const routes::Route *route_ = nullptr;
     // nullptr for an anonymous request.
     const routes::Account *account_ = nullptr;
-    const std::uint32_t priority_ = 0;
+    // 0 is the most urgent.
+    const std::uint32_t urgency_ = 0;
     // The time that the request may take in all.
     const Milliseconds patience_ = Milliseconds(0);
 };
--- a/packages/forward/include/jasminewood/forward/dialect.h
+++ b/packages/forward/include/jasminewood/forward/dialect.h
@@ -60,7 +60,7 @@
     // How much longer the answer is of use.
     const Milliseconds patience_ = Milliseconds(0);
     // 0 is the most urgent.
-    const std::uint32_t priority_ = 0;
+    const std::uint32_t urgency_ = 0;
     // False for a request without a prompt.
     const bool prioritised_ = false;
 
--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -77,7 +77,7 @@
     UpstreamPool(std::uint64_t seed, const std::string &dataCentre);
 
     // Replaces the upstreams that take new work.
-    auto replace(const std::vector<membership::UpstreamRecord> &records) -> void;
+    auto replace(const std::vector<membership::RoutableUpstream> &routable) -> void;
 
     // A request arrived, before its first choose().
     auto arrived(const Wanted &wanted, TimePoint now) -> void;
@@ -101,6 +101,8 @@
     struct Upstream
     {
         std::shared_ptr<const membership::UpstreamRecord> record_;
+        // When the upstream stops to be routable.
+        std::optional<TimePoint> until_;
         std::uint32_t outstanding_ = 0;
         // The load as last reported, and the attempts of this process that were outstanding then.
         std::uint32_t reportedRunning_ = 0;
--- a/packages/forward/src/admission.cpp
+++ b/packages/forward/src/admission.cpp
@@ -36,11 +36,10 @@
     if (keyed && account == nullptr) {
         return Refusal {.status_ = unauthorized, .code_ = "unknown_key", .message_ = "no account holds this key"};
     }
-    const auto accountPriority = account == nullptr ? std::nullopt : account->priority_;
     const auto patience = std::min(demand.patience_.value_or(longestPatience), longestPatience);
     return Admitted {.route_ = route,
         .account_ = account,
-        .priority_ = accountPriority.value_or(route->priority_),
+        .urgency_ = table.urgency(*route, account),
         .patience_ = route->timeout_.count() > 0 ? std::min(patience, route->timeout_) : patience};
 }
 
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -82,6 +82,7 @@
 {
     deadline_ = arrivedAt_ + admitted.patience_ - front_.options_.margin_;
     route_ = admitted.route_->name_;
+    urgency_ = admitted.urgency_;
     service_ = routes::chooseShare(*admitted.route_, XXH3_64bits(demand_.id_.data(), demand_.id_.size()));
     {
         const auto lock = std::scoped_lock(front_.mutex_);
@@ -129,7 +130,7 @@
     const auto order = Order {.upstreamId_ = upstream.id_,
         .account_ = admitted.account_ == nullptr ? "" : admitted.account_->name_,
         .patience_ = std::max(Milliseconds(1), remaining()),
-        .priority_ = admitted.priority_,
+        .urgency_ = admitted.urgency_,
         .prioritised_ = demand_.prompt_.has_value()};
     exchange_.reset();
     order_ = std::make_unique<http::ClientRequest>(http::ClientRequest {.method_ = request_.method_,
@@ -341,9 +342,10 @@
     const auto age = front_.configuration_->age();
     front_.environment_->log().info(outcome,
         observe::joined(
-            {{"request", demand_.id_}, {"route", route_}, {"service", service_}, {"status", std::int64_t(status)},
-                {"attempts", std::int64_t(tried_.size())}, {"upstream", tried_.empty() ? "" : tried_.back()},
-                {"version", version}, {"version_age_ms", age ? age->count() : -1}, {"bytes", std::int64_t(bytes_)},
+            {{"request", demand_.id_}, {"route", route_}, {"service", service_}, {"urgency", std::int64_t(urgency_)},
+                {"status", std::int64_t(status)}, {"attempts", std::int64_t(tried_.size())},
+                {"upstream", tried_.empty() ? "" : tried_.back()}, {"version", version},
+                {"version_age_ms", age ? age->count() : -1}, {"bytes", std::int64_t(bytes_)},
                 {"ms", milliseconds(Clock::now() - arrivedAt_)}},
             more));
 }
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -73,6 +73,7 @@
     TimePoint deadline_;
     std::string service_;
     std::string route_;
+    std::uint32_t urgency_ = 0;
     std::uint32_t started_ = 0;
     std::uint32_t sent_ = 0;
     std::optional<Lost> last_;
--- a/packages/forward/src/upstream_feed.cpp
+++ b/packages/forward/src/upstream_feed.cpp
@@ -103,7 +103,6 @@
         }
     }
     const auto lock = std::scoped_lock(mutex_);
-    directory_.storeAnswered(Clock::now());
     directory_.replace(records, Clock::now());
     known_ = true;
     refresh();
@@ -115,7 +114,6 @@
     const auto *put = std::get_if<platform::KeyPut>(&event);
     const auto record = put == nullptr ? std::nullopt : read(put->entry_);
     const auto lock = std::scoped_lock(mutex_);
-    directory_.storeAnswered(Clock::now());
     if (record) {
         directory_.put(*record, Clock::now());
     } else {
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -55,19 +55,20 @@
 {
 }
 
-auto UpstreamPool::replace(const std::vector<membership::UpstreamRecord> &records) -> void
+auto UpstreamPool::replace(const std::vector<membership::RoutableUpstream> &routable) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
     auto present = std::set<std::string>();
-    for (const auto &record : records) {
+    for (const auto &[record, until] : routable) {
         present.insert(record.id_);
         auto &upstream = upstreams_[record.id_];
         const auto restarted = upstream.record_ && upstream.record_->incarnation_ != record.incarnation_;
         const auto moved = upstream.record_ && upstream.record_->address_ != record.address_;
         if (restarted || moved) {
             prefixes_.forget(record.id_);
-            upstream = Upstream {.record_ = nullptr, .outstanding_ = upstream.outstanding_};
+            upstream = Upstream {.record_ = nullptr, .until_ = std::nullopt, .outstanding_ = upstream.outstanding_};
         }
+        upstream.until_ = until;
         upstream.record_ = std::make_shared<const membership::UpstreamRecord>(record);
     }
     for (auto entry = upstreams_.begin(); entry != upstreams_.end();) {
@@ -98,7 +99,8 @@
     auto resting = std::vector<const Upstream *>();
     for (const auto &[id, upstream] : upstreams_) {
         const auto tried = std::find(wanted.excluded_.begin(), wanted.excluded_.end(), id) != wanted.excluded_.end();
-        if (upstream.record_->service_ == wanted.service_ && !upstream.replaced_ && !tried) {
+        const auto ended = upstream.replaced_ || (upstream.until_ && now >= *upstream.until_);
+        if (upstream.record_->service_ == wanted.service_ && !ended && !tried) {
             const auto rests = upstream.restsUntil_ && now < *upstream.restsUntil_;
             (rests ? resting : rested).push_back(&upstream);
         }
--- a/packages/membership/include/jasminewood/membership/directory.h
+++ b/packages/membership/include/jasminewood/membership/directory.h
@@ -39,8 +39,21 @@
     auto operator<=>(const UpstreamRecord &) const = default;
 };
 
+// An upstream that takes new work.
+struct RoutableUpstream
+{
+    const UpstreamRecord record_;
+    // Until when, if its entry ended and may return.
+    const std::optional<TimePoint> until_;
+
+    auto operator<=>(const RoutableUpstream &) const = default;
+};
+
 // Entries that lapsed while the store was away return within this time after it, if their upstream lives.
 constexpr Milliseconds lapsedEntryReturn = Milliseconds(2'000);
+// An entry that ends after the store returned may be one that lapsed, or that of an upstream that leaves, which has to
+// get no new work soon. It counts for this time at most.
+constexpr Milliseconds endedEntryHold = Milliseconds(1'000);
 
 // Not thread-safe. Precondition of all calls: now does not go backwards.
 class Directory
@@ -50,21 +63,19 @@
     auto put(const UpstreamRecord &record, TimePoint now) -> void;
 
     // The entry ended, or can no longer be read. Within lapsedEntryReturn after an outage the upstream stays routable
-    // until that time is over, since its entry may have lapsed only because it could not be renewed.
+    // for a while, since its entry may have lapsed only because it could not be renewed.
     auto removed(const std::string &id, TimePoint now) -> void;
 
     // Replaces all entries by those of a complete read.
     auto replace(const std::vector<UpstreamRecord> &records, TimePoint now) -> void;
 
-    // A call to the store failed; the next successful one ends the outage.
+    // A call to the store failed. The outage ends with storeAnswered(), which follows the changes that the first
+    // successful call reports.
     auto storeFailed(TimePoint now) -> void;
     auto storeAnswered(TimePoint now) -> void;
 
     // Returns the upstreams that take new work, by id.
-    auto routable(TimePoint now) const -> std::vector<UpstreamRecord>;
-
-    // Returns when routable() changes next without another event; empty if it does not.
-    auto nextChange(TimePoint now) const -> std::optional<TimePoint>;
+    auto routable(TimePoint now) const -> std::vector<RoutableUpstream>;
 
 private:
     struct Entry
--- a/packages/membership/src/directory.cpp
+++ b/packages/membership/src/directory.cpp
@@ -17,10 +17,15 @@
     if (found == entries_.end()) {
         return;
     }
-    if (now >= returnsUntil_ && !failedSince_) {
+    if (found->second.endsAt_) {
+        return;
+    }
+    if (failedSince_) {
+        found->second.endsAt_ = now + lapsedEntryReturn;
+    } else if (now < returnsUntil_) {
+        found->second.endsAt_ = std::min(returnsUntil_, now + endedEntryHold);
+    } else {
         entries_.erase(found);
-    } else if (!found->second.endsAt_) {
-        found->second.endsAt_ = failedSince_ ? now + lapsedEntryReturn : returnsUntil_;
     }
 }
 
@@ -55,26 +60,15 @@
     }
 }
 
-auto Directory::routable(TimePoint now) const -> std::vector<UpstreamRecord>
+auto Directory::routable(TimePoint now) const -> std::vector<RoutableUpstream>
 {
-    auto records = std::vector<UpstreamRecord>();
+    auto routable = std::vector<RoutableUpstream>();
     for (const auto &[id, entry] : entries_) {
         if (!entry.record_->leaving_ && (!entry.endsAt_ || now < *entry.endsAt_)) {
-            records.push_back(*entry.record_);
-        }
-    }
-    return records;
-}
-
-auto Directory::nextChange(TimePoint now) const -> std::optional<TimePoint>
-{
-    auto next = std::optional<TimePoint>();
-    for (const auto &[id, entry] : entries_) {
-        if (entry.endsAt_ && *entry.endsAt_ > now) {
-            next = std::min(next.value_or(*entry.endsAt_), *entry.endsAt_);
+            routable.push_back({.record_ = *entry.record_, .until_ = entry.endsAt_});
         }
     }
-    return next;
+    return routable;
 }
 
 } // namespace jasminewood::membership
--- a/packages/membership/tests/directory_test.cpp
+++ b/packages/membership/tests/directory_test.cpp
@@ -30,8 +30,7 @@
                         directory.put(record("b", true), now);
                         directory.removed("c", now);
                         const auto routable = directory.routable(now);
-                        check(routable.size() == 1 && routable.front().id_ == "a");
-                        check(!directory.nextChange(now));
+                        check(routable.size() == 1 && routable.front().record_.id_ == "a" && !routable.front().until_);
                     }),
             }),
         section("whose store was away",
@@ -43,13 +42,26 @@
                         const auto now = TimePoint(100s);
                         directory.replace({record("a"), record("b")}, now);
                         directory.storeFailed(now + 1s);
-                        directory.storeAnswered(now + 9s);
                         directory.replace({}, now + 9s);
+                        directory.storeAnswered(now + 9s);
                         check(directory.routable(now + 10s).size() == 2);
                         directory.put(record("a"), now + 10s);
-                        check(*directory.nextChange(now + 10s) == now + 9s + lapsedEntryReturn);
+                        check(*directory.routable(now + 10s).back().until_ == now + 9s + lapsedEntryReturn);
                         const auto later = directory.routable(now + 9s + lapsedEntryReturn);
-                        check(later.size() == 1 && later.front().id_ == "a");
+                        check(later.size() == 1 && later.front().record_.id_ == "a");
+                    }),
+                // Guards against new work for an upstream whose entry ends because it leaves, soon after the store
+                // returned.
+                test("keeps an entry that ends afterwards only for a moment",
+                    [] {
+                        auto directory = Directory();
+                        const auto now = TimePoint(100s);
+                        directory.put(record("a"), now);
+                        directory.storeFailed(now);
+                        directory.storeAnswered(now + 1s);
+                        directory.removed("a", now + 1500ms);
+                        check(*directory.routable(now + 1600ms).front().until_ == now + 1500ms + endedEntryHold);
+                        check(directory.routable(now + 1500ms + endedEntryHold).empty());
                     }),
                 // Guards against an upstream that keeps its work although it said before the outage that it leaves.
                 test("does not bring back an upstream that is leaving",
--- a/packages/routes/include/jasminewood/routes/configuration.h
+++ b/packages/routes/include/jasminewood/routes/configuration.h
@@ -90,7 +90,7 @@
 {
     const std::string name_;
     const std::vector<std::string> keys_;
-    // Takes precedence over the priority of the route.
+    // Takes precedence over the priority of the route, which decides among equal accounts.
     const std::optional<std::uint32_t> priority_;
 
     auto operator<=>(const Account &) const = default;
--- a/packages/routes/include/jasminewood/routes/route_table.h
+++ b/packages/routes/include/jasminewood/routes/route_table.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "jasminewood/routes/configuration.h"
@@ -16,6 +17,9 @@
 namespace jasminewood::routes
 {
 
+// Levels of urgency that model engines distinguish.
+constexpr std::uint32_t urgencyLevels = 10;
+
 // Immutable and thread-safe. Returned pointers stay valid as long as the table.
 class RouteTable
 {
@@ -34,6 +38,11 @@
     // Returns the account that holds the key, or nullptr.
     auto accountOf(const std::string &key) const -> const Account *;
 
+    // Returns the urgency of a request of that route and account (nullptr for none), 0 to urgencyLevels - 1, where 0 is
+    // first: all pairs of an account's and a route's priority, in order. Pairs share a level only if there are more
+    // pairs than levels.
+    auto urgency(const Route &route, const Account *account) const -> std::uint32_t;
+
     // Returns the service of that name, or nullptr.
     auto service(const std::string &name) const -> const Service *;
 
@@ -43,6 +52,8 @@
     std::map<std::string, std::vector<const Route *>> hosts_;
     std::map<std::string, const Account *> keys_;
     std::map<std::string, const Service *> services_;
+    // All pairs of an account's and a route's priority, in order.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> priorities_;
 };
 
 // Returns the service for a request: each gets its weight's share of all draws. Precondition: the route has a share.
--- a/packages/routes/src/route_table.cpp
+++ b/packages/routes/src/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace jasminewood::routes
 {
@@ -18,6 +19,23 @@
     return name;
 }
 
+auto priorityOf(const Account *account) -> std::uint32_t
+{
+    return account == nullptr ? 0 : account->priority_.value_or(0);
+}
+
+auto prioritiesOf(const Configuration &configuration) -> std::vector<std::pair<std::uint32_t, std::uint32_t>>
+{
+    auto pairs = std::set<std::pair<std::uint32_t, std::uint32_t>>();
+    for (const auto &route : configuration.routes_) {
+        pairs.emplace(priorityOf(nullptr), route.priority_);
+        for (const auto &account : configuration.accounts_) {
+            pairs.emplace(priorityOf(&account), route.priority_);
+        }
+    }
+    return {pairs.begin(), pairs.end()};
+}
+
 } // namespace
 
 RouteTable::RouteTable(const Configuration &configuration)
@@ -36,6 +54,7 @@
             keys_.emplace(key, &account);
         }
     }
+    priorities_ = prioritiesOf(configuration_);
     for (const auto &service : configuration_.services_) {
         services_.emplace(service.name_, &service);
     }
@@ -66,6 +85,14 @@
     return found == keys_.end() ? nullptr : found->second;
 }
 
+auto RouteTable::urgency(const Route &route, const Account *account) const -> std::uint32_t
+{
+    const auto own = std::pair(priorityOf(account), route.priority_);
+    const auto rank = std::lower_bound(priorities_.begin(), priorities_.end(), own) - priorities_.begin();
+    const auto levels = std::max<std::size_t>(urgencyLevels, priorities_.size());
+    return std::uint32_t(std::size_t(rank) * urgencyLevels / levels);
+}
+
 auto RouteTable::service(const std::string &name) const -> const Service *
 {
     const auto found = services_.find(name);
--- a/packages/routes/tests/route_table_test.cpp
+++ b/packages/routes/tests/route_table_test.cpp
@@ -52,6 +52,33 @@
                         check(table.accountOf("k3") == nullptr && table.accountOf("") == nullptr);
                     }),
             }),
+        section("with priorities of accounts and routes",
+            {
+                // Guards against a request that an engine interrupts for a less urgent one of an equal account.
+                test("orders by the account and then by the route",
+                    [] {
+                        const auto first = Route {.name_ = "chat", .priority_ = 0, .shares_ = {{.service_ = "s"}}};
+                        const auto second = Route {.name_ = "scan", .priority_ = 1, .shares_ = {{.service_ = "s"}}};
+                        const auto high = Account {.name_ = "high", .priority_ = 0};
+                        const auto low = Account {.name_ = "low", .priority_ = 1};
+                        const auto table = RouteTable({.routes_ = {first, second}, .accounts_ = {high, low}});
+                        check(table.urgency(first, &high) < table.urgency(second, &high));
+                        check(table.urgency(second, &high) < table.urgency(first, &low));
+                        check(table.urgency(first, &low) < table.urgency(second, &low));
+                        check(table.urgency(first, nullptr) == table.urgency(first, &high));
+                    }),
+                // Guards against an urgency beyond what engines accept.
+                test("stays within the levels whatever the number of priorities",
+                    [] {
+                        auto routes = std::vector<Route>();
+                        for (auto priority = 0U; priority < 40; ++priority) {
+                            routes.push_back({.priority_ = priority, .shares_ = {{.service_ = "s"}}});
+                        }
+                        const auto table = RouteTable({.routes_ = routes});
+                        check(table.urgency(routes.front(), nullptr) == 0);
+                        check(table.urgency(routes.back(), nullptr) == urgencyLevels - 1);
+                    }),
+            }),
         section("with a route that is split",
             {
                 // Guards against a service without weight that receives requests, and a wrong share of one with weight.
