Keep lanes stable and weigh re-reads of shared parts

The share of the long lane followed each burst, so that engines changed their lane and parts their home, and a short queue at the home of a part was enough to read it elsewhere.

Change: the mix has a half-life of 20 s, a lane changes its size only by whole engines, and re-read tokens weigh three times in the cost of a choice. The log line of a request tells its first token and its longest pause.

--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -131,7 +131,9 @@
     routing::Chooser chooser_;
     routing::EngineChooser engineChooser_;
     routing::PrefixMemory prefixes_;
+    // By service: its mix of prompts, and how many of its engines are for long ones.
     std::map<std::string, routing::PromptMix> mixes_;
+    std::map<std::string, std::size_t> laneSizes_;
     std::map<std::string, Upstream> upstreams_;
     std::map<std::string, routing::UpstreamHealth> health_;
 };
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -200,7 +200,8 @@
     if (!facts.genuine_) {
         return broken(problem(RunState::MayHaveRun, "the answer is not one of the service"));
     }
-    pool.begun(*assignment_, Clock::now());
+    firstAt_ = Clock::now();
+    pool.begun(*assignment_, *firstAt_);
     front_.seconds_->observe(std::chrono::duration<double>(Clock::now() - arrivedAt_).count());
     return Begun {.head_ = head, .facts_ = facts};
 }
@@ -263,6 +264,9 @@
         return http::AbortStream {};
     }
     if (*piece) {
+        const auto now = Clock::now();
+        longestPause_ = std::max(longestPause_, now - lastPieceAt_.value_or(now));
+        lastPieceAt_ = now;
         bytes_ += (*piece)->size();
         return http::Chunk {.data_ = **piece};
     }
@@ -346,7 +350,8 @@
                 {"status", std::int64_t(status)}, {"attempts", std::int64_t(tried_.size())},
                 {"upstream", tried_.empty() ? "" : tried_.back()}, {"version", version},
                 {"version_age_ms", age ? age->count() : -1}, {"bytes", std::int64_t(bytes_)},
-                {"ms", milliseconds(Clock::now() - arrivedAt_)}},
+                {"first_ms", firstAt_ ? milliseconds(*firstAt_ - arrivedAt_) : -1},
+                {"longest_pause_ms", milliseconds(longestPause_)}, {"ms", milliseconds(Clock::now() - arrivedAt_)}},
             more));
 }
 
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -81,6 +81,10 @@
     std::optional<Assignment> assignment_;
     std::unique_ptr<http::ClientRequest> order_;
     std::unique_ptr<http::Exchange> exchange_;
+    // When the answer began, and when the last piece of a stream came.
+    std::optional<TimePoint> firstAt_;
+    std::optional<TimePoint> lastPieceAt_;
+    Clock::duration longestPause_ = Clock::duration::zero();
     std::size_t bytes_ = 0;
     bool finished_ = false;
 };
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -137,7 +137,9 @@
     for (const auto *upstream : eligible) {
         ids.push_back(upstream->record_->id_);
     }
-    const auto lanes = routing::longLane(ids, mix.longShare());
+    auto &size = laneSizes_[wanted.service_];
+    size = routing::laneSize(mix.longShare(), ids.size(), size);
+    const auto lanes = routing::longLane(ids, size);
     auto candidates = std::vector<routing::EngineCandidate>();
     for (auto index = std::size_t(0); index < ids.size(); ++index) {
         const auto &upstream = *eligible[index];
--- a/packages/routing/include/jasminewood/routing/engine_choice.h
+++ b/packages/routing/include/jasminewood/routing/engine_choice.h
@@ -16,7 +16,8 @@
 // pauses of all streams beside it. Each engine therefore belongs to one of two lanes: prompts that are long by
 // comparison, and the others. A lane takes engines of the other one only while its own are overloaded.
 //
-//     const auto lanes = routing::longLane(ids, 0.5);
+//     size = routing::laneSize(0.5, ids.size(), size);
+//     const auto lanes = routing::longLane(ids, size);
 //     const auto index = chooser.choose(prompt, candidates);
 
 namespace jasminewood::routing
@@ -64,10 +65,18 @@
 // Returns the cost of the choice in prompt tokens that have to be read before the first output token.
 auto costOf(const PromptRequest &request, const EngineCandidate &candidate, bool home) -> double;
 
-// Returns for each engine whether it belongs to the lane of long prompts. The share of that lane is rounded to whole
-// engines, at least one for each lane if there are two or more. All routers that know the same engines get the same
-// lanes, and an engine that comes or goes changes the lane of few others.
-auto longLane(const std::vector<std::string> &ids, double share) -> std::vector<bool>;
+// Tokens of a shared part that would be read again count this many times: besides the request itself they delay all
+// that the engine reads after it.
+constexpr double rereadWeight = 3;
+
+// Returns the number of engines for long prompts: the share of all engines, at least one for each lane if there are two
+// or more, and none if the share is 0. The previous size stays while it differs from the share by less than an engine,
+// since an engine that changes its lane has the wrong prompts in its cache.
+auto laneSize(double share, std::size_t engines, std::size_t previous) -> std::size_t;
+
+// Returns for each engine whether it belongs to the lane of long prompts, which has that many engines. All routers that
+// know the same engines get the same lanes, and an engine that comes or goes changes the lane of few others.
+auto longLane(const std::vector<std::string> &ids, std::size_t size) -> std::vector<bool>;
 
 // Not thread-safe. Two choosers with the same seed and inputs choose alike.
 class EngineChooser
--- a/packages/routing/include/jasminewood/routing/prompt_mix.h
+++ b/packages/routing/include/jasminewood/routing/prompt_mix.h
@@ -17,7 +17,7 @@
 {
 
 // What arrived longer ago than this counts half.
-constexpr Milliseconds mixHalfLife = Milliseconds(5'000);
+constexpr Milliseconds mixHalfLife = Milliseconds(20'000);
 // A route's prompts are long if their mean is this many times that of the route with the shortest prompts.
 constexpr double longPromptFactor = 2.5;
 // The weight of the tokens of short prompts against those of long ones: their streams need engines that read little.
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -25,12 +25,25 @@
     const auto assumed = home ? request.sharedTokens_ : 0;
     const auto cached = std::min(request.tokens_, std::max(candidate.cachedTokens_, assumed));
     const auto missingSlots = candidate.busy_ >= candidate.slots_ ? candidate.busy_ - candidate.slots_ + 1 : 0;
+    const auto shared = std::min(request.sharedTokens_, request.tokens_);
+    const auto reread = shared - std::min(shared, cached);
     const auto tokens = double(candidate.unreadTokens_) + double(request.tokens_ - cached)
-        + tokensPerRunningRequest * candidate.busy_ + tokensPerMissingSlot * missingSlots;
+        + (rereadWeight - 1) * double(reread) + tokensPerRunningRequest * candidate.busy_
+        + tokensPerMissingSlot * missingSlots;
     return tokens * candidate.slowness_ + (candidate.longLane_ == request.longLane_ ? 0 : otherLaneTokens);
 }
 
-auto longLane(const std::vector<std::string> &ids, double share) -> std::vector<bool>
+auto laneSize(double share, std::size_t engines, std::size_t previous) -> std::size_t
+{
+    if (share <= 0 || engines < 2) {
+        return 0;
+    }
+    const auto wanted = std::clamp(share * double(engines), 1.0, double(engines - 1));
+    const auto keeps = previous > 0 && previous < engines && std::abs(wanted - double(previous)) < 1;
+    return keeps ? previous : std::size_t(std::lround(wanted));
+}
+
+auto longLane(const std::vector<std::string> &ids, std::size_t size) -> std::vector<bool>
 {
     auto order = std::vector<std::size_t>(ids.size());
     std::iota(order.begin(), order.end(), std::size_t(0));
@@ -41,12 +54,7 @@
             > std::pair(internal::rendezvousWeight(second, laneKey), second);
     });
     auto members = std::vector<bool>(ids.size(), false);
-    if (share <= 0 || ids.size() < 2) {
-        return members;
-    }
-    const auto wanted = std::size_t(std::lround(share * double(ids.size())));
-    const auto count = std::clamp<std::size_t>(wanted, 1, ids.size() - 1);
-    for (auto index = std::size_t(0); index < count; ++index) {
+    for (auto index = std::size_t(0); index < std::min(size, ids.size()); ++index) {
         members[order[index]] = true;
     }
     return members;
