Tell the other routers which prompts engines have not read yet

Change: service "peers": routers register under a lease in the store and send each other small datagrams with the unread prompt tokens by engine, changes at once and everything once a second. The client of the store gets lease calls in its second dialect; the wire format gets UnreadTokens (version 2).

--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -13,6 +14,7 @@
 #include "jasminewood/forward/dialect.h"
 #include "jasminewood/membership/directory.h"
 #include "jasminewood/routing/engine_choice.h"
+#include "jasminewood/routing/peer_tokens.h"
 #include "jasminewood/routing/policy.h"
 #include "jasminewood/routing/prefix_memory.h"
 #include "jasminewood/routing/prompt_mix.h"
@@ -60,8 +62,13 @@
 struct Assignment
 {
     const membership::UpstreamRecord upstream_;
-    // Prompt tokens that the upstream reads before it answers.
+    // Tokens of the prompt that the upstream has to read.
     const std::uint64_t unreadTokens_ = 0;
+    // What was known of the upstream: tokens of other prompts to be read before, requests that run or wait, and the age
+    // of its last report.
+    const std::uint64_t unreadBefore_ = 0;
+    const std::uint32_t busy_ = 0;
+    const Milliseconds reportAge_ = Milliseconds(0);
     const TimePoint since_;
 
     auto operator<=>(const Assignment &) const = default;
@@ -94,6 +101,18 @@
     // The upstream's answer stated its load.
     auto reported(const std::string &id, const LoadReport &report, TimePoint now) -> void;
 
+    // Tokens that this process gave to engines and that these have not read yet, by engine; engines without any are
+    // left out.
+    auto unreadTokens() const -> std::map<std::string, std::uint64_t>;
+
+    // Called, on any thread and under the pool's lock, when unreadTokens() changes. The callback must not call the
+    // pool.
+    auto onUnreadChange(std::function<auto()->void> callback) -> void;
+
+    // Another router's unread tokens.
+    auto peerReported(const std::string &router, bool complete, const std::map<std::string, std::uint64_t> &tokens,
+        TimePoint now) -> void;
+
     // Returns whether the upstream takes work.
     auto knows(const std::string &id) const -> bool;
 
@@ -122,15 +141,20 @@
     auto pickUpstream(const Wanted &wanted, const std::vector<const Upstream *> &eligible, TimePoint now)
         -> Result<std::string>;
     auto pickEngine(const Wanted &wanted, const std::vector<const Upstream *> &eligible, TimePoint now) -> std::string;
+    // Tokens that this process sent there and that are not read yet.
+    static auto unread(const Upstream &upstream) -> std::uint64_t;
     // Requests that run or wait at the upstream.
     static auto busy(const Upstream &upstream) -> std::uint32_t;
     auto slowness(const Upstream &upstream, TimePoint now) -> double;
+    auto noteUnreadChange() const -> void;
     auto dropUnread(Upstream &upstream, const Assignment &assignment) -> void;
 
     mutable std::mutex mutex_;
     routing::Chooser chooser_;
     routing::EngineChooser engineChooser_;
     routing::PrefixMemory prefixes_;
+    routing::PeerTokens peers_;
+    std::function<auto()->void> unreadChanged_;
     // By service: its mix of prompts, and how many of its engines are for long ones.
     std::map<std::string, routing::PromptMix> mixes_;
     std::map<std::string, std::size_t> laneSizes_;
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -125,6 +125,7 @@
         return chosen.reason();
     }
     assignment_.emplace(*chosen);
+    chosen_.emplace(*chosen);
     const auto &upstream = chosen->upstream_;
     tried_.push_back(upstream.id_);
     const auto order = Order {.upstreamId_ = upstream.id_,
@@ -181,6 +182,8 @@
     const auto facts = front_.dialect_.readFacts_(head);
     auto &pool = front_.upstreams_->pool();
     if (facts.load_) {
+        load_ = fmt::format("{},{},{},{:.2f}", facts.load_->running_, facts.load_->waiting_, facts.load_->slots_,
+            facts.load_->slowness_);
         pool.reported(assignment_->upstream_.id_, *facts.load_, Clock::now());
     }
     const auto problem = [this, &head](RunState state, const std::string &reason) {
@@ -350,6 +353,14 @@
                 {"status", std::int64_t(status)}, {"attempts", std::int64_t(tried_.size())},
                 {"upstream", tried_.empty() ? "" : tried_.back()}, {"version", version},
                 {"version_age_ms", age ? age->count() : -1}, {"bytes", std::int64_t(bytes_)},
+                {"shared_part",
+                    demand_.prompt_ && demand_.prompt_->parts_.size() > 1
+                        ? fmt::format("{:x}", demand_.prompt_->parts_[demand_.prompt_->parts_.size() - 2].id_)
+                        : ""},
+                {"unread_tokens", std::int64_t(chosen_ ? chosen_->unreadTokens_ : 0)},
+                {"unread_before", std::int64_t(chosen_ ? chosen_->unreadBefore_ : 0)},
+                {"busy", std::int64_t(chosen_ ? chosen_->busy_ : 0)},
+                {"report_age_ms", chosen_ ? chosen_->reportAge_.count() : -1}, {"load", load_},
                 {"first_ms", firstAt_ ? milliseconds(*firstAt_ - arrivedAt_) : -1},
                 {"longest_pause_ms", milliseconds(longestPause_)}, {"ms", milliseconds(Clock::now() - arrivedAt_)}},
             more));
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -78,7 +78,11 @@
     std::uint32_t sent_ = 0;
     std::optional<Lost> last_;
     std::vector<std::string> tried_;
+    // The attempt that is under way, and the last one for the log.
     std::optional<Assignment> assignment_;
+    std::optional<Assignment> chosen_;
+    // The load that the last answer stated: running, waiting, slots, slowness.
+    std::string load_;
     std::unique_ptr<http::ClientRequest> order_;
     std::unique_ptr<http::Exchange> exchange_;
     // When the answer began, and when the last piece of a stream came.
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -80,6 +80,15 @@
     }
 }
 
+auto UpstreamPool::unread(const Upstream &upstream) -> std::uint64_t
+{
+    auto sum = std::uint64_t(0);
+    for (const auto &[since, tokens] : upstream.unread_) {
+        sum += tokens;
+    }
+    return sum;
+}
+
 auto UpstreamPool::busy(const Upstream &upstream) -> std::uint32_t
 {
     const auto since = std::max(upstream.outstanding_, upstream.outstandingAtReport_) - upstream.outstandingAtReport_;
@@ -143,13 +152,9 @@
     auto candidates = std::vector<routing::EngineCandidate>();
     for (auto index = std::size_t(0); index < ids.size(); ++index) {
         const auto &upstream = *eligible[index];
-        auto unread = std::uint64_t(0);
-        for (const auto &[since, tokens] : upstream.unread_) {
-            unread += tokens;
-        }
         candidates.push_back({.id_ = ids[index],
             .dataCentre_ = upstream.record_->dataCentre_,
-            .unreadTokens_ = unread,
+            .unreadTokens_ = unread(upstream) + peers_.unread(ids[index], now),
             .cachedTokens_ = prefixes_.cached(ids[index], wanted.prompt_->parts_),
             .busy_ = busy(upstream),
             .slots_ = upstream.record_->slots_,
@@ -177,14 +182,22 @@
         return picked.reason();
     }
     auto &upstream = upstreams_.at(*picked);
+    const auto busyBefore = busy(upstream);
+    const auto unreadBefore = unread(upstream) + peers_.unread(*picked, now);
     ++upstream.outstanding_;
-    auto unread = std::uint64_t(0);
+    auto unreadTokens = std::uint64_t(0);
     if (wanted.prompt_) {
-        unread = tokensOf(*wanted.prompt_) - prefixes_.cached(*picked, wanted.prompt_->parts_);
+        unreadTokens = tokensOf(*wanted.prompt_) - prefixes_.cached(*picked, wanted.prompt_->parts_);
         prefixes_.sent(*picked, wanted.prompt_->parts_, std::uint64_t(cachePart * double(wanted.engineMemory_)));
-        upstream.unread_.emplace(now, unread);
+        upstream.unread_.emplace(now, unreadTokens);
+        noteUnreadChange();
     }
-    return Assignment {.upstream_ = *upstream.record_, .unreadTokens_ = unread, .since_ = now};
+    return Assignment {.upstream_ = *upstream.record_,
+        .unreadTokens_ = unreadTokens,
+        .unreadBefore_ = unreadBefore,
+        .busy_ = busyBefore,
+        .reportAge_ = std::chrono::duration_cast<Milliseconds>(now - upstream.reportedAt_),
+        .since_ = now};
 }
 
 auto UpstreamPool::dropUnread(Upstream &upstream, const Assignment &assignment) -> void
@@ -195,6 +208,7 @@
     });
     if (found != last) {
         upstream.unread_.erase(found);
+        noteUnreadChange();
     }
 }
 
@@ -249,6 +263,38 @@
     upstream.reportedAt_ = now;
 }
 
+auto UpstreamPool::unreadTokens() const -> std::map<std::string, std::uint64_t>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto tokens = std::map<std::string, std::uint64_t>();
+    for (const auto &[id, upstream] : upstreams_) {
+        if (const auto sum = unread(upstream); sum > 0) {
+            tokens.emplace(id, sum);
+        }
+    }
+    return tokens;
+}
+
+auto UpstreamPool::onUnreadChange(std::function<auto()->void> callback) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    unreadChanged_ = std::move(callback);
+}
+
+auto UpstreamPool::noteUnreadChange() const -> void
+{
+    if (unreadChanged_) {
+        unreadChanged_();
+    }
+}
+
+auto UpstreamPool::peerReported(
+    const std::string &router, bool complete, const std::map<std::string, std::uint64_t> &tokens, TimePoint now) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    peers_.take(router, complete, tokens, now);
+}
+
 auto UpstreamPool::knows(const std::string &id) const -> bool
 {
     const auto lock = std::scoped_lock(mutex_);
--- /dev/null
+++ b/packages/forward/tests/peer_exchange_test.cpp
@@ -0,0 +1,83 @@
+#include "jasminewood/forward/peer_exchange.h"
+
+#include "front_under_test.h"
+#include "jasminewood/testkit/story.h"
+
+using namespace jasminewood;
+using namespace jasminewood::forward;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+// One router's feed and exchange, without a front.
+struct Router
+{
+    Router(const std::string &name, const std::string &storeUrl)
+        : client_(std::make_shared<platform::KeyValueClient>(platform::KeyValueOptions {.url_ = storeUrl}))
+        , upstreams_(std::make_shared<UpstreamFeed>(client_, testDialect(sampleConfiguration()), "local", 1))
+        , peers_(std::make_shared<PeerExchange>(client_, PeerExchangeOptions {.address_ = "127.0.0.1"}, 1))
+    {
+        registry_.add("environment",
+            std::make_shared<node::Environment>(
+                node::newIdentity(name, wire::Role::Router, "local", ""), observe::Level::Error));
+        registry_.add("upstreams", upstreams_);
+        registry_.add("peers", peers_);
+        check(!registry_.startAll());
+    }
+
+    ~Router()
+    {
+        registry_.stopAll();
+    }
+
+    std::shared_ptr<platform::KeyValueClient> client_;
+    std::shared_ptr<UpstreamFeed> upstreams_;
+    std::shared_ptr<PeerExchange> peers_;
+    kernel::Registry registry_;
+};
+
+auto longPrompt() -> Wanted
+{
+    return {.service_ = "pool",
+        .route_ = "quotes",
+        .prompt_ = Prompt {.model_ = "m", .promptTokens_ = 9'000, .parts_ = {{.id_ = 1, .tokens_ = 9'000}}},
+        .engineMemory_ = 100'000};
+}
+
+const testkit::Story story = {"routers before one pool",
+    {
+        section("that find each other in the store",
+            {
+                // Guards against a long prompt that goes to the engine which another router has just filled.
+                test("send long prompts to engines that the others did not fill",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        const auto url = "http://127.0.0.1:" + std::to_string(store->port());
+                        auto first = Router("first", url);
+                        auto second = Router("second", url);
+                        check(bool(first.client_->put(std::string(upstreamPrefix) + "a", "127.0.0.1:1 ready")));
+                        check(bool(first.client_->put(std::string(upstreamPrefix) + "b", "127.0.0.1:2 ready")));
+                        await(
+                            [&] {
+                                return first.upstreams_->pool().knows("b") && second.upstreams_->pool().knows("b")
+                                    && first.peers_->peers() == 1 && second.peers_->peers() == 1;
+                            },
+                            "the routers know each other and the engines");
+                        const auto chosen = first.upstreams_->pool().choose(longPrompt(), Clock::now());
+                        const auto filled = chosen->upstream_.id_;
+                        await(
+                            [&] {
+                                const auto other = second.upstreams_->pool().choose(longPrompt(), Clock::now());
+                                const auto elsewhere = other->upstream_.id_ != filled;
+                                second.upstreams_->pool().released(*other, AttemptResult::Abandoned, Clock::now());
+                                return elsewhere && other->unreadBefore_ == 0;
+                            },
+                            "the second router avoids the engine");
+                    }),
+            }),
+    }};
+
+} // namespace
--- a/packages/platform/include/jasminewood/platform/dialect.h
+++ b/packages/platform/include/jasminewood/platform/dialect.h
@@ -49,8 +49,9 @@
     const Revision revision_ = 0;
 };
 
-// A service that lists keys in pages, that may differ in revision, and whose watch is a call that answers as soon as
-// there are events or the time is over. It answers 410 if the history is gone. Readers fail with step "decode".
+// A service whose calls the client does not fix, without operations on conditions. It lists keys in pages, that may
+// differ in revision, and whose watch is a call that answers as soon as there are events or the time is over. It
+// answers 410 if the history is gone. Readers fail with step "decode".
 struct PagedCalls
 {
     // Writes the call for the page of a prefix that begins after a key; empty for the first page.
@@ -58,6 +59,15 @@
     const std::function<auto(const std::string &body)->Result<RangePage>> readRange_;
     const std::function<auto(const WatchRequest &request)->HttpCall> watch_;
     const std::function<auto(const std::string &body)->Result<WatchPage>> readWatch_;
+    const std::function<auto(const PutKey &put)->HttpCall> put_;
+    const std::function<auto(const std::string &body)->Result<Revision>> readPut_;
+    const std::function<auto(Milliseconds timeToLive)->HttpCall> grantLease_;
+    const std::function<auto(const std::string &body)->Result<LeaseId>> readLease_;
+    // Answered 404 if the lease has ended.
+    const std::function<auto(LeaseId lease)->HttpCall> keepLease_;
+    // Reads the remaining time of a renewed lease.
+    const std::function<auto(const std::string &body)->Result<std::chrono::seconds>> readKept_;
+    const std::function<auto(LeaseId lease)->HttpCall> endLease_;
 };
 
 using Dialect = std::variant<EtcdGateway, PagedCalls>;
--- a/packages/platform/include/jasminewood/platform/key_value.h
+++ b/packages/platform/include/jasminewood/platform/key_value.h
@@ -80,7 +80,7 @@
 
     auto grantLease(std::chrono::seconds timeToLive) -> Result<LeaseId>;
 
-    // Returns the remaining time, or 0 if the lease has expired.
+    // Renews the lease. Returns the remaining time, or 0 if the lease has expired.
     auto keepAlive(LeaseId lease) -> Result<std::chrono::seconds>;
 
     // Deletes the keys of the lease.
@@ -99,6 +99,11 @@
 private:
     auto post(const std::string &operation, const std::string &path, const std::string &body) -> Result<std::string>;
     auto failed(const std::string &operation, const Failure &reason) const -> Failure;
+    // Performs a call and returns its answer, whatever the status.
+    auto answered(const std::string &operation, const HttpCall &call) -> Result<http::ClientResponse>;
+    template <typename Value>
+    auto read(const std::string &operation, const Result<std::string> &body,
+        const std::function<auto(const std::string &)->Result<Value>> &reader) const -> Result<Value>;
     auto send(const std::string &operation, const HttpCall &call) -> Result<std::string>;
     auto getPages(const PagedCalls &dialect, const std::string &prefix) -> Result<Snapshot>;
     auto watchLines(const WatchRequest &request, WatchCall &call,
--- a/packages/platform/src/key_value.cpp
+++ b/packages/platform/src/key_value.cpp
@@ -17,6 +17,9 @@
 using internal::peerOf;
 using nlohmann::json;
 
+constexpr int success = 200;
+constexpr int notFound = 404;
+
 auto malformed(const KeyValueOptions &options, const std::string &operation, const std::string &problem) -> Failure
 {
     return {.step_ = "kv " + operation,
@@ -155,7 +158,7 @@
         .retryAfter_ = options_.retryAfter_};
 }
 
-auto KeyValueClient::send(const std::string &operation, const HttpCall &call) -> Result<std::string>
+auto KeyValueClient::answered(const std::string &operation, const HttpCall &call) -> Result<http::ClientResponse>
 {
     ++calls_;
     auto headers = std::vector<http::Header>();
@@ -168,15 +171,32 @@
         .body_ = call.body_,
         .connectTimeout_ = options_.connectTimeout_,
         .timeout_ = options_.deadline_});
+    return answer ? answer : Result<http::ClientResponse>(failed(operation, answer.reason()));
+}
+
+auto KeyValueClient::send(const std::string &operation, const HttpCall &call) -> Result<std::string>
+{
+    const auto answer = answered(operation, call);
     if (!answer) {
-        return failed(operation, answer.reason());
+        return answer.reason();
     }
-    if (answer->status_ != 200) {
+    if (answer->status_ != success) {
         return refusal(options_, operation, *answer);
     }
     return answer->body_;
 }
 
+template <typename Value>
+auto KeyValueClient::read(const std::string &operation, const Result<std::string> &body,
+    const std::function<auto(const std::string &)->Result<Value>> &reader) const -> Result<Value>
+{
+    if (!body) {
+        return body.reason();
+    }
+    auto value = reader(*body);
+    return value ? value : Result<Value>(failed(operation, value.reason()));
+}
+
 auto KeyValueClient::getPages(const PagedCalls &dialect, const std::string &prefix) -> Result<Snapshot>
 {
     auto entries = std::vector<KeyValue>();
@@ -251,14 +271,23 @@
 
 auto KeyValueClient::put(const std::string &key, const std::string &value, LeaseId lease) -> Result<Revision>
 {
-    const auto request = internal::encodePut({.key_ = key, .value_ = value, .lease_ = lease});
-    return decoded(options_, "put", post("put", "/v3/kv/put", request.dump()), [](const json &answer) {
-        return internal::revisionOf(answer);
-    });
+    const auto entry = PutKey {.key_ = key, .value_ = value, .lease_ = lease};
+    if (const auto *dialect = std::get_if<PagedCalls>(&options_.dialect_)) {
+        return read("put", send("put", dialect->put_(entry)), dialect->readPut_);
+    }
+    return decoded(
+        options_, "put", post("put", "/v3/kv/put", internal::encodePut(entry).dump()), [](const json &answer) {
+            return internal::revisionOf(answer);
+        });
 }
 
 auto KeyValueClient::remove(const std::string &key) -> Result<bool>
 {
+    if (std::holds_alternative<PagedCalls>(options_.dialect_)) {
+        return Failure {.step_ = "kv delete",
+            .peer_ = peerOf(options_.url_),
+            .reason_ = "the service's dialect has no call that deletes a key"};
+    }
     const auto body = post("delete", "/v3/kv/deleterange", internal::encodeRange(key, "").dump());
     return decoded(options_, "delete", body, [](const json &answer) {
         return internal::integerOf(answer, "deleted") > 0;
@@ -267,6 +296,11 @@
 
 auto KeyValueClient::transaction(const Transaction &transaction) -> Result<TransactionOutcome>
 {
+    if (std::holds_alternative<PagedCalls>(options_.dialect_)) {
+        return Failure {.step_ = "kv txn",
+            .peer_ = peerOf(options_.url_),
+            .reason_ = "the service's dialect has no operations on conditions"};
+    }
     const auto body = post("txn", "/v3/kv/txn", internal::encodeTransaction(transaction).dump());
     return decoded(options_, "txn", body, [](const json &answer) {
         return internal::decodeTransaction(answer, internal::revisionOf(answer));
@@ -275,6 +309,9 @@
 
 auto KeyValueClient::grantLease(std::chrono::seconds timeToLive) -> Result<LeaseId>
 {
+    if (const auto *dialect = std::get_if<PagedCalls>(&options_.dialect_)) {
+        return read("lease grant", send("lease grant", dialect->grantLease_(timeToLive)), dialect->readLease_);
+    }
     const auto request = json {{"TTL", std::to_string(timeToLive.count())}};
     return decoded(
         options_, "lease grant", post("lease grant", "/v3/lease/grant", request.dump()), [](const json &answer) {
@@ -284,6 +321,20 @@
 
 auto KeyValueClient::keepAlive(LeaseId lease) -> Result<std::chrono::seconds>
 {
+    if (const auto *dialect = std::get_if<PagedCalls>(&options_.dialect_)) {
+        const auto answer = answered("lease keepalive", dialect->keepLease_(lease));
+        if (!answer) {
+            return answer.reason();
+        }
+        if (answer->status_ == notFound) {
+            return std::chrono::seconds(0);
+        }
+        if (answer->status_ != success) {
+            return refusal(options_, "lease keepalive", *answer);
+        }
+        const auto left = dialect->readKept_(answer->body_);
+        return left ? left : Result<std::chrono::seconds>(failed("lease keepalive", left.reason()));
+    }
     const auto request = json {{"ID", std::to_string(lease)}};
     return decoded(options_, "lease keepalive", post("lease keepalive", "/v3/lease/keepalive", request.dump()),
         [](const json &answer) {
@@ -293,6 +344,10 @@
 
 auto KeyValueClient::revokeLease(LeaseId lease) -> Status
 {
+    if (const auto *dialect = std::get_if<PagedCalls>(&options_.dialect_)) {
+        const auto body = send("lease revoke", dialect->endLease_(lease));
+        return body ? std::nullopt : Status(body.reason());
+    }
     const auto request = json {{"ID", std::to_string(lease)}};
     const auto body = post("lease revoke", "/v3/lease/revoke", request.dump());
     return body ? std::nullopt : Status(body.reason());
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -22,7 +22,7 @@
 {
 
 // A peer with another version is refused at Hello.
-constexpr std::uint32_t protocolVersion = 1;
+constexpr std::uint32_t protocolVersion = 2;
 
 enum class Role : std::uint8_t
 {
@@ -230,6 +230,17 @@
     auto operator<=>(const Usage &) const = default;
 };
 
+// Router to router: prompt tokens that the sender gave to model engines and that these have not read yet, by engine.
+struct UnreadTokens
+{
+    const NodeId router_;
+    // True if engines that are not named have no unread tokens of this router; else they have as many as before.
+    const bool complete_ = false;
+    const std::map<std::string, std::uint64_t> tokens_;
+
+    auto operator<=>(const UnreadTokens &) const = default;
+};
+
 // Router to router: one crash that a request fingerprint was part of. Receivers merge by crash id.
 struct CrashReport
 {
@@ -279,6 +290,6 @@
 };
 
 using Message = std::variant<Hello, Heartbeat, Dispatch, Started, Frame, Finished, Failed, Cancel, Attach, Void, Voided,
-    Leaving, ManifestUpdate, Usage, Suspicions, Drain, TimelineQuery, TimelineReply>;
+    Leaving, ManifestUpdate, Usage, Suspicions, Drain, TimelineQuery, TimelineReply, UnreadTokens>;
 
 } // namespace jasminewood::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -133,6 +133,11 @@
     return std::tie(value.router_, value.accounts_);
 }
 
+inline auto fieldsOf(const UnreadTokens &value)
+{
+    return std::tie(value.router_, value.complete_, value.tokens_);
+}
+
 inline auto fieldsOf(const Suspicions &value)
 {
     return std::tie(value.reports_);
@@ -199,5 +204,7 @@
 inline constexpr std::uint32_t typeNumber<TimelineQuery> = 17;
 template <>
 inline constexpr std::uint32_t typeNumber<TimelineReply> = 18;
+template <>
+inline constexpr std::uint32_t typeNumber<UnreadTokens> = 19;
 
 } // namespace jasminewood::wire::internal
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -115,6 +115,16 @@
     return Usage {.router_ = anyNode(), .accounts_ = std::move(accounts)};
 }
 
+inline auto anyUnreadTokens() -> UnreadTokens
+{
+    auto tokens = std::map<std::string, std::uint64_t>();
+    const auto count = *rc::gen::inRange(0, 5);
+    for (auto index = 0; index < count; ++index) {
+        tokens.emplace(anyName(), anyNumber<std::uint64_t>());
+    }
+    return UnreadTokens {.router_ = anyNode(), .complete_ = anyNumber<bool>(), .tokens_ = std::move(tokens)};
+}
+
 inline auto anyAnswer() -> std::optional<Answer>
 {
     if (anyNumber<bool>()) {
@@ -151,7 +161,7 @@
             .request_ = anyName(),
             .fromMicros_ = anyNumber<std::uint64_t>(),
             .toMicros_ = anyNumber<std::uint64_t>()},
-        TimelineReply {.query_ = anyNumber<std::uint64_t>(), .events_ = anyBody()}};
+        TimelineReply {.query_ = anyNumber<std::uint64_t>(), .events_ = anyBody()}, anyUnreadTokens()};
 }
 
 } // namespace jasminewood::wire
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -156,10 +156,10 @@
                 // Guards against a reading of fields that mean something else.
                 test("is refused with both versions in the reason",
                     [] {
-                        const auto bytes = withByte(wire::encode(wire::Drain {}), versionPosition, '\x02');
+                        const auto bytes = withByte(wire::encode(wire::Drain {}), versionPosition, '\x01');
                         const auto message = wire::decode(bytes);
                         check(!message && message.reason().step_ == "decode");
-                        check(message.reason().reason_ == "protocol version 2 instead of 1");
+                        check(message.reason().reason_ == "protocol version 1 instead of 2");
                     }),
             }),
         section("type",
