Share which prompts engines hold, and compare engines fairly

Cause: (1) Routers did not know which shared parts the others had given to which engine, so that a part that left its home was read at further engines. (2) The slowness of an engine was its time to the first token against the median of the service; engines with long prompts looked up to 16 times slower, and long prompts went to the lane of short streams.

Change: (1) The datagrams of the routers carry the shared parts of the prompts that they gave (wire: EngineUse, nesting depth 5). (2) First-token times are compared as if the same number of tokens had been read.

A first run with (1) had no effect because messages of that depth were refused; the property test of the wire format showed it.

--- a/packages/forward/include/jasminewood/forward/peer_exchange.h
+++ b/packages/forward/include/jasminewood/forward/peer_exchange.h
@@ -14,6 +14,7 @@
 #include "jasminewood/kernel/registry.h"
 #include "jasminewood/node/environment.h"
 #include "jasminewood/platform/key_value.h"
+#include "jasminewood/wire/messages.h"
 
 // Service "peers": tells the other routers what this one gave to model engines, and learns the same of them.
 //
@@ -55,6 +56,10 @@
     auto sendAll() -> void;
     auto keepRegistered() -> void;
     auto registerOnce() -> Status;
+    // Sends the unread tokens and the prompts to all other routers.
+    auto report(bool complete, const std::map<std::string, std::uint64_t> &unread,
+        const std::vector<GivenPrompt> &prompts) -> void;
+    auto take(const wire::EngineUse &use) -> void;
     // Sends a datagram to all other routers.
     auto broadcast(const std::string &datagram) -> void;
     auto note(const std::string &key, const std::string &address) -> void;
--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -74,6 +74,18 @@
     auto operator<=>(const Assignment &) const = default;
 };
 
+// The shared parts of a prompt that went to one engine.
+struct GivenPrompt
+{
+    const std::string engine_;
+    const std::vector<routing::PromptPart> parts_;
+
+    auto operator<=>(const GivenPrompt &) const = default;
+};
+
+// Prompts that wait to be told to the other routers.
+constexpr std::size_t maximumGiven = 256;
+
 // A reported slowness loses half of its excess in this time: neighbours of an upstream's VM come and go.
 constexpr Milliseconds reportHalfLife = Milliseconds(600);
 
@@ -109,9 +121,13 @@
     // pool.
     auto onUnreadChange(std::function<auto()->void> callback) -> void;
 
-    // Another router's unread tokens.
-    auto peerReported(const std::string &router, bool complete, const std::map<std::string, std::uint64_t> &tokens,
-        TimePoint now) -> void;
+    // Returns the prompts that this process gave to engines since the last call, the oldest first; of many only the
+    // newest.
+    auto takeGiven() -> std::vector<GivenPrompt>;
+
+    // Another router's unread tokens and prompts.
+    auto peerReported(const std::string &router, bool complete, const std::map<std::string, std::uint64_t> &unread,
+        const std::vector<GivenPrompt> &prompts, TimePoint now) -> void;
 
     // Returns whether the upstream takes work.
     auto knows(const std::string &id) const -> bool;
@@ -129,6 +145,8 @@
         std::uint32_t outstandingAtReport_ = 0;
         double slowness_ = 1;
         TimePoint reportedAt_;
+        // Tokens of prompts that the engine keeps.
+        std::uint64_t cacheTokens_ = 0;
         // The prompts of attempts whose answer has not begun, by the time of the choice.
         std::multimap<TimePoint, std::uint64_t> unread_;
         std::uint32_t failures_ = 0;
@@ -147,6 +165,7 @@
     static auto busy(const Upstream &upstream) -> std::uint32_t;
     auto slowness(const Upstream &upstream, TimePoint now) -> double;
     auto noteUnreadChange() const -> void;
+    auto noteGiven(const std::string &engine, const Prompt &prompt) -> void;
     auto dropUnread(Upstream &upstream, const Assignment &assignment) -> void;
 
     mutable std::mutex mutex_;
@@ -154,6 +173,7 @@
     routing::EngineChooser engineChooser_;
     routing::PrefixMemory prefixes_;
     routing::PeerTokens peers_;
+    std::vector<GivenPrompt> given_;
     std::function<auto()->void> unreadChanged_;
     // By service: its mix of prompts, and how many of its engines are for long ones.
     std::map<std::string, routing::PromptMix> mixes_;
--- a/packages/forward/src/peer_exchange.cpp
+++ b/packages/forward/src/peer_exchange.cpp
@@ -32,6 +32,8 @@
 constexpr Milliseconds membershipWatch = Milliseconds(10'000);
 // Larger datagrams would be fragmented.
 constexpr std::size_t maximumDatagram = 1'400;
+// A prompt with several shared parts takes up to about 80 bytes.
+constexpr std::size_t promptsPerDatagram = 12;
 
 auto socketAddress(const std::string &host, std::uint16_t port) -> std::optional<sockaddr_in>
 {
@@ -256,6 +258,33 @@
     }
 }
 
+auto PeerExchange::report(
+    bool complete, const std::map<std::string, std::uint64_t> &unread, const std::vector<GivenPrompt> &prompts) -> void
+{
+    const auto router = environment_->identity().node_;
+    const auto send = [this](const wire::EngineUse &use) {
+        const auto datagram = wire::encode(use);
+        if (datagram.size() <= maximumDatagram) {
+            broadcast(datagram);
+        } else {
+            environment_->log().warning(
+                "a report for the routers is too long", {{"bytes", std::int64_t(datagram.size())}});
+        }
+    };
+    send({.router_ = router, .complete_ = complete, .unread_ = unread});
+    for (auto start = std::size_t(0); start < prompts.size(); start += promptsPerDatagram) {
+        auto part = std::vector<wire::GivenPrompt>();
+        for (auto index = start; index < std::min(prompts.size(), start + promptsPerDatagram); ++index) {
+            auto shared = std::vector<wire::SharedPart>();
+            for (const auto &[id, tokens] : prompts[index].parts_) {
+                shared.push_back({.id_ = id, .tokens_ = tokens});
+            }
+            part.push_back({.engine_ = prompts[index].engine_, .parts_ = shared});
+        }
+        send({.router_ = router, .prompts_ = part});
+    }
+}
+
 auto PeerExchange::sendAll() -> void
 {
     auto sent = std::map<std::string, std::uint64_t>();
@@ -276,15 +305,24 @@
             completeAt = now + completeInterval;
         }
         sent.swap(tokens);
-        if (!complete && changes.empty()) {
-            continue;
+        const auto prompts = upstreams_->pool().takeGiven();
+        if (complete || !changes.empty() || !prompts.empty()) {
+            report(complete, changes, prompts);
         }
-        const auto datagram = wire::encode(
-            wire::UnreadTokens {.router_ = environment_->identity().node_, .complete_ = complete, .tokens_ = changes});
-        if (datagram.size() <= maximumDatagram) {
-            broadcast(datagram);
+    }
+}
+
+auto PeerExchange::take(const wire::EngineUse &use) -> void
+{
+    auto prompts = std::vector<GivenPrompt>();
+    for (const auto &prompt : use.prompts_) {
+        auto parts = std::vector<routing::PromptPart>();
+        for (const auto &[id, tokens] : prompt.parts_) {
+            parts.push_back({.id_ = id, .tokens_ = tokens});
         }
+        prompts.push_back({.engine_ = prompt.engine_, .parts_ = parts});
     }
+    upstreams_->pool().peerReported(use.router_.name_, use.complete_, use.unread_, prompts, Clock::now());
 }
 
 auto PeerExchange::receiveAll() -> void
@@ -300,9 +338,9 @@
         }
         const auto bytes = std::string_view(buffer.data(), std::size_t(std::max<ssize_t>(size, 0)));
         const auto message = wire::decode(bytes);
-        const auto *report = message ? std::get_if<wire::UnreadTokens>(&*message) : nullptr;
-        if (report != nullptr) {
-            upstreams_->pool().peerReported(report->router_.name_, report->complete_, report->tokens_, Clock::now());
+        const auto *use = message ? std::get_if<wire::EngineUse>(&*message) : nullptr;
+        if (use != nullptr) {
+            take(*use);
         } else if (size < 0 && errno != EINTR && errno != ECONNREFUSED) {
             environment_->log().warning("datagrams of the routers cannot be read", {{"error", std::strerror(errno)}});
             if (!pause(renewInterval)) {
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 #include <set>
+#include <utility>
 
 namespace jasminewood::forward
 {
@@ -47,6 +48,16 @@
         .sharedTokens_ = shared ? tokens - ownTokens(prompt) : 0};
 }
 
+// Returns the time until the answer began as if the same number of tokens had been read for each: engines with long
+// prompts are not slower than others.
+auto comparableTime(const Assignment &assignment, TimePoint now) -> Microseconds
+{
+    constexpr double fixedTokens = 500;
+    const auto time = std::chrono::duration_cast<Microseconds>(now - assignment.since_);
+    const auto tokens = double(assignment.unreadBefore_ + assignment.unreadTokens_);
+    return Microseconds(std::int64_t(double(time.count()) * fixedTokens / (fixedTokens + tokens)));
+}
+
 } // namespace
 
 UpstreamPool::UpstreamPool(std::uint64_t seed, const std::string &dataCentre)
@@ -188,7 +199,9 @@
     auto unreadTokens = std::uint64_t(0);
     if (wanted.prompt_) {
         unreadTokens = tokensOf(*wanted.prompt_) - prefixes_.cached(*picked, wanted.prompt_->parts_);
-        prefixes_.sent(*picked, wanted.prompt_->parts_, std::uint64_t(cachePart * double(wanted.engineMemory_)));
+        upstream.cacheTokens_ = std::uint64_t(cachePart * double(wanted.engineMemory_));
+        prefixes_.sent(*picked, wanted.prompt_->parts_, upstream.cacheTokens_);
+        noteGiven(*picked, *wanted.prompt_);
         upstream.unread_.emplace(now, unreadTokens);
         noteUnreadChange();
     }
@@ -220,8 +233,8 @@
         return;
     }
     dropUnread(found->second, assignment);
-    const auto time = std::chrono::duration_cast<Microseconds>(now - assignment.since_);
-    health_[assignment.upstream_.service_].firstToken(nodeOf(assignment.upstream_), time, now);
+    health_[assignment.upstream_.service_].firstToken(
+        nodeOf(assignment.upstream_), comparableTime(assignment, now), now);
 }
 
 auto UpstreamPool::released(const Assignment &assignment, AttemptResult result, TimePoint now) -> void
@@ -288,11 +301,34 @@
     }
 }
 
-auto UpstreamPool::peerReported(
-    const std::string &router, bool complete, const std::map<std::string, std::uint64_t> &tokens, TimePoint now) -> void
+auto UpstreamPool::noteGiven(const std::string &engine, const Prompt &prompt) -> void
+{
+    if (prompt.parts_.size() < 2) {
+        return;
+    }
+    if (given_.size() >= maximumGiven) {
+        given_.clear();
+    }
+    given_.push_back({.engine_ = engine, .parts_ = {prompt.parts_.begin(), prompt.parts_.end() - 1}});
+}
+
+auto UpstreamPool::takeGiven() -> std::vector<GivenPrompt>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return std::exchange(given_, {});
+}
+
+auto UpstreamPool::peerReported(const std::string &router, bool complete,
+    const std::map<std::string, std::uint64_t> &unread, const std::vector<GivenPrompt> &prompts, TimePoint now) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    peers_.take(router, complete, tokens, now);
+    peers_.take(router, complete, unread, now);
+    for (const auto &prompt : prompts) {
+        const auto found = upstreams_.find(prompt.engine_);
+        if (found != upstreams_.end() && found->second.cacheTokens_ > 0) {
+            prefixes_.sent(prompt.engine_, prompt.parts_, found->second.cacheTokens_);
+        }
+    }
 }
 
 auto UpstreamPool::knows(const std::string &id) const -> bool
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -230,15 +230,36 @@
     auto operator<=>(const Usage &) const = default;
 };
 
-// Router to router: prompt tokens that the sender gave to model engines and that these have not read yet, by engine.
-struct UnreadTokens
+// A part of a prompt that several requests share.
+struct SharedPart
+{
+    const std::uint64_t id_ = 0;
+    const std::uint32_t tokens_ = 0;
+
+    auto operator<=>(const SharedPart &) const = default;
+};
+
+// The shared parts of one prompt, in order, that went to one engine and are now in its cache.
+struct GivenPrompt
+{
+    const std::string engine_;
+    const std::vector<SharedPart> parts_;
+
+    auto operator<=>(const GivenPrompt &) const = default;
+};
+
+// Router to router: what the sender gave to model engines.
+struct EngineUse
 {
     const NodeId router_;
     // True if engines that are not named have no unread tokens of this router; else they have as many as before.
     const bool complete_ = false;
-    const std::map<std::string, std::uint64_t> tokens_;
+    // Prompt tokens that the engine has not read yet, by engine.
+    const std::map<std::string, std::uint64_t> unread_;
+    // Prompts given since the last message, the oldest first.
+    const std::vector<GivenPrompt> prompts_;
 
-    auto operator<=>(const UnreadTokens &) const = default;
+    auto operator<=>(const EngineUse &) const = default;
 };
 
 // Router to router: one crash that a request fingerprint was part of. Receivers merge by crash id.
@@ -290,6 +311,6 @@
 };
 
 using Message = std::variant<Hello, Heartbeat, Dispatch, Started, Frame, Finished, Failed, Cancel, Attach, Void, Voided,
-    Leaving, ManifestUpdate, Usage, Suspicions, Drain, TimelineQuery, TimelineReply, UnreadTokens>;
+    Leaving, ManifestUpdate, Usage, Suspicions, Drain, TimelineQuery, TimelineReply, EngineUse>;
 
 } // namespace jasminewood::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -133,9 +133,19 @@
     return std::tie(value.router_, value.accounts_);
 }
 
-inline auto fieldsOf(const UnreadTokens &value)
+inline auto fieldsOf(const SharedPart &value)
 {
-    return std::tie(value.router_, value.complete_, value.tokens_);
+    return std::tie(value.id_, value.tokens_);
+}
+
+inline auto fieldsOf(const GivenPrompt &value)
+{
+    return std::tie(value.engine_, value.parts_);
+}
+
+inline auto fieldsOf(const EngineUse &value)
+{
+    return std::tie(value.router_, value.complete_, value.unread_, value.prompts_);
 }
 
 inline auto fieldsOf(const Suspicions &value)
@@ -205,6 +215,6 @@
 template <>
 inline constexpr std::uint32_t typeNumber<TimelineReply> = 18;
 template <>
-inline constexpr std::uint32_t typeNumber<UnreadTokens> = 19;
+inline constexpr std::uint32_t typeNumber<EngineUse> = 19;
 
 } // namespace jasminewood::wire::internal
--- a/packages/wire/src/items.cpp
+++ b/packages/wire/src/items.cpp
@@ -12,7 +12,7 @@
 
 // The most items that a message within the limits has: a list of crash reports takes five for each entry.
 constexpr std::size_t maximumItems = 6 * maximumEntries;
-constexpr std::uint32_t maximumDepth = 4;
+constexpr std::uint32_t maximumDepth = 5;
 
 // Receives the parser's events. A function that returns false stops the parser. The names are the library's.
 // NOLINTBEGIN(readability-identifier-naming)
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -115,14 +115,31 @@
     return Usage {.router_ = anyNode(), .accounts_ = std::move(accounts)};
 }
 
-inline auto anyUnreadTokens() -> UnreadTokens
+inline auto anyGivenPrompt() -> GivenPrompt
+{
+    auto parts = std::vector<SharedPart>();
+    const auto count = *rc::gen::inRange(0, 4);
+    for (auto index = 0; index < count; ++index) {
+        parts.push_back({.id_ = anyNumber<std::uint64_t>(), .tokens_ = anyNumber<std::uint32_t>()});
+    }
+    return GivenPrompt {.engine_ = anyName(), .parts_ = std::move(parts)};
+}
+
+inline auto anyEngineUse() -> EngineUse
 {
     auto tokens = std::map<std::string, std::uint64_t>();
     const auto count = *rc::gen::inRange(0, 5);
     for (auto index = 0; index < count; ++index) {
         tokens.emplace(anyName(), anyNumber<std::uint64_t>());
     }
-    return UnreadTokens {.router_ = anyNode(), .complete_ = anyNumber<bool>(), .tokens_ = std::move(tokens)};
+    auto prompts = std::vector<GivenPrompt>();
+    for (auto index = 0; index < count; ++index) {
+        prompts.push_back(anyGivenPrompt());
+    }
+    return EngineUse {.router_ = anyNode(),
+        .complete_ = anyNumber<bool>(),
+        .unread_ = std::move(tokens),
+        .prompts_ = std::move(prompts)};
 }
 
 inline auto anyAnswer() -> std::optional<Answer>
@@ -161,7 +178,7 @@
             .request_ = anyName(),
             .fromMicros_ = anyNumber<std::uint64_t>(),
             .toMicros_ = anyNumber<std::uint64_t>()},
-        TimelineReply {.query_ = anyNumber<std::uint64_t>(), .events_ = anyBody()}, anyUnreadTokens()};
+        TimelineReply {.query_ = anyNumber<std::uint64_t>(), .events_ = anyBody()}, anyEngineUse()};
 }
 
 } // namespace jasminewood::wire
