--- a/packages/forward/include/jasminewood/forward/configuration_feed.h
+++ b/packages/forward/include/jasminewood/forward/configuration_feed.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <optional>
 
 #include "jasminewood/core/boot_clock.h"
+#include "jasminewood/core/clock.h"
 #include "jasminewood/forward/dialect.h"
 #include "jasminewood/forward/store_feed.h"
 #include "jasminewood/kernel/registry.h"
@@ -31,6 +33,9 @@
     // Returns nullptr until the first configuration has arrived. Never returns an older version than before.
     auto current() const -> std::shared_ptr<const routes::RouteTable>;
 
+    // As current(), but waits for the first configuration until the deadline.
+    auto awaitCurrent(TimePoint deadline) const -> std::shared_ptr<const routes::RouteTable>;
+
     // Returns how long ago the store proved that the configuration is the newest; empty if it never did.
     auto age() const -> std::optional<Milliseconds>;
 
@@ -47,6 +52,7 @@
     const std::uint64_t seed_;
     std::shared_ptr<node::Environment> environment_;
     mutable std::mutex mutex_;
+    mutable std::condition_variable arrived_;
     std::shared_ptr<const routes::RouteTable> current_;
     std::optional<BootTime> provenAt_;
     bool reachable_ = false;
--- a/packages/forward/include/jasminewood/forward/upstream_feed.h
+++ b/packages/forward/include/jasminewood/forward/upstream_feed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <condition_variable>
 #include <memory>
 #include <mutex>
 
@@ -31,6 +32,9 @@
     // Whether the entries have been read once.
     auto known() const -> bool;
 
+    // Waits until known() holds, or the deadline.
+    auto awaitKnown(TimePoint deadline) const -> void;
+
 private:
     auto takeAll(const std::vector<platform::KeyValue> &entries) -> void;
     auto take(const platform::WatchEvent &event) -> void;
@@ -45,6 +49,7 @@
     std::shared_ptr<node::Environment> environment_;
     UpstreamPool pool_;
     mutable std::mutex mutex_;
+    mutable std::condition_variable arrived_;
     membership::Directory directory_;
     bool known_ = false;
     bool reachable_ = false;
--- a/packages/forward/src/configuration_feed.cpp
+++ b/packages/forward/src/configuration_feed.cpp
@@ -83,6 +83,7 @@
         return;
     }
     current_ = std::move(table);
+    arrived_.notify_all();
     environment_->log().info("applied a configuration",
         {{"version", version}, {"previous", held}, {"routes", std::int64_t(configuration->routes_.size())},
             {"services", std::int64_t(configuration->services_.size())},
@@ -104,6 +105,15 @@
     return current_;
 }
 
+auto ConfigurationFeed::awaitCurrent(TimePoint deadline) const -> std::shared_ptr<const routes::RouteTable>
+{
+    auto lock = std::unique_lock(mutex_);
+    arrived_.wait_until(lock, deadline, [this] {
+        return bool(current_);
+    });
+    return current_;
+}
+
 auto ConfigurationFeed::age() const -> std::optional<Milliseconds>
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -27,6 +27,8 @@
 constexpr Milliseconds silenceLimit = Milliseconds(2'000);
 // When a request without any upstream may be sent again.
 constexpr Milliseconds noUpstreamRetryAfter = Milliseconds(500);
+// A process that has just started learns the configuration and the upstreams within a few round trips to the store.
+constexpr Milliseconds startupWait = Milliseconds(500);
 // A caller that asks again on a new connection is led to another process.
 constexpr Milliseconds otherProcessRetryAfter = Milliseconds(50);
 
@@ -42,7 +44,7 @@
     , request_(request)
     , arrivedAt_(Clock::now())
     , demand_(front.dialect_.readDemand_(request))
-    , table_(front.configuration_->current())
+    , table_(front.configuration_->awaitCurrent(arrivedAt_ + startupWait))
 {
 }
 
@@ -65,6 +67,7 @@
             .message_ = "this process stops",
             .retryAfter_ = otherProcessRetryAfter});
     }
+    front_.upstreams_->awaitKnown(arrivedAt_ + startupWait);
     if (!table_) {
         return refuse({.status_ = unavailable,
             .code_ = "no_configuration",
--- a/packages/forward/src/upstream_feed.cpp
+++ b/packages/forward/src/upstream_feed.cpp
@@ -79,6 +79,14 @@
     return known_;
 }
 
+auto UpstreamFeed::awaitKnown(TimePoint deadline) const -> void
+{
+    auto lock = std::unique_lock(mutex_);
+    arrived_.wait_until(lock, deadline, [this] {
+        return known_;
+    });
+}
+
 auto UpstreamFeed::idOf(const std::string &key) const -> std::string
 {
     return key.substr(std::min(key.size(), dialect_.upstreamPrefix_.size()));
@@ -106,6 +114,7 @@
     directory_.replace(records, Clock::now());
     known_ = true;
     refresh();
+    arrived_.notify_all();
     environment_->log().info("read the upstreams", {{"entries", std::int64_t(records.size())}});
 }
 
--- a/packages/forward/tests/front_test.cpp
+++ b/packages/forward/tests/front_test.cpp
@@ -108,6 +108,34 @@
                         check(call(front, "POST", "/once/", FrontUnderTest::fields("r1")).status_ == 502);
                     }),
             }),
+        section("that has just started",
+            {
+                // Guards against requests that are refused in the moment between the start and the first answer of the
+                // store.
+                test("holds a request until it knows the configuration",
+                    [] {
+                        const auto sample = sampleConfiguration();
+                        auto front = FrontUnderTest({.version_ = 0,
+                            .routes_ = sample.routes_,
+                            .services_ = sample.services_,
+                            .accounts_ = sample.accounts_});
+                        front.addUpstream("a", [](const http::Request &request) -> http::Response {
+                            return genuine(request, 200, "done");
+                        });
+                        auto answer = std::async(std::launch::async, [&front] {
+                            return call(front, "POST", "/once/", FrontUnderTest::fields("r1"));
+                        });
+                        front.publish(1);
+                        check(answer.get().status_ == 200);
+                    }),
+                // Guards against a request that is held although no configuration comes.
+                test("refuses as not run if the configuration does not come",
+                    [] {
+                        auto front = FrontUnderTest(routes::Configuration {.version_ = 0});
+                        const auto answer = call(front, "POST", "/once/", FrontUnderTest::fields("r1"));
+                        check(answer.status_ == 503 && answer.headers_.contains("retry-after"));
+                    }),
+            }),
         section("that stops",
             {
                 // Guards against a request that is taken on an open connection long after the stop began and is cut
--- a/packages/forward/tests/front_under_test.cpp
+++ b/packages/forward/tests/front_under_test.cpp
@@ -125,7 +125,9 @@
     registry_.add("front", front_);
     const auto failure = registry_.startAll();
     testkit::check(!failure, failure ? toString(*failure) : "");
-    publish(sample.version_);
+    if (sample.version_ > 0) {
+        publish(sample.version_);
+    }
 }
 
 FrontUnderTest::~FrontUnderTest()
--- a/packages/forward/tests/front_under_test.h
+++ b/packages/forward/tests/front_under_test.h
@@ -33,6 +33,7 @@
 class FrontUnderTest
 {
 public:
+    // Publishes the sample unless its version is 0.
     explicit FrontUnderTest(
         const routes::Configuration &sample = sampleConfiguration(), std::optional<Milliseconds> trust = std::nullopt);
     ~FrontUnderTest();
--- a/packages/node/include/jasminewood/node/environment.h
+++ b/packages/node/include/jasminewood/node/environment.h
@@ -40,7 +40,8 @@
 {
 public:
     // The log goes to the descriptor; 2 is standard error.
-    Environment(const Identity &identity, observe::Level level, int logDescriptor = 2);
+    Environment(const Identity &identity, observe::Level level, int logDescriptor = 2,
+        observe::Overflow overflow = observe::Overflow::Wait);
 
     auto start(const kernel::Registry &services) -> Status;
     auto stop() -> void;
--- a/packages/node/src/environment.cpp
+++ b/packages/node/src/environment.cpp
@@ -22,9 +22,9 @@
         .node_ = identity.node_, .role_ = identity.role_, .dataCentre_ = identity.dataCentre_, .pool_ = identity.pool_};
 }
 
-Environment::Environment(const Identity &identity, observe::Level level, int logDescriptor)
+Environment::Environment(const Identity &identity, observe::Level level, int logDescriptor, observe::Overflow overflow)
     : identity_(identity)
-    , log_(identity.node_, level, logDescriptor)
+    , log_(identity.node_, level, logDescriptor, overflow)
     , timeline_(identity.node_)
 {
 }
--- a/packages/observe/include/jasminewood/observe/log.h
+++ b/packages/observe/include/jasminewood/observe/log.h
@@ -61,12 +61,25 @@
 auto formatLine(std::chrono::system_clock::time_point time, Level level, const NodeId &node, std::string_view message,
     const Fields &fields) -> std::string;
 
+// What happens to a line that the descriptor does not take at once.
+enum class Overflow : std::uint8_t
+{
+    // The writer waits.
+    Wait,
+    // The line is dropped, as are lines beyond maximumLinesPerSecond; the next line tells how many in "dropped".
+    Drop,
+};
+
+constexpr std::uint32_t maximumLinesPerSecond = 2'000;
+// A pipe that is ready takes this much at once, so that a longer line might block.
+constexpr std::size_t maximumDroppingLine = 4'096;
+
 // Handle of a process's log; copies share the output. Thread-safe.
 class Log
 {
 public:
     // Writes lines of at least the minimum level to the descriptor, which stays open and belongs to the caller.
-    explicit Log(NodeId node, Level minimum = Level::Info, int descriptor = 2);
+    explicit Log(NodeId node, Level minimum = Level::Info, int descriptor = 2, Overflow overflow = Overflow::Wait);
 
     // Returns a handle that adds these fields to each line.
     auto with(const Fields &fields) const -> Log;
--- a/packages/observe/src/log.cpp
+++ b/packages/observe/src/log.cpp
@@ -11,6 +11,7 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 namespace jasminewood::observe
@@ -70,7 +71,26 @@
     const NodeId node_;
     const Level minimum_;
     const int descriptor_;
+    const Overflow overflow_;
     std::mutex mutex_ = {};
+    std::int64_t dropped_ = 0;
+    std::chrono::steady_clock::time_point second_ = {};
+    std::uint32_t linesInSecond_ = 0;
+
+    // Whether a line of this size is written now. Precondition: the mutex is held.
+    auto admits(std::size_t size) -> bool
+    {
+        if (overflow_ == Overflow::Wait) {
+            return true;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        if (now - second_ >= std::chrono::seconds(1)) {
+            second_ = now;
+            linesInSecond_ = 0;
+        }
+        auto poller = pollfd {.fd = descriptor_, .events = POLLOUT, .revents = 0};
+        return size <= maximumDroppingLine && linesInSecond_++ < maximumLinesPerSecond && poll(&poller, 1, 0) > 0;
+    }
 };
 
 auto toString(Level level) -> std::string_view
@@ -123,9 +143,9 @@
     return line + "}\n";
 }
 
-Log::Log(NodeId node, Level minimum, int descriptor)
-    : Log(
-        std::shared_ptr<Output>(new Output {.node_ = std::move(node), .minimum_ = minimum, .descriptor_ = descriptor}),
+Log::Log(NodeId node, Level minimum, int descriptor, Overflow overflow)
+    : Log(std::shared_ptr<Output>(new Output {
+              .node_ = std::move(node), .minimum_ = minimum, .descriptor_ = descriptor, .overflow_ = overflow}),
         {})
 {
 }
@@ -146,10 +166,17 @@
     if (level < output_->minimum_) {
         return;
     }
-    const auto line
-        = formatLine(std::chrono::system_clock::now(), level, output_->node_, message, joined(*context_, fields));
+    auto line = formatLine(std::chrono::system_clock::now(), level, output_->node_, message, joined(*context_, fields));
     // The lock keeps a line whole if the descriptor takes it in several parts.
     const auto lock = std::lock_guard(output_->mutex_);
+    if (output_->dropped_ > 0) {
+        line.insert(line.size() - std::string_view("}\n").size(), fmt::format(",\"dropped\":{}", output_->dropped_));
+    }
+    if (!output_->admits(line.size())) {
+        ++output_->dropped_;
+        return;
+    }
+    output_->dropped_ = 0;
     writeAll(output_->descriptor_, line);
 }
 
--- a/packages/observe/tests/log_test.cpp
+++ b/packages/observe/tests/log_test.cpp
@@ -63,6 +63,28 @@
                         RC_ASSERT(!nlohmann::json::parse(line, nullptr, false).is_discarded());
                     }),
             }),
+        section("to a reader that does not read",
+            {
+                // Guards against requests that wait because nobody reads the log.
+                test("is dropped and counted in the next line",
+                    [] {
+                        auto ends = std::array<int, 2>();
+                        check(::pipe(ends.data()) == 0);
+                        const auto log = observe::Log(node, observe::Level::Info, ends[1], observe::Overflow::Drop);
+                        // A pipe holds 64 KiB.
+                        for (auto line = 0; line < 1'000; ++line) {
+                            log.info(std::string(100, 'x'));
+                        }
+                        auto buffer = std::array<char, 65'536>();
+                        check(::read(ends[0], buffer.data(), buffer.size()) > 0);
+                        log.info("after");
+                        ::close(ends[1]);
+                        const auto rest = readAll(ends[0]);
+                        check(
+                            rest.find("after") != std::string::npos && rest.find("\"dropped\":") != std::string::npos);
+                        ::close(ends[0]);
+                    }),
+            }),
         section("written by several threads",
             {
                 // Guards against mixed lines and against lines below the minimum level.
