Apply changes of the store as they arrive

Cause: a feed collected the events of a watch until the watch ended, so that with a dialect whose watch streams its events a change took effect only after the watch limit of 1 s; the test of a front that has just started failed by it.

Change: events are applied as they arrive, and the pool is refreshed with each.

--- a/packages/forward/src/store_feed.cpp
+++ b/packages/forward/src/store_feed.cpp
@@ -110,19 +110,17 @@
         }
     }
     const auto asked = BootClock::now();
-    auto events = std::vector<platform::WatchEvent>();
-    const auto next = store_->watch(
-        {.key_ = options_.prefix_, .prefix_ = true, .fromRevision_ = from, .limit_ = options_.watchLimit_}, *call,
-        [&events](const platform::WatchEvent &event) {
-            events.push_back(event);
-        });
+    auto quiet = true;
+    const auto request = platform::WatchRequest {
+        .key_ = options_.prefix_, .prefix_ = true, .fromRevision_ = from, .limit_ = options_.watchLimit_};
+    const auto next = store_->watch(request, *call, [this, &quiet](const platform::WatchEvent &event) {
+        quiet = false;
+        callbacks_.event_(event);
+    });
     if (next) {
-        for (const auto &event : events) {
-            callbacks_.event_(event);
-        }
         // An answer without events says that there was none until the end of the wait, which began after the question.
         const auto waited = std::min<BootTime>(asked + options_.watchLimit_, BootClock::now());
-        callbacks_.contact_(events.empty() ? waited : asked);
+        callbacks_.contact_(quiet ? waited : asked);
     }
     return next;
 }
--- a/packages/forward/src/upstream_feed.cpp
+++ b/packages/forward/src/upstream_feed.cpp
@@ -130,6 +130,7 @@
         directory_.removed(idOf(key), Clock::now());
         environment_->log().info("an upstream's entry ended", {{"upstream", idOf(key)}});
     }
+    refresh();
 }
 
 auto UpstreamFeed::refresh() -> void
