Continue resumable streams at another upstream

Change: the front passes whole events of a resumable stream only, and after a break, or 1.2 s without data, sends the request to another upstream with the id of the last event, within the route's attempts and the retry budget.

--- a/packages/forward/include/jasminewood/forward/dialect.h
+++ b/packages/forward/include/jasminewood/forward/dialect.h
@@ -63,6 +63,8 @@
     const std::uint32_t urgency_ = 0;
     // False for a request without a prompt.
     const bool prioritised_ = false;
+    // The id of the last event that the caller has of a broken stream; empty for a new one.
+    const std::string resumeAfter_;
 
     auto operator<=>(const Order &) const = default;
 };
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -23,6 +23,9 @@
 
 // Upstreams are near; a connection that takes longer goes to a VM that is gone.
 constexpr Milliseconds connectLimit = Milliseconds(400);
+// A resumable stream without any data for this time goes on elsewhere, before its caller gives up.
+constexpr Milliseconds stallLimit = Milliseconds(1'200);
+constexpr int begunStatus = 200;
 // An upstream that acknowledges nothing for this time is gone, or the connection is silent.
 constexpr Milliseconds silenceLimit = Milliseconds(2'000);
 // When a request without any upstream may be sent again.
@@ -135,7 +138,8 @@
         .account_ = admitted.account_ == nullptr ? "" : admitted.account_->name_,
         .patience_ = std::max(Milliseconds(1), remaining()),
         .urgency_ = admitted.urgency_,
-        .prioritised_ = demand_.prompt_.has_value()};
+        .prioritised_ = demand_.prompt_.has_value(),
+        .resumeAfter_ = events_.lastId()};
     exchange_.reset();
     order_ = std::make_unique<http::ClientRequest>(http::ClientRequest {.method_ = request_.method_,
         .url_ = "http://" + upstream.address_ + "/",
@@ -215,7 +219,7 @@
 auto RequestRun::deliver(const Begun &begun, const Admitted &admitted) -> std::variant<http::Response, Lost>
 {
     if (begun.facts_.stream_) {
-        return streamed(begun);
+        return streamed(begun, admitted);
     }
     const auto body = whole();
     if (!body) {
@@ -252,35 +256,87 @@
     }
 }
 
-auto RequestRun::streamed(const Begun &begun) -> http::Response
+auto RequestRun::streamed(const Begun &begun, const Admitted &admitted) -> http::Response
 {
     const auto self = shared_from_this();
     return http::StreamResponse {
-        .status_ = begun.head_.status_, .headers_ = internal::endToEnd(begun.head_.fields_), .next_ = [self] {
-            return self->nextPiece();
+        .status_ = begun.head_.status_, .headers_ = internal::endToEnd(begun.head_.fields_), .next_ = [self, admitted] {
+            return self->nextPiece(admitted);
         }};
 }
 
-auto RequestRun::nextPiece() -> http::StreamStep
+auto RequestRun::awaitPiece(const Admitted &admitted) -> Result<std::optional<std::string>>
 {
-    const auto piece = exchange_->next(deadline_);
-    if (!piece) {
-        const auto loss = broken(piece.reason());
-        finish("broken off", http::noAnswer, observe::fieldsOf(loss.failure_));
-        return http::AbortStream {};
+    const auto resumable = repeatable(*admitted.route_);
+    const auto stalledAt = Clock::now() + stallLimit;
+    auto piece = exchange_->next(resumable ? std::min(deadline_, stalledAt) : deadline_);
+    if (!piece && piece.reason().step_ == "wait" && Clock::now() < deadline_) {
+        return Failure {.step_ = "stall",
+            .peer_ = piece.reason().peer_,
+            .reason_ = "the stream brought nothing for too long",
+            .runState_ = RunState::MayHaveRun};
     }
-    if (*piece) {
+    return piece;
+}
+
+auto RequestRun::nextPiece(const Admitted &admitted) -> http::StreamStep
+{
+    while (true) {
+        const auto piece = awaitPiece(admitted);
+        if (!piece) {
+            static_cast<void>(broken(piece.reason()));
+            if (!resume(admitted)) {
+                finish("broken off", http::noAnswer, observe::fieldsOf(last_->failure_));
+                return http::AbortStream {};
+            }
+            continue;
+        }
+        if (!*piece) {
+            break;
+        }
         const auto now = Clock::now();
         longestPause_ = std::max(longestPause_, now - lastPieceAt_.value_or(now));
         lastPieceAt_ = now;
-        bytes_ += (*piece)->size();
-        return http::Chunk {.data_ = **piece};
+        const auto events = repeatable(*admitted.route_) ? events_.take(**piece) : **piece;
+        bytes_ += events.size();
+        if (!events.empty()) {
+            return http::Chunk {.data_ = events};
+        }
+    }
+    if (const auto rest = events_.takePartial(); !rest.empty()) {
+        return http::Chunk {.data_ = rest};
     }
     release(AttemptResult::Answered);
-    finish("answered", 200);
+    finish("answered", begunStatus);
     return http::EndOfStream {};
 }
 
+auto RequestRun::resume(const Admitted &admitted) -> bool
+{
+    events_.dropPartial();
+    // Without an id the stream cannot go on after what the caller has.
+    while ((bytes_ == 0 || !events_.lastId().empty()) && mayTryAgain(admitted)) {
+        if (begin(admitted)) {
+            return false;
+        }
+        const auto head = exchange_->head(std::min(deadline_, Clock::now() + stallLimit));
+        const auto verdict = head ? judge(*head) : std::variant<Begun, Lost>(broken(head.reason()));
+        const auto *begun = std::get_if<Begun>(&verdict);
+        if (begun != nullptr && begun->facts_.stream_ && begun->head_.status_ == begunStatus) {
+            front_.environment_->log().info("resumed a stream",
+                {{"request", demand_.id_}, {"upstream", assignment_->upstream_.id_}, {"after", events_.lastId()}});
+            return true;
+        }
+        if (begun != nullptr) {
+            static_cast<void>(broken({.step_ = "resume",
+                .peer_ = assignment_->upstream_.address_,
+                .reason_ = fmt::format("status {}", begun->head_.status_),
+                .runState_ = RunState::MayHaveRun}));
+        }
+    }
+    return false;
+}
+
 auto RequestRun::note(const Lost &lost) -> void
 {
     ++sent_;
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "event_splitter.h"
 #include "jasminewood/core/result.h"
 #include "jasminewood/forward/admission.h"
 #include "jasminewood/forward/front.h"
@@ -50,8 +51,12 @@
     auto judge(const http::ResponseHead &head) -> std::variant<Begun, Lost>;
     auto deliver(const Begun &begun, const Admitted &admitted) -> std::variant<http::Response, Lost>;
     auto whole() -> Result<std::string>;
-    auto streamed(const Begun &begun) -> http::Response;
-    auto nextPiece() -> http::StreamStep;
+    auto streamed(const Begun &begun, const Admitted &admitted) -> http::Response;
+    auto nextPiece(const Admitted &admitted) -> http::StreamStep;
+    // Waits for data of the stream; fails with step "stall" if a resumable one brings none for too long.
+    auto awaitPiece(const Admitted &admitted) -> Result<std::optional<std::string>>;
+    // After a loss, continues the stream at another upstream after the last complete event. Returns whether it did.
+    auto resume(const Admitted &admitted) -> bool;
     // Ends the attempt without a usable answer.
     auto lost(const Failure &failure, AttemptResult result, const std::optional<http::Response> &answer = std::nullopt)
         -> Lost;
@@ -89,6 +94,8 @@
     std::optional<TimePoint> firstAt_;
     std::optional<TimePoint> lastPieceAt_;
     Clock::duration longestPause_ = Clock::duration::zero();
+    internal::EventSplitter events_;
+    // Bytes of the body that went to the caller.
     std::size_t bytes_ = 0;
     bool finished_ = false;
 };
--- a/packages/forward/tests/front_test.cpp
+++ b/packages/forward/tests/front_test.cpp
@@ -25,6 +25,31 @@
     return *answer;
 }
 
+// Each upstream sends one event and a part of the next and breaks off, or the rest if it is asked to go on.
+auto addBreakingUpstreams(FrontUnderTest &front) -> void
+{
+    for (const auto *id : {"a", "b"}) {
+        front.addUpstream(id, [](const http::Request &request) -> http::Response {
+            const auto resumed = request.headers_.at("resume-after") == "1";
+            auto steps = std::make_shared<std::vector<http::StreamStep>>();
+            if (resumed) {
+                steps->push_back(http::EndOfStream {});
+                steps->push_back(http::Chunk {.data_ = "id: 2\ndata: b\n\n"});
+            } else {
+                steps->push_back(http::AbortStream {});
+                steps->push_back(http::Chunk {.data_ = "id: 1\ndata: a\n\nid: 2\nda"});
+            }
+            auto fields = genuine(request, 200, "").headers_;
+            fields.push_back({.name_ = "Content-Type", .value_ = "text/event-stream"});
+            return http::StreamResponse {.status_ = 200, .headers_ = fields, .next_ = [steps] {
+                                             const auto step = steps->back();
+                                             steps->pop_back();
+                                             return step;
+                                         }};
+        });
+    }
+}
+
 const testkit::Story forwarding = {"a front",
     {
         section("that forwards a request",
@@ -108,6 +133,29 @@
                         check(call(front, "POST", "/once/", FrontUnderTest::fields("r1")).status_ == 502);
                     }),
             }),
+        section("whose upstream breaks a stream off",
+            {
+                // Guards against an event that is missing, doubled or cut where a stream goes on elsewhere.
+                test("continues a resumable stream after the last whole event",
+                    [] {
+                        auto front = FrontUnderTest();
+                        addBreakingUpstreams(front);
+                        const auto answer = call(front, "POST", "/resumable/", FrontUnderTest::fields("r1"));
+                        check(answer.status_ == 200);
+                        check(answer.body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", answer.body_);
+                    }),
+                // Guards against a stream that runs twice, and against a part of an answer that looks complete.
+                test("breaks off a stream that must not run again",
+                    [] {
+                        auto front = FrontUnderTest();
+                        addBreakingUpstreams(front);
+                        const auto answer = http::fetch({.method_ = "POST",
+                            .url_ = front.url("/stream/"),
+                            .headers_ = FrontUnderTest::fields("r1"),
+                            .mayRepeat_ = false});
+                        check(!answer && answer.reason().step_ == "receive");
+                    }),
+            }),
         section("that has just started",
             {
                 // Guards against requests that are refused in the moment between the start and the first answer of the
--- a/packages/forward/tests/front_under_test.cpp
+++ b/packages/forward/tests/front_under_test.cpp
@@ -59,6 +59,7 @@
     auto written = fields;
     written.push_back({.name_ = "Upstream", .value_ = order.upstreamId_});
     written.push_back({.name_ = "Remaining-Ms", .value_ = std::to_string(order.patience_.count())});
+    written.push_back({.name_ = "Resume-After", .value_ = order.resumeAfter_});
     return written;
 }
 
@@ -78,7 +79,8 @@
         .repetition_ = repetition,
         .timeout_ = Milliseconds(20'000),
         .shares_ = {{.service_ = "pool"}},
-        .maximumAttempts_ = attempts};
+        .maximumAttempts_ = attempts,
+        .resumable_ = name == "resumable"};
 }
 
 } // namespace
@@ -104,7 +106,7 @@
 {
     return {.version_ = 1,
         .routes_ = {routeOf("once", routes::Repetition::Once, 1), routeOf("again", routes::Repetition::Idempotent, 2),
-            routeOf("stream", routes::Repetition::Stream, 1)},
+            routeOf("stream", routes::Repetition::Stream, 1), routeOf("resumable", routes::Repetition::Stream, 2)},
         .services_ = {{.name_ = "pool"}},
         .accounts_ = {{.name_ = "installer", .keys_ = {sampleKey}}}};
 }
--- a/packages/forward/tests/front_under_test.h
+++ b/packages/forward/tests/front_under_test.h
@@ -26,8 +26,8 @@
 // The dialect reads a configuration's value as its version, and takes the rest from the sample given.
 auto testDialect(const routes::Configuration &sample) -> Dialect;
 
-// Routes "/once/", "/again/" (two attempts) and "/stream/" of host "shop" to service "pool"; "sampleKey" is the key of
-// account "installer".
+// Routes "/once/", "/again/" (two attempts), "/stream/" and "/resumable/" (two attempts) of host "shop" to service
+// "pool"; "sampleKey" is the key of account "installer".
 auto sampleConfiguration() -> routes::Configuration;
 
 class FrontUnderTest
