Know a crashed engine by the start time of its process

Change: the agent reads process_start_time_seconds of the engine's metrics before its first call and after a broken one; another value is a crash. The stand-in states that gauge.

--- a/packages/agent/include/jasminewood/agent/upstream.h
+++ b/packages/agent/include/jasminewood/agent/upstream.h
@@ -59,8 +59,8 @@
 struct CallBroken
 {
     const Failure failure_;
-    // Identifies the crash, "AGENT@INCARNATION/COUNT", if the upstream refuses connections after the call broke; else
-    // empty. All calls that one crash broke name the same.
+    // Identifies the crash, "AGENT@INCARNATION/COUNT", if after the call broke the upstream refuses connections or is
+    // another run of the engine's process; else empty. All calls that one crash broke name the same.
     const std::string crash_;
     const std::uint32_t outputTokens_ = 0;
 
@@ -101,8 +101,14 @@
     auto call(const ServiceUpstream &service, const wire::Dispatch &dispatch, http::StreamCall &call,
         const OutputHandler &onOutput) -> CallOutcome;
     auto serviceRequest(const std::string &baseUrl, const wire::Dispatch &dispatch) const -> http::ClientRequest;
-    auto broken(const std::string &baseUrl, std::uint64_t crashesBefore, const Failure &failure,
-        std::uint32_t outputTokens) const -> CallBroken;
+    // startedBefore is the start time of the engine that the call reached, if it is known.
+    auto broken(const std::string &baseUrl, std::uint64_t crashesBefore,
+        const std::optional<std::string> &startedBefore, const Failure &failure, std::uint32_t outputTokens) const
+        -> CallBroken;
+    // The start time of the engine's process; empty if the engine does not tell it.
+    auto startedAt(const std::string &baseUrl) const -> std::optional<std::string>;
+    // Whether the engine runs no longer, or another run of it does.
+    auto crashed(const std::string &baseUrl, const std::optional<std::string> &startedBefore) const -> bool;
     auto crashName(std::uint64_t crashesBefore) const -> std::string;
     // Crashes of the upstream that were found so far.
     auto crashes() const -> std::uint64_t;
@@ -118,6 +124,8 @@
     double betweenTokensMicros_ = 0;
     // Counts crashes; one is counted once although it breaks many calls.
     mutable std::uint64_t crashes_ = 0;
+    // The start time of the engine's present run; empty until it is asked for.
+    mutable std::optional<std::string> startedAt_;
 };
 
 } // namespace jasminewood::agent
--- a/packages/agent/src/upstream.cpp
+++ b/packages/agent/src/upstream.cpp
@@ -60,6 +60,7 @@
     const OutputHandler &onOutput) -> CallOutcome
 {
     const auto crashesBefore = crashes();
+    const auto startedBefore = startedAt(engine.baseUrl_);
     auto tokens = std::uint32_t(0);
     auto last = Clock::now();
     const auto outcome = engine::performChat(call,
@@ -78,7 +79,7 @@
             return onOutput(text, ++tokens);
         });
     if (!outcome) {
-        return broken(engine.baseUrl_, crashesBefore, outcome.reason(), tokens);
+        return broken(engine.baseUrl_, crashesBefore, startedBefore, outcome.reason(), tokens);
     }
     return std::visit(Overloaded {[](const engine::ChatFinished &finished) -> CallOutcome {
                                       return CallComplete {.status_ = okStatus,
@@ -129,23 +130,57 @@
             return onOutput(data, 0);
         });
     if (!ended) {
-        return broken(service.baseUrl_, crashesBefore, ended.reason(), 0);
+        return broken(service.baseUrl_, crashesBefore, std::nullopt, ended.reason(), 0);
     }
     return CallComplete {.status_ = static_cast<std::uint16_t>(*ended), .contentType_ = contentType};
 }
 
-auto Upstream::broken(const std::string &baseUrl, std::uint64_t crashesBefore, const Failure &failure,
-    std::uint32_t outputTokens) const -> CallBroken
+auto Upstream::startedAt(const std::string &baseUrl) const -> std::optional<std::string>
+{
+    {
+        const auto lock = std::lock_guard(mutex_);
+        if (startedAt_) {
+            return startedAt_;
+        }
+    }
+    const auto started = engine::startTime(baseUrl, healthTimeout);
+    const auto lock = std::lock_guard(mutex_);
+    if (started) {
+        startedAt_ = *started;
+    }
+    return startedAt_;
+}
+
+auto Upstream::crashed(const std::string &baseUrl, const std::optional<std::string> &startedBefore) const -> bool
+{
+    const auto unhealthy = engine::probe(baseUrl, healthTimeout);
+    if (unhealthy) {
+        const auto lock = std::lock_guard(mutex_);
+        startedAt_.reset();
+        return unhealthy->step_ == "connect";
+    }
+    // An engine that restarts at once answers the probe again.
+    const auto started = startedBefore ? engine::startTime(baseUrl, healthTimeout) : Result<std::string>(Failure {});
+    if (!started || *started == *startedBefore) {
+        return false;
+    }
+    const auto lock = std::lock_guard(mutex_);
+    startedAt_ = *started;
+    return true;
+}
+
+auto Upstream::broken(const std::string &baseUrl, std::uint64_t crashesBefore,
+    const std::optional<std::string> &startedBefore, const Failure &failure, std::uint32_t outputTokens) const
+    -> CallBroken
 {
     // A call that was cancelled here says nothing of the upstream.
     if (failure.step_ == "cancel") {
         return CallBroken {.failure_ = failure, .outputTokens_ = outputTokens};
     }
-    const auto unhealthy = engine::probe(baseUrl, healthTimeout);
-    const auto refused = unhealthy && unhealthy->step_ == "connect";
+    const auto gone = crashed(baseUrl, startedBefore);
     const auto began = failure.runState_ != RunState::NotRun;
     return CallBroken {.failure_ = failure,
-        .crash_ = refused && began ? crashName(crashesBefore) : std::string(),
+        .crash_ = gone && began ? crashName(crashesBefore) : std::string(),
         .outputTokens_ = outputTokens};
 }
 
--- a/packages/engine/include/jasminewood/engine/chat_call.h
+++ b/packages/engine/include/jasminewood/engine/chat_call.h
@@ -85,4 +85,8 @@
 // 200 and with the steps of http::fetch.
 auto probe(const std::string &engineUrl, Milliseconds timeout) -> Status;
 
+// Returns the start time of the engine's process as "GET /metrics" states it in process_start_time_seconds, the usual
+// gauge of Prometheus clients. Two runs of an engine differ in it. Fails as probe() does, and if the gauge is missing.
+auto startTime(const std::string &engineUrl, Milliseconds timeout) -> Result<std::string>;
+
 } // namespace jasminewood::engine
--- a/packages/engine/src/chat_call.cpp
+++ b/packages/engine/src/chat_call.cpp
@@ -92,4 +92,20 @@
     return std::nullopt;
 }
 
+auto startTime(const std::string &engineUrl, Milliseconds timeout) -> Result<std::string>
+{
+    constexpr auto gauge = std::string_view("\nprocess_start_time_seconds ");
+    const auto answer = http::fetch({.url_ = engineUrl + "/metrics", .connectTimeout_ = timeout, .timeout_ = timeout});
+    if (!answer) {
+        return answer.reason();
+    }
+    const auto text = "\n" + answer->body_;
+    const auto at = text.find(gauge);
+    if (answer->status_ != 200 || at == std::string::npos) {
+        return Failure {.step_ = "probe", .peer_ = engineUrl, .reason_ = "the metrics state no start time"};
+    }
+    const auto start = at + gauge.size();
+    return text.substr(start, text.find_first_of(" \r\n", start) - start);
+}
+
 } // namespace jasminewood::engine
--- a/packages/testbench/src/fake_engine.cpp
+++ b/packages/testbench/src/fake_engine.cpp
@@ -217,8 +217,10 @@
                            "# TYPE vllm:num_requests_waiting gauge\n"
                            "vllm:num_requests_waiting{{model_name=\"{0}\"}} {2}\n"
                            "# TYPE vllm:generation_tokens_total counter\n"
-                           "vllm:generation_tokens_total{{model_name=\"{0}\"}} {3}\n",
-            options_.model_, report.running_, report.waiting_, model_->generatedTokens());
+                           "vllm:generation_tokens_total{{model_name=\"{0}\"}} {3}\n"
+                           "# TYPE process_start_time_seconds gauge\n"
+                           "process_start_time_seconds {4:.6f}\n",
+            options_.model_, report.running_, report.waiting_, model_->generatedTokens(), startedAt_);
     }
 
     auto handleFault(const http::Request &request) -> http::Response
@@ -262,6 +264,9 @@
 
     const FakeEngineOptions options_;
     const std::shared_ptr<EngineModel> model_;
+    // Seconds since the epoch.
+    const double startedAt_
+        = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
     std::shared_ptr<http::Server> server_;
 };
 
