Count outcomes and expose the state of the configuration

Cause: the metrics told requests, retries and latency, but neither how requests ended nor how old the configuration is.

Change: a counter by outcome and status, and gauges of the configuration's version, its age and the number of upstreams.

--- a/packages/forward/include/jasminewood/forward/front.h
+++ b/packages/forward/include/jasminewood/forward/front.h
@@ -50,6 +50,7 @@
     friend class RequestRun;
 
     auto answer(const http::Request &request) -> http::Response;
+    auto countOutcome(const std::string &outcome, int status) const -> void;
 
     const FrontOptions options_;
     const Dialect dialect_;
--- a/packages/forward/include/jasminewood/forward/probes.h
+++ b/packages/forward/include/jasminewood/forward/probes.h
@@ -38,6 +38,7 @@
     auto ready() const -> bool;
 
 private:
+    auto setGauges() const -> void;
     auto answer(const http::Request &request) const -> http::Response;
 
     const ProbesOptions options_;
--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -129,6 +129,9 @@
     auto peerReported(const std::string &router, bool complete, const std::map<std::string, std::uint64_t> &unread,
         const std::vector<GivenPrompt> &prompts, TimePoint now) -> void;
 
+    // Returns the number of upstreams that take work.
+    auto size() const -> std::size_t;
+
     // Returns whether the upstream takes work.
     auto knows(const std::string &id) const -> bool;
 
--- a/packages/forward/src/front.cpp
+++ b/packages/forward/src/front.cpp
@@ -66,6 +66,14 @@
     return server_->port();
 }
 
+auto Front::countOutcome(const std::string &outcome, int status) const -> void
+{
+    environment_->metrics()
+        .counter("jasminewood_forward_outcomes_total", "Requests by their end",
+            {{"outcome", outcome}, {"status", std::to_string(status)}})
+        .add();
+}
+
 auto Front::answer(const http::Request &request) -> http::Response
 {
     requests_->add();
--- a/packages/forward/src/probes.cpp
+++ b/packages/forward/src/probes.cpp
@@ -36,6 +36,7 @@
     }
     readiness_ = *readiness;
     const auto metrics = http::Server::start(options_.metrics_, [this](const http::Request & /*request*/) {
+        setGauges();
         return http::WholeResponse {.status_ = ok,
             .headers_ = {{.name_ = "Content-Type", .value_ = "text/plain; version=0.0.4"}},
             .body_ = environment_->metrics().text()};
@@ -67,6 +68,21 @@
     return !stopping_ && configuration_->current() && upstreams_->known();
 }
 
+auto Probes::setGauges() const -> void
+{
+    const auto &metrics = environment_->metrics();
+    const auto table = configuration_->current();
+    const auto age = configuration_->age();
+    metrics.gauge("jasminewood_forward_configuration_version", "Version of the configuration in force")
+        .set(table ? double(table->configuration().version_) : 0);
+    metrics
+        .gauge("jasminewood_forward_configuration_age_seconds",
+            "Time since the store proved that the configuration is the newest; -1 if it never did")
+        .set(age ? std::chrono::duration<double>(*age).count() : -1);
+    metrics.gauge("jasminewood_forward_upstreams", "Upstreams that take new work")
+        .set(double(upstreams_->pool().size()));
+}
+
 auto Probes::answer(const http::Request &request) const -> http::Response
 {
     if (request.path_ != options_.readinessPath_) {
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -404,6 +404,7 @@
     if (std::exchange(finished_, true)) {
         return;
     }
+    front_.countOutcome(outcome, status);
     const auto version = table_ ? table_->configuration().version_ : 0;
     const auto age = front_.configuration_->age();
     front_.environment_->log().info(outcome,
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -331,6 +331,12 @@
     }
 }
 
+auto UpstreamPool::size() const -> std::size_t
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return upstreams_.size();
+}
+
 auto UpstreamPool::knows(const std::string &id) const -> bool
 {
     const auto lock = std::scoped_lock(mutex_);
