--- a/packages/core/include/jasminewood/core/boot_clock.h
+++ b/packages/core/include/jasminewood/core/boot_clock.h
@@ -13,9 +13,9 @@
 
 struct BootClock
 {
-    using duration = std::chrono::nanoseconds;
-    using rep = duration::rep;
-    using period = duration::period;
+    using duration = std::chrono::nanoseconds; // NOLINT: as time_point
+    using rep = duration::rep; // NOLINT: as time_point
+    using period = duration::period; // NOLINT: as time_point
     using time_point = std::chrono::time_point<BootClock>; // NOLINT: the name that std::chrono requires
     static constexpr bool is_steady = true; // NOLINT: the name that std::chrono requires
 
--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -159,8 +159,7 @@
 
     // The upstreams of the service that may be chosen; those that rest only if there is no other.
     auto eligible(const Wanted &wanted, TimePoint now) const -> std::vector<const Upstream *>;
-    auto pickUpstream(const Wanted &wanted, const std::vector<const Upstream *> &eligible, TimePoint now)
-        -> Result<std::string>;
+    auto pickUpstream(const std::vector<const Upstream *> &eligible, TimePoint now) -> Result<std::string>;
     auto pickEngine(const Wanted &wanted, const std::vector<const Upstream *> &eligible, TimePoint now) -> std::string;
     // Tokens that this process sent there and that are not read yet.
     static auto unread(const Upstream &upstream) -> std::uint64_t;
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -128,8 +128,7 @@
     return rested.empty() ? resting : rested;
 }
 
-auto UpstreamPool::pickUpstream(const Wanted & /*wanted*/, const std::vector<const Upstream *> &eligible, TimePoint now)
-    -> Result<std::string>
+auto UpstreamPool::pickUpstream(const std::vector<const Upstream *> &eligible, TimePoint now) -> Result<std::string>
 {
     auto candidates = std::vector<routing::Candidate>();
     for (const auto *upstream : eligible) {
@@ -188,7 +187,7 @@
     const auto lock = std::scoped_lock(mutex_);
     const auto candidates = eligible(wanted, now);
     const auto picked = wanted.prompt_ && !candidates.empty() ? Result<std::string>(pickEngine(wanted, candidates, now))
-                                                              : pickUpstream(wanted, candidates, now);
+                                                              : pickUpstream(candidates, now);
     if (!picked) {
         return picked.reason();
     }
--- a/packages/forward/tests/front_test.cpp
+++ b/packages/forward/tests/front_test.cpp
@@ -17,7 +17,7 @@
 {
 
 auto call(const FrontUnderTest &front, const std::string &method, const std::string &path,
-    std::vector<http::Header> fields, const std::string &body = {}) -> http::ClientResponse
+    const std::vector<http::Header> &fields, const std::string &body = {}) -> http::ClientResponse
 {
     const auto answer = http::fetch(
         {.method_ = method, .url_ = front.url(path), .headers_ = fields, .body_ = body, .mayRepeat_ = false});
--- a/packages/membership/include/jasminewood/membership/directory.h
+++ b/packages/membership/include/jasminewood/membership/directory.h
@@ -33,8 +33,6 @@
     const bool leaving_ = false;
     // When the process started, in milliseconds since the epoch; tells two runs under one id apart. 0 if unknown.
     const std::int64_t incarnation_ = 0;
-    // How much longer the upstream is slow after its start.
-    const Milliseconds coldFor_ = Milliseconds(0);
 
     auto operator<=>(const UpstreamRecord &) const = default;
 };
