--- a/packages/link/tests/connection_test.cpp
+++ b/packages/link/tests/connection_test.cpp
@@ -102,26 +102,26 @@
                     [] {
                         const auto listener = *Listener::listen("127.0.0.1:0", helloOf("server"));
                         auto dialling = std::async(std::launch::async, [&] {
-                            const auto newer = wire::Hello {.version_ = 2, .node_ = {.name_ = "client"}};
+                            const auto newer = wire::Hello {.version_ = 3, .node_ = {.name_ = "client"}};
                             return Connection::dial(listener->address(), newer, generousDeadline);
                         });
                         const auto server = *listener->accept();
                         const auto refusedByServer = server->greet(generousDeadline);
                         const auto refusedByClient = dialling.get();
                         check(refusedByServer && refusedByServer->step_ == "hello");
-                        check(refusedByServer->reason_ == "the peer has version 2 instead of 1");
+                        check(refusedByServer->reason_ == "the peer has version 3 instead of 2");
                         check(!refusedByClient && refusedByClient.reason().step_ == "hello");
-                        check(refusedByClient.reason().reason_ == "the peer has version 1 instead of 2");
+                        check(refusedByClient.reason().reason_ == "the peer has version 2 instead of 3");
                     }),
                 test("refuse a message format of another version",
                     [] {
                         const auto client = RawClient();
                         auto hello = wire::encode(helloOf("raw"));
-                        hello[1] = '\x02';
+                        hello[1] = '\x03';
                         client.socket_.write(framed(hello));
                         const auto refused = client.server_->greet(generousDeadline);
                         check(refused && refused->step_ == "hello");
-                        check(refused->reason_ == "protocol version 2 instead of 1");
+                        check(refused->reason_ == "protocol version 3 instead of 2");
                     }),
             }),
         section("where one speaks before its Hello",
