Count a passed-on failure by its own status, and let stop() end the notice

Cause: (1) The final log line and the counter of a request whose attempts all failed at their upstreams stated status 503, although the caller got the upstream's own status, mostly 500. (2) Front::drain slept through its notice, which no other thread could end.

Change: the kept answer of a lost attempt is a whole response whose status is logged and counted; drain() waits on a condition variable that stop() signals.

Measured: forward_test 13 of 13 pass; the status test failed before with 503 in the counter.

--- a/packages/forward/include/jasminewood/forward/front.h
+++ b/packages/forward/include/jasminewood/forward/front.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -37,7 +38,8 @@
 
     // Answers requests on open connections and on new ones for the time of notice, in which the load balancer learns
     // that this process stops; then accepts no more connections, refuses requests on open ones as not run, and waits
-    // for requests in flight. Returns whether all were answered within the limit, which counts from the call.
+    // for requests in flight. Returns whether all were answered within the limit, which counts from the call. stop()
+    // ends the notice.
     auto drain(Milliseconds notice, Milliseconds limit) -> bool;
 
     // Whether requests are refused because the process stops.
@@ -59,6 +61,8 @@
     std::shared_ptr<UpstreamFeed> upstreams_;
     std::atomic<bool> refusing_ = false;
     std::mutex mutex_;
+    std::condition_variable stopWaits_;
+    bool stopped_ = false;
     routing::RetryBudget retries_;
     std::optional<observe::Counter> requests_;
     std::optional<observe::Counter> retried_;
--- a/packages/forward/src/front.cpp
+++ b/packages/forward/src/front.cpp
@@ -1,7 +1,5 @@
 #include "jasminewood/forward/front.h"
 
-#include <thread>
-
 #include "request_run.h"
 
 namespace jasminewood::forward
@@ -41,6 +39,11 @@
 
 auto Front::stop() -> void
 {
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        stopped_ = true;
+    }
+    stopWaits_.notify_all();
     if (server_) {
         server_->stop();
     }
@@ -50,7 +53,12 @@
 {
     const auto end = Clock::now() + limit;
     server_->closeAfterAnswers();
-    std::this_thread::sleep_for(notice);
+    {
+        auto lock = std::unique_lock(mutex_);
+        stopWaits_.wait_for(lock, notice, [this] {
+            return stopped_;
+        });
+    }
     refusing_ = true;
     server_->quiesce();
     return server_->waitIdle(std::chrono::ceil<Milliseconds>(end - Clock::now()));
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -156,7 +156,7 @@
     return std::nullopt;
 }
 
-auto RequestRun::lost(const Failure &failure, AttemptResult result, const std::optional<http::Response> &answer) -> Lost
+auto RequestRun::lost(const Failure &failure, AttemptResult result, const std::optional<http::WholeResponse> &answer) -> Lost
 {
     auto loss = Lost {.failure_ = failure, .answer_ = answer};
     note(loss);
@@ -371,7 +371,7 @@
         return http::WholeResponse {.status_ = http::noAnswer};
     }
     if (last_->answer_) {
-        finish("answered with a failure", unavailable, observe::fieldsOf(failure));
+        finish("answered with a failure", last_->answer_->status_, observe::fieldsOf(failure));
         return *last_->answer_;
     }
     if (started_ == 0) {
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -28,7 +28,7 @@
 struct Lost
 {
     const Failure failure_;
-    const std::optional<http::Response> answer_;
+    const std::optional<http::WholeResponse> answer_;
 };
 
 class RequestRun : public std::enable_shared_from_this<RequestRun>
@@ -58,7 +58,7 @@
     // After a loss, continues the stream at another upstream after the last complete event. Returns whether it did.
     auto resume(const Admitted &admitted) -> bool;
     // Ends the attempt without a usable answer.
-    auto lost(const Failure &failure, AttemptResult result, const std::optional<http::Response> &answer = std::nullopt)
+    auto lost(const Failure &failure, AttemptResult result, const std::optional<http::WholeResponse> &answer = std::nullopt)
         -> Lost;
     // Ends the attempt after a failure of its connection or a wrong answer.
     auto broken(const Failure &failure) -> Lost;
--- a/packages/forward/tests/front_test.cpp
+++ b/packages/forward/tests/front_test.cpp
@@ -184,8 +184,36 @@
                         check(answer.status_ == 503 && answer.headers_.contains("retry-after"));
                     }),
             }),
+        section("whose upstreams both fail a request that may run again",
+            {
+                // Guards against a count and a log line that state another status than the caller got.
+                test("passes the last failure on and counts it with its own status",
+                    [] {
+                        auto front = FrontUnderTest();
+                        for (const auto *id : {"a", "b"}) {
+                            front.addUpstream(id, [](const http::Request &request) -> http::Response {
+                                return genuine(request, 500, "failed");
+                            });
+                        }
+                        const auto answer = call(front, "GET", "/again/", FrontUnderTest::fields("r1"));
+                        check(answer.status_ == 500 && answer.body_ == "failed");
+                        const auto counted = "jasminewood_forward_outcomes_total"
+                                             "{outcome=\"answered with a failure\",status=\"500\"} 1";
+                        check(front.metrics().find(counted) != std::string::npos, front.metrics());
+                    }),
+            }),
         section("that stops",
             {
+                // Guards against a process that sits out the notice although it is told to end now.
+                test("cuts the notice short when it is stopped",
+                    [] {
+                        auto front = FrontUnderTest();
+                        auto drained = std::async(std::launch::async, [&front] {
+                            return front.front().drain(Milliseconds(600'000), Milliseconds(600'000));
+                        });
+                        front.front().stop();
+                        check(drained.get());
+                    }),
                 // Guards against a request that is taken on an open connection long after the stop began and is cut
                 // off when the process is killed.
                 test("refuses requests on open connections once the notice is over",
--- a/packages/forward/tests/front_under_test.cpp
+++ b/packages/forward/tests/front_under_test.cpp
@@ -112,16 +112,16 @@
 }
 
 FrontUnderTest::FrontUnderTest(const routes::Configuration &sample, std::optional<Milliseconds> trust)
-    : store_(*testbench::FakeKv::start({}))
+    : environment_(std::make_shared<node::Environment>(
+          node::newIdentity("front", wire::Role::Router, "local", ""), observe::Level::Error))
+    , store_(*testbench::FakeKv::start({}))
     , client_(std::make_shared<platform::KeyValueClient>(
           platform::KeyValueOptions {.url_ = fmt::format("http://127.0.0.1:{}", store_->port())}))
     , configuration_(std::make_shared<ConfigurationFeed>(client_, testDialect(sample), trust, seed))
     , upstreams_(std::make_shared<UpstreamFeed>(client_, testDialect(sample), "local", seed))
     , front_(std::make_shared<Front>(FrontOptions {}, testDialect(sample)))
 {
-    registry_.add("environment",
-        std::make_shared<node::Environment>(
-            node::newIdentity("front", wire::Role::Router, "local", ""), observe::Level::Error));
+    registry_.add("environment", environment_);
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
     registry_.add("front", front_);
@@ -202,6 +202,11 @@
     return *store_;
 }
 
+auto FrontUnderTest::metrics() const -> std::string
+{
+    return environment_->metrics().text();
+}
+
 auto genuine(const http::Request &request, int status, const std::string &body) -> http::WholeResponse
 {
     return {.status_ = status,
--- a/packages/forward/tests/front_under_test.h
+++ b/packages/forward/tests/front_under_test.h
@@ -12,6 +12,7 @@
 #include "jasminewood/forward/upstream_feed.h"
 #include "jasminewood/http/server.h"
 #include "jasminewood/kernel/registry.h"
+#include "jasminewood/node/environment.h"
 #include "jasminewood/testbench/fake_kv.h"
 
 // A front with its services, before a stand-in of the store and stand-ins of upstreams, in a dialect of the tests' own.
@@ -56,8 +57,11 @@
     auto configuration() -> ConfigurationFeed &;
     auto upstreams() -> UpstreamFeed &;
     auto store() -> testbench::FakeKv &;
+    // The metrics in the text format of Prometheus.
+    auto metrics() const -> std::string;
 
 private:
+    std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<testbench::FakeKv> store_;
     std::shared_ptr<platform::KeyValueClient> client_;
     std::shared_ptr<ConfigurationFeed> configuration_;
