Keep long prompts away from engines with many short streams

A long prompt changed lanes for 12,000 tokens less queue, however many streams ran at the engine that it went to, and stretched the pauses of all of them.

Change: for a long prompt an engine of the short lane costs 4,000 tokens more for each stream that runs there. A test of it failed before.

--- a/packages/forward/tests/front_under_test.cpp
+++ b/packages/forward/tests/front_under_test.cpp
@@ -113,7 +113,7 @@
 
 FrontUnderTest::FrontUnderTest(const routes::Configuration &sample, std::optional<Milliseconds> trust)
     : environment_(std::make_shared<node::Environment>(
-          node::newIdentity("front", wire::Role::Router, "local", ""), observe::Level::Error))
+        node::newIdentity("front", wire::Role::Router, "local", ""), observe::Level::Error))
     , store_(*testbench::FakeKv::start({}))
     , client_(std::make_shared<platform::KeyValueClient>(
           platform::KeyValueOptions {.url_ = fmt::format("http://127.0.0.1:{}", store_->port())}))
--- a/packages/routing/include/jasminewood/routing/engine_choice.h
+++ b/packages/routing/include/jasminewood/routing/engine_choice.h
@@ -59,6 +59,9 @@
 constexpr double tokensPerMissingSlot = 4'000;
 // An engine of the other lane is taken if it is better by this many tokens.
 constexpr double otherLaneTokens = 12'000;
+// A long prompt at an engine of short ones stretches the pauses of each stream that runs there, which costs as much as
+// this many tokens.
+constexpr double tokensPerStretchedStream = 4'000;
 // Choices whose costs differ by less are equal, and the engine of the same data centre is preferred.
 constexpr double nearTokens = 64;
 
--- a/packages/routing/src/engine_choice.cpp
+++ b/packages/routing/src/engine_choice.cpp
@@ -17,6 +17,14 @@
 // The key under which engines are ordered for the lanes.
 constexpr std::uint64_t laneKey = 0x6c616e65;
 
+auto laneCost(const PromptRequest &request, const EngineCandidate &candidate) -> double
+{
+    if (candidate.longLane_ == request.longLane_) {
+        return 0;
+    }
+    return otherLaneTokens + (request.longLane_ ? tokensPerStretchedStream * candidate.busy_ : 0);
+}
+
 } // namespace
 
 auto costOf(const PromptRequest &request, const EngineCandidate &candidate, bool home) -> double
@@ -30,7 +38,7 @@
     const auto tokens = double(candidate.unreadTokens_) + double(request.tokens_ - cached)
         + (rereadWeight - 1) * double(reread) + tokensPerRunningRequest * candidate.busy_
         + tokensPerMissingSlot * missingSlots;
-    return tokens * candidate.slowness_ + (candidate.longLane_ == request.longLane_ ? 0 : otherLaneTokens);
+    return tokens * candidate.slowness_ + laneCost(request, candidate);
 }
 
 auto laneSize(double share, std::size_t engines, std::size_t previous) -> std::size_t
--- a/packages/routing/tests/engine_choice_test.cpp
+++ b/packages/routing/tests/engine_choice_test.cpp
@@ -62,6 +62,17 @@
                         check(chooser.choose(request, lane(8'000)) == 0);
                         check(chooser.choose(request, lane(30'000)) == 1);
                     }),
+                // Guards against one long prompt that stretches the pauses of many streams.
+                test("keeps a long prompt away from an engine with many short streams",
+                    [] {
+                        auto chooser = EngineChooser(1);
+                        const auto request = PromptRequest {.tokens_ = 9'000, .longLane_ = true};
+                        const auto candidates = std::vector<EngineCandidate> {
+                            {.id_ = "a", .unreadTokens_ = 30'000, .slots_ = 16, .longLane_ = true},
+                            {.id_ = "b", .busy_ = 8, .slots_ = 16}};
+                        check(chooser.choose(request, candidates) == 0);
+                        check(chooser.choose({.tokens_ = 800}, candidates) == 1);
+                    }),
             }),
         section("with a cached beginning",
             {
