Share the mix of prompts and the running requests between the routers

Cause: each router split the engines into lanes by the mix of prompts that it saw itself. The number of streams at an engine was known only from the router's own answers.

Change: the reports between routers carry the running requests by engine and the flows by route; PromptMix adds them up. PeerTokens becomes PeerLoads, a report that does not fit one datagram is split. Wire format version 3; the tests of other versions derive theirs from protocolVersion. A test of PromptMix shows two routers that disagreed before.

--- a/packages/forward/include/jasminewood/forward/peer_exchange.h
+++ b/packages/forward/include/jasminewood/forward/peer_exchange.h
@@ -56,9 +56,9 @@
     auto sendAll() -> void;
     auto keepRegistered() -> void;
     auto registerOnce() -> Status;
-    // Sends the unread tokens and the prompts to all other routers.
-    auto report(bool complete, const std::map<std::string, std::uint64_t> &unread,
-        const std::vector<GivenPrompt> &prompts) -> void;
+    // Sends the loads, the prompts and the mix of prompts to all other routers.
+    auto report(bool complete, const routing::EngineLoads &loads, const std::vector<GivenPrompt> &prompts) -> void;
+    auto send(const wire::EngineUse &use) -> void;
     auto take(const wire::EngineUse &use) -> void;
     // Sends a datagram to all other routers.
     auto broadcast(const std::string &datagram) -> void;
--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -14,7 +14,7 @@
 #include "jasminewood/forward/dialect.h"
 #include "jasminewood/membership/directory.h"
 #include "jasminewood/routing/engine_choice.h"
-#include "jasminewood/routing/peer_tokens.h"
+#include "jasminewood/routing/peer_loads.h"
 #include "jasminewood/routing/policy.h"
 #include "jasminewood/routing/prefix_memory.h"
 #include "jasminewood/routing/prompt_mix.h"
@@ -83,6 +83,20 @@
     auto operator<=>(const GivenPrompt &) const = default;
 };
 
+using ServiceFlows = std::map<std::string, std::vector<routing::PromptFlow>>;
+
+// What another router told.
+struct PeerReport
+{
+    // True if the router has nothing at engines that are not named.
+    const bool complete_ = false;
+    const routing::EngineLoads loads_;
+    const std::vector<GivenPrompt> prompts_;
+    const ServiceFlows flows_;
+
+    auto operator<=>(const PeerReport &) const = default;
+};
+
 // Prompts that wait to be told to the other routers.
 constexpr std::size_t maximumGiven = 256;
 
@@ -113,21 +127,21 @@
     // The upstream's answer stated its load.
     auto reported(const std::string &id, const LoadReport &report, TimePoint now) -> void;
 
-    // Tokens that this process gave to engines and that these have not read yet, by engine; engines without any are
-    // left out.
-    auto unreadTokens() const -> std::map<std::string, std::uint64_t>;
+    // What this process has at engines, by engine; engines at which it has nothing are left out.
+    auto engineLoads() const -> routing::EngineLoads;
+
+    // Called, on any thread and under the pool's lock, when engineLoads() changes. The callback must not call the pool.
+    auto onLoadChange(std::function<auto()->void> callback) -> void;
 
-    // Called, on any thread and under the pool's lock, when unreadTokens() changes. The callback must not call the
-    // pool.
-    auto onUnreadChange(std::function<auto()->void> callback) -> void;
+    // The mixes of prompts that arrived here, by service.
+    auto ownFlows() const -> ServiceFlows;
 
     // Returns the prompts that this process gave to engines since the last call, the oldest first; of many only the
     // newest.
     auto takeGiven() -> std::vector<GivenPrompt>;
 
-    // Another router's unread tokens and prompts.
-    auto peerReported(const std::string &router, bool complete, const std::map<std::string, std::uint64_t> &unread,
-        const std::vector<GivenPrompt> &prompts, TimePoint now) -> void;
+    // Another router's report.
+    auto peerReported(const std::string &router, const PeerReport &report, TimePoint now) -> void;
 
     // Returns the number of upstreams that take work.
     auto size() const -> std::size_t;
@@ -163,10 +177,12 @@
     auto pickEngine(const Wanted &wanted, const std::vector<const Upstream *> &eligible, TimePoint now) -> std::string;
     // Tokens that this process sent there and that are not read yet.
     static auto unread(const Upstream &upstream) -> std::uint64_t;
-    // Requests that run or wait at the upstream.
+    // What this process and the others have at the engine.
+    auto loadOf(const Upstream &upstream, TimePoint now) const -> routing::EngineLoad;
+    // Requests that run or wait at the upstream, as far as this process knows without the other ones.
     static auto busy(const Upstream &upstream) -> std::uint32_t;
     auto slowness(const Upstream &upstream, TimePoint now) -> double;
-    auto noteUnreadChange() const -> void;
+    auto noteLoadChange() const -> void;
     auto noteGiven(const std::string &engine, const Prompt &prompt) -> void;
     auto dropUnread(Upstream &upstream, const Assignment &assignment) -> void;
 
@@ -174,9 +190,9 @@
     routing::Chooser chooser_;
     routing::EngineChooser engineChooser_;
     routing::PrefixMemory prefixes_;
-    routing::PeerTokens peers_;
+    routing::PeerLoads peers_;
     std::vector<GivenPrompt> given_;
-    std::function<auto()->void> unreadChanged_;
+    std::function<auto()->void> loadChanged_;
     // By service: its mix of prompts, and how many of its engines are for long ones.
     std::map<std::string, routing::PromptMix> mixes_;
     std::map<std::string, std::size_t> laneSizes_;
--- a/packages/forward/src/peer_exchange.cpp
+++ b/packages/forward/src/peer_exchange.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t maximumDatagram = 1'400;
 // A prompt with several shared parts takes up to about 80 bytes.
 constexpr std::size_t promptsPerDatagram = 12;
+// An engine takes up to about 30 bytes.
+constexpr std::size_t enginesPerDatagram = 40;
+constexpr double milli = 1'000;
 
 auto socketAddress(const std::string &host, std::uint16_t port) -> std::optional<sockaddr_in>
 {
@@ -94,7 +97,7 @@
     if (auto failure = openSocket()) {
         return failure;
     }
-    upstreams_->pool().onUnreadChange([this] {
+    upstreams_->pool().onLoadChange([this] {
         const auto lock = std::scoped_lock(mutex_);
         changed_ = true;
         wake_.notify_all();
@@ -258,20 +261,30 @@
     }
 }
 
-auto PeerExchange::report(
-    bool complete, const std::map<std::string, std::uint64_t> &unread, const std::vector<GivenPrompt> &prompts) -> void
+auto PeerExchange::send(const wire::EngineUse &use) -> void
+{
+    const auto datagram = wire::encode(use);
+    if (datagram.size() <= maximumDatagram) {
+        broadcast(datagram);
+    } else {
+        environment_->log().warning("a report for the routers is too long", {{"bytes", std::int64_t(datagram.size())}});
+    }
+}
+
+auto PeerExchange::report(bool complete, const routing::EngineLoads &loads, const std::vector<GivenPrompt> &prompts)
+    -> void
 {
     const auto router = environment_->identity().node_;
-    const auto send = [this](const wire::EngineUse &use) {
-        const auto datagram = wire::encode(use);
-        if (datagram.size() <= maximumDatagram) {
-            broadcast(datagram);
-        } else {
-            environment_->log().warning(
-                "a report for the routers is too long", {{"bytes", std::int64_t(datagram.size())}});
+    auto first = complete;
+    auto load = loads.begin();
+    do {
+        auto part = std::map<std::string, wire::EngineLoad>();
+        for (; load != loads.end() && part.size() < enginesPerDatagram; ++load) {
+            part.emplace(load->first,
+                wire::EngineLoad {.unreadTokens_ = load->second.unreadTokens_, .running_ = load->second.running_});
         }
-    };
-    send({.router_ = router, .complete_ = complete, .unread_ = unread});
+        send({.router_ = router, .complete_ = std::exchange(first, false), .engines_ = part});
+    } while (load != loads.end());
     for (auto start = std::size_t(0); start < prompts.size(); start += promptsPerDatagram) {
         auto part = std::vector<wire::GivenPrompt>();
         for (auto index = start; index < std::min(prompts.size(), start + promptsPerDatagram); ++index) {
@@ -283,11 +296,21 @@
         }
         send({.router_ = router, .prompts_ = part});
     }
+    for (const auto &[service, flows] : upstreams_->pool().ownFlows()) {
+        auto part = std::vector<wire::PromptFlow>();
+        for (const auto &flow : flows) {
+            part.push_back({.service_ = service,
+                .route_ = flow.route_,
+                .milliRequests_ = std::uint64_t(flow.requests_ * milli),
+                .tokens_ = std::uint64_t(flow.tokens_)});
+        }
+        send({.router_ = router, .flows_ = part});
+    }
 }
 
 auto PeerExchange::sendAll() -> void
 {
-    auto sent = std::map<std::string, std::uint64_t>();
+    auto sent = routing::EngineLoads();
     auto completeAt = Clock::now();
     while (pause(std::max<Milliseconds>(shortestInterval, intervalPerPeer * std::int64_t(peers())))) {
         {
@@ -299,12 +322,12 @@
         }
         const auto now = Clock::now();
         const auto complete = now >= completeAt;
-        auto tokens = upstreams_->pool().unreadTokens();
-        const auto changes = complete ? tokens : routing::changedTokens(sent, tokens);
+        auto loads = upstreams_->pool().engineLoads();
+        const auto changes = complete ? loads : routing::changedLoads(sent, loads);
         if (complete) {
             completeAt = now + completeInterval;
         }
-        sent.swap(tokens);
+        sent.swap(loads);
         const auto prompts = upstreams_->pool().takeGiven();
         if (complete || !changes.empty() || !prompts.empty()) {
             report(complete, changes, prompts);
@@ -322,7 +345,17 @@
         }
         prompts.push_back({.engine_ = prompt.engine_, .parts_ = parts});
     }
-    upstreams_->pool().peerReported(use.router_.name_, use.complete_, use.unread_, prompts, Clock::now());
+    auto loads = routing::EngineLoads();
+    for (const auto &[engine, load] : use.engines_) {
+        loads.emplace(engine, routing::EngineLoad {.unreadTokens_ = load.unreadTokens_, .running_ = load.running_});
+    }
+    auto flows = ServiceFlows();
+    for (const auto &flow : use.flows_) {
+        flows[flow.service_].push_back(
+            {.route_ = flow.route_, .requests_ = double(flow.milliRequests_) / milli, .tokens_ = double(flow.tokens_)});
+    }
+    upstreams_->pool().peerReported(use.router_.name_,
+        {.complete_ = use.complete_, .loads_ = loads, .prompts_ = prompts, .flows_ = flows}, Clock::now());
 }
 
 auto PeerExchange::receiveAll() -> void
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -156,7 +156,8 @@
     return std::nullopt;
 }
 
-auto RequestRun::lost(const Failure &failure, AttemptResult result, const std::optional<http::WholeResponse> &answer) -> Lost
+auto RequestRun::lost(const Failure &failure, AttemptResult result, const std::optional<http::WholeResponse> &answer)
+    -> Lost
 {
     auto loss = Lost {.failure_ = failure, .answer_ = answer};
     note(loss);
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -58,8 +58,8 @@
     // After a loss, continues the stream at another upstream after the last complete event. Returns whether it did.
     auto resume(const Admitted &admitted) -> bool;
     // Ends the attempt without a usable answer.
-    auto lost(const Failure &failure, AttemptResult result, const std::optional<http::WholeResponse> &answer = std::nullopt)
-        -> Lost;
+    auto lost(const Failure &failure, AttemptResult result,
+        const std::optional<http::WholeResponse> &answer = std::nullopt) -> Lost;
     // Ends the attempt after a failure of its connection or a wrong answer.
     auto broken(const Failure &failure) -> Lost;
     auto note(const Lost &lost) -> void;
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -106,6 +106,13 @@
     return std::max(upstream.reportedRunning_ + upstream.reportedWaiting_ + since, upstream.outstanding_);
 }
 
+auto UpstreamPool::loadOf(const Upstream &upstream, TimePoint now) const -> routing::EngineLoad
+{
+    const auto others = peers_.at(upstream.record_->id_, now);
+    return {.unreadTokens_ = unread(upstream) + others.unreadTokens_,
+        .running_ = std::max(busy(upstream), upstream.outstanding_ + others.running_)};
+}
+
 auto UpstreamPool::slowness(const Upstream &upstream, TimePoint now) -> double
 {
     const auto age = std::chrono::duration<double>(now - upstream.reportedAt_) / reportHalfLife;
@@ -162,11 +169,12 @@
     auto candidates = std::vector<routing::EngineCandidate>();
     for (auto index = std::size_t(0); index < ids.size(); ++index) {
         const auto &upstream = *eligible[index];
+        const auto load = loadOf(upstream, now);
         candidates.push_back({.id_ = ids[index],
             .dataCentre_ = upstream.record_->dataCentre_,
-            .unreadTokens_ = unread(upstream) + peers_.unread(ids[index], now),
+            .unreadTokens_ = load.unreadTokens_,
             .cachedTokens_ = prefixes_.cached(ids[index], wanted.prompt_->parts_),
-            .busy_ = busy(upstream),
+            .busy_ = load.running_,
             .slots_ = upstream.record_->slots_,
             .slowness_ = slowness(upstream, now),
             .longLane_ = lanes[index]});
@@ -192,8 +200,7 @@
         return picked.reason();
     }
     auto &upstream = upstreams_.at(*picked);
-    const auto busyBefore = busy(upstream);
-    const auto unreadBefore = unread(upstream) + peers_.unread(*picked, now);
+    const auto before = loadOf(upstream, now);
     ++upstream.outstanding_;
     auto unreadTokens = std::uint64_t(0);
     if (wanted.prompt_) {
@@ -202,12 +209,12 @@
         prefixes_.sent(*picked, wanted.prompt_->parts_, upstream.cacheTokens_);
         noteGiven(*picked, *wanted.prompt_);
         upstream.unread_.emplace(now, unreadTokens);
-        noteUnreadChange();
+        noteLoadChange();
     }
     return Assignment {.upstream_ = *upstream.record_,
         .unreadTokens_ = unreadTokens,
-        .unreadBefore_ = unreadBefore,
-        .busy_ = busyBefore,
+        .unreadBefore_ = before.unreadTokens_,
+        .busy_ = before.running_,
         .reportAge_ = std::chrono::duration_cast<Milliseconds>(now - upstream.reportedAt_),
         .since_ = now};
 }
@@ -220,7 +227,6 @@
     });
     if (found != last) {
         upstream.unread_.erase(found);
-        noteUnreadChange();
     }
 }
 
@@ -232,6 +238,7 @@
         return;
     }
     dropUnread(found->second, assignment);
+    noteLoadChange();
     health_[assignment.upstream_.service_].firstToken(
         nodeOf(assignment.upstream_), comparableTime(assignment, now), now);
 }
@@ -246,6 +253,7 @@
     auto &upstream = found->second;
     dropUnread(upstream, assignment);
     upstream.outstanding_ -= std::min(upstream.outstanding_, 1U);
+    noteLoadChange();
     upstream.outstandingAtReport_ = std::min(upstream.outstandingAtReport_, upstream.outstanding_);
     if (result == AttemptResult::Answered) {
         upstream.failures_ = 0;
@@ -275,28 +283,40 @@
     upstream.reportedAt_ = now;
 }
 
-auto UpstreamPool::unreadTokens() const -> std::map<std::string, std::uint64_t>
+auto UpstreamPool::engineLoads() const -> routing::EngineLoads
 {
     const auto lock = std::scoped_lock(mutex_);
-    auto tokens = std::map<std::string, std::uint64_t>();
+    auto loads = routing::EngineLoads();
     for (const auto &[id, upstream] : upstreams_) {
-        if (const auto sum = unread(upstream); sum > 0) {
-            tokens.emplace(id, sum);
+        // Only engines have a cache.
+        if (upstream.cacheTokens_ > 0 && upstream.outstanding_ > 0) {
+            loads.emplace(
+                id, routing::EngineLoad {.unreadTokens_ = unread(upstream), .running_ = upstream.outstanding_});
         }
     }
-    return tokens;
+    return loads;
 }
 
-auto UpstreamPool::onUnreadChange(std::function<auto()->void> callback) -> void
+auto UpstreamPool::ownFlows() const -> ServiceFlows
 {
     const auto lock = std::scoped_lock(mutex_);
-    unreadChanged_ = std::move(callback);
+    auto flows = ServiceFlows();
+    for (const auto &[service, mix] : mixes_) {
+        flows.emplace(service, mix.ownFlows());
+    }
+    return flows;
 }
 
-auto UpstreamPool::noteUnreadChange() const -> void
+auto UpstreamPool::onLoadChange(std::function<auto()->void> callback) -> void
 {
-    if (unreadChanged_) {
-        unreadChanged_();
+    const auto lock = std::scoped_lock(mutex_);
+    loadChanged_ = std::move(callback);
+}
+
+auto UpstreamPool::noteLoadChange() const -> void
+{
+    if (loadChanged_) {
+        loadChanged_();
     }
 }
 
@@ -317,17 +337,19 @@
     return std::exchange(given_, {});
 }
 
-auto UpstreamPool::peerReported(const std::string &router, bool complete,
-    const std::map<std::string, std::uint64_t> &unread, const std::vector<GivenPrompt> &prompts, TimePoint now) -> void
+auto UpstreamPool::peerReported(const std::string &router, const PeerReport &report, TimePoint now) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    peers_.take(router, complete, unread, now);
-    for (const auto &prompt : prompts) {
+    peers_.take(router, report.complete_, report.loads_, now);
+    for (const auto &prompt : report.prompts_) {
         const auto found = upstreams_.find(prompt.engine_);
         if (found != upstreams_.end() && found->second.cacheTokens_ > 0) {
             prefixes_.sent(prompt.engine_, prompt.parts_, found->second.cacheTokens_);
         }
     }
+    for (const auto &[service, flows] : report.flows_) {
+        mixes_[service].peerReported(router, flows, now);
+    }
 }
 
 auto UpstreamPool::size() const -> std::size_t
--- a/packages/link/tests/connection_test.cpp
+++ b/packages/link/tests/connection_test.cpp
@@ -2,6 +2,8 @@
 
 #include <future>
 
+#include <fmt/format.h>
+
 #include "frame_buffer.h"
 #include "jasminewood/testbench/sockets.h"
 #include "jasminewood/testkit/property.h"
@@ -26,6 +28,8 @@
 namespace
 {
 
+constexpr std::uint32_t otherVersion = wire::protocolVersion + 1;
+
 auto framed(const std::string &message) -> std::string
 {
     return link::internal::lengthPrefix(message.size()) + message;
@@ -102,26 +106,31 @@
                     [] {
                         const auto listener = *Listener::listen("127.0.0.1:0", helloOf("server"));
                         auto dialling = std::async(std::launch::async, [&] {
-                            const auto newer = wire::Hello {.version_ = 3, .node_ = {.name_ = "client"}};
+                            const auto newer = wire::Hello {.version_ = otherVersion, .node_ = {.name_ = "client"}};
                             return Connection::dial(listener->address(), newer, generousDeadline);
                         });
                         const auto server = *listener->accept();
                         const auto refusedByServer = server->greet(generousDeadline);
                         const auto refusedByClient = dialling.get();
                         check(refusedByServer && refusedByServer->step_ == "hello");
-                        check(refusedByServer->reason_ == "the peer has version 3 instead of 2");
+                        check(refusedByServer->reason_
+                            == fmt::format(
+                                "the peer has version {} instead of {}", otherVersion, wire::protocolVersion));
                         check(!refusedByClient && refusedByClient.reason().step_ == "hello");
-                        check(refusedByClient.reason().reason_ == "the peer has version 2 instead of 3");
+                        check(refusedByClient.reason().reason_
+                            == fmt::format(
+                                "the peer has version {} instead of {}", wire::protocolVersion, otherVersion));
                     }),
                 test("refuse a message format of another version",
                     [] {
                         const auto client = RawClient();
                         auto hello = wire::encode(helloOf("raw"));
-                        hello[1] = '\x03';
+                        hello[1] = char(otherVersion);
                         client.socket_.write(framed(hello));
                         const auto refused = client.server_->greet(generousDeadline);
                         check(refused && refused->step_ == "hello");
-                        check(refused->reason_ == "protocol version 3 instead of 2");
+                        check(refused->reason_
+                            == fmt::format("protocol version {} instead of {}", otherVersion, wire::protocolVersion));
                     }),
             }),
         section("where one speaks before its Hello",
--- a/packages/routing/include/jasminewood/routing/prompt_mix.h
+++ b/packages/routing/include/jasminewood/routing/prompt_mix.h
@@ -1,17 +1,21 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "jasminewood/core/clock.h"
 
-// Which routes carry prompts that are long by comparison, and which share of the engines they need.
+// Which routes carry prompts that are long by comparison, and which share of the engines they need. Routers that tell
+// each other their flows come to the same answers.
 //
 //     mix.arrived("quotes", 2'890, now);
-//     const auto lane = mix.isLong("quotes", now);
-//     const auto share = mix.longShare(now);
+//     mix.peerReported("router-2", {{.route_ = "chats", .requests_ = 30, .tokens_ = 18'000}}, now);
+//     const auto lane = mix.isLong("quotes");
+//     const auto share = mix.longShare();
 
 namespace jasminewood::routing
 {
@@ -23,6 +27,21 @@
 // The weight of the tokens of short prompts against those of long ones: their streams need engines that read little.
 constexpr double shortLaneWeight = 2.2;
 
+// A router's flows count for this long after its last report. Its requests are then a small part of the mix.
+constexpr Milliseconds mixReportExpiry = Milliseconds(10'000);
+// Flows that are told to the other routers, the largest ones.
+constexpr std::size_t reportedFlows = 8;
+
+// The recent requests of one route; older ones count less.
+struct PromptFlow
+{
+    const std::string route_;
+    const double requests_ = 0;
+    const double tokens_ = 0;
+
+    auto operator<=>(const PromptFlow &) const = default;
+};
+
 // Not thread-safe. Precondition: now does not go backwards.
 class PromptMix
 {
@@ -30,6 +49,12 @@
     // A request of the route arrived; tokens counts the part of its prompt that it shares with no other one.
     auto arrived(const std::string &route, std::uint64_t tokens, TimePoint now) -> void;
 
+    // Another router's flows, which replace those that it reported before.
+    auto peerReported(const std::string &router, const std::vector<PromptFlow> &flows, TimePoint now) -> void;
+
+    // Returns the flows of requests that arrived here, at most reportedFlows.
+    auto ownFlows() const -> std::vector<PromptFlow>;
+
     auto isLong(const std::string &route) const -> bool;
 
     // Returns the share of the engines for long prompts, 0 to 1; 0 if no route has long ones.
@@ -42,10 +67,22 @@
         double tokens_ = 0;
     };
 
+    using Flows = std::map<std::string, Flow>;
+
+    struct Peer
+    {
+        TimePoint reportedAt_;
+        Flows flows_;
+    };
+
     auto decay(TimePoint now) -> void;
+    // Computes what the flows of all routers add up to.
+    auto addUp() -> void;
     auto shortestMean() const -> double;
 
-    std::map<std::string, Flow> flows_;
+    Flows own_;
+    std::map<std::string, Peer> peers_;
+    Flows all_;
     std::optional<TimePoint> decayedAt_;
 };
 
--- /dev/null
+++ b/packages/routing/src/peer_loads.cpp
@@ -0,0 +1,64 @@
+#include "jasminewood/routing/peer_loads.h"
+
+#include <algorithm>
+
+namespace jasminewood::routing
+{
+
+auto PeerLoads::take(const std::string &router, bool complete, const EngineLoads &loads, TimePoint now) -> void
+{
+    std::erase_if(routers_, [now](const auto &entry) {
+        return now - entry.second.reportedAt_ > peerReportExpiry;
+    });
+    auto &known = routers_[router];
+    known.reportedAt_ = now;
+    if (complete) {
+        known.loads_.clear();
+    }
+    for (const auto &[engine, load] : loads) {
+        known.loads_.erase(engine);
+        if (load != EngineLoad {}) {
+            known.loads_.emplace(engine, load);
+        }
+    }
+}
+
+auto PeerLoads::at(const std::string &engine, TimePoint now) const -> EngineLoad
+{
+    auto tokens = std::uint64_t(0);
+    auto running = std::uint32_t(0);
+    for (const auto &[name, router] : routers_) {
+        const auto found = router.loads_.find(engine);
+        if (found != router.loads_.end() && now - router.reportedAt_ <= peerReportExpiry) {
+            tokens += found->second.unreadTokens_;
+            running += found->second.running_;
+        }
+    }
+    return {.unreadTokens_ = tokens, .running_ = running};
+}
+
+auto PeerLoads::peers(TimePoint now) const -> std::size_t
+{
+    return std::size_t(std::count_if(routers_.begin(), routers_.end(), [now](const auto &entry) {
+        return now - entry.second.reportedAt_ <= peerReportExpiry;
+    }));
+}
+
+auto changedLoads(const EngineLoads &before, const EngineLoads &after) -> EngineLoads
+{
+    auto changed = EngineLoads();
+    for (const auto &[engine, load] : before) {
+        if (!after.contains(engine)) {
+            changed.emplace(engine, EngineLoad {});
+        }
+    }
+    for (const auto &[engine, load] : after) {
+        const auto found = before.find(engine);
+        if (found == before.end() || found->second != load) {
+            changed.emplace(engine, load);
+        }
+    }
+    return changed;
+}
+
+} // namespace jasminewood::routing
--- a/packages/routing/src/prompt_mix.cpp
+++ b/packages/routing/src/prompt_mix.cpp
@@ -20,9 +20,40 @@
 auto PromptMix::arrived(const std::string &route, std::uint64_t tokens, TimePoint now) -> void
 {
     decay(now);
-    auto &flow = flows_[route];
+    auto &flow = own_[route];
     flow.requests_ += 1;
     flow.tokens_ += double(tokens);
+    addUp();
+}
+
+auto PromptMix::peerReported(const std::string &router, const std::vector<PromptFlow> &flows, TimePoint now) -> void
+{
+    decay(now);
+    auto &peer = peers_[router];
+    peer.reportedAt_ = now;
+    peer.flows_.clear();
+    for (const auto &flow : flows) {
+        peer.flows_[flow.route_] = {.requests_ = flow.requests_, .tokens_ = flow.tokens_};
+    }
+    addUp();
+}
+
+auto PromptMix::ownFlows() const -> std::vector<PromptFlow>
+{
+    auto order = std::vector<Flows::const_iterator>();
+    for (auto entry = own_.begin(); entry != own_.end(); ++entry) {
+        order.push_back(entry);
+    }
+    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
+        return left->second.tokens_ > right->second.tokens_;
+    });
+    order.resize(std::min(order.size(), reportedFlows));
+    auto flows = std::vector<PromptFlow>();
+    for (const auto &entry : order) {
+        flows.push_back(
+            {.route_ = entry->first, .requests_ = entry->second.requests_, .tokens_ = entry->second.tokens_});
+    }
+    return flows;
 }
 
 auto PromptMix::decay(TimePoint now) -> void
@@ -30,17 +61,32 @@
     const auto elapsed = std::chrono::duration<double, std::milli>(now - decayedAt_.value_or(now)).count();
     decayedAt_ = now;
     const auto factor = std::exp2(-elapsed / double(mixHalfLife.count()));
-    for (auto entry = flows_.begin(); entry != flows_.end();) {
+    for (auto entry = own_.begin(); entry != own_.end();) {
         entry->second.requests_ *= factor;
         entry->second.tokens_ *= factor;
-        entry = entry->second.requests_ < forgottenRequests ? flows_.erase(entry) : std::next(entry);
+        entry = entry->second.requests_ < forgottenRequests ? own_.erase(entry) : std::next(entry);
+    }
+    std::erase_if(peers_, [now](const auto &entry) {
+        return now - entry.second.reportedAt_ > mixReportExpiry;
+    });
+}
+
+auto PromptMix::addUp() -> void
+{
+    all_ = own_;
+    for (const auto &[router, peer] : peers_) {
+        for (const auto &[route, flow] : peer.flows_) {
+            auto &sum = all_[route];
+            sum.requests_ += flow.requests_;
+            sum.tokens_ += flow.tokens_;
+        }
     }
 }
 
 auto PromptMix::shortestMean() const -> double
 {
     auto shortest = std::numeric_limits<double>::infinity();
-    for (const auto &[route, flow] : flows_) {
+    for (const auto &[route, flow] : all_) {
         if (flow.requests_ >= minimumRequests) {
             shortest = std::min(shortest, flow.tokens_ / flow.requests_);
         }
@@ -50,16 +96,15 @@
 
 auto PromptMix::isLong(const std::string &route) const -> bool
 {
-    const auto found = flows_.find(route);
-    return found != flows_.end()
-        && found->second.tokens_ / found->second.requests_ >= longPromptFactor * shortestMean();
+    const auto found = all_.find(route);
+    return found != all_.end() && found->second.tokens_ / found->second.requests_ >= longPromptFactor * shortestMean();
 }
 
 auto PromptMix::longShare() const -> double
 {
     auto longTokens = 0.0;
     auto shortTokens = 0.0;
-    for (const auto &[route, flow] : flows_) {
+    for (const auto &[route, flow] : all_) {
         (isLong(route) ? longTokens : shortTokens) += flow.tokens_;
     }
     return longTokens > 0 ? longTokens / (longTokens + shortLaneWeight * shortTokens) : 0;
--- a/packages/routing/tests/prompt_mix_test.cpp
+++ b/packages/routing/tests/prompt_mix_test.cpp
@@ -35,6 +35,27 @@
                         check(mix.longShare() < before);
                     }),
             }),
+        section("that several routers see a part of",
+            {
+                // Guards against routers that put the same engine into different lanes.
+                test("is the same for all once they told each other",
+                    [] {
+                        const auto now = TimePoint(100s);
+                        auto first = PromptMix();
+                        auto second = PromptMix();
+                        for (auto index = 0; index < 5; ++index) {
+                            first.arrived("quotes", 3'000, now);
+                            second.arrived("chats", 600, now);
+                        }
+                        check(!first.isLong("quotes") && !second.isLong("quotes"));
+                        first.peerReported("second", second.ownFlows(), now);
+                        second.peerReported("first", first.ownFlows(), now);
+                        check(first.isLong("quotes") && second.isLong("quotes"));
+                        check(first.longShare() == second.longShare() && first.longShare() > 0);
+                        second.arrived("chats", 600, now + mixReportExpiry + 1s);
+                        check(!second.isLong("quotes"));
+                    }),
+            }),
         section("of routes with like sizes",
             {
                 // Guards against lanes that halve the choice without any use.
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -22,7 +22,7 @@
 {
 
 // A peer with another version is refused at Hello.
-constexpr std::uint32_t protocolVersion = 2;
+constexpr std::uint32_t protocolVersion = 3;
 
 enum class Role : std::uint8_t
 {
@@ -248,16 +248,41 @@
     auto operator<=>(const GivenPrompt &) const = default;
 };
 
+// What a router has at one engine.
+struct EngineLoad
+{
+    // Prompt tokens that the engine has not read yet.
+    const std::uint64_t unreadTokens_ = 0;
+    // Requests that were sent there and are not over.
+    const std::uint32_t running_ = 0;
+
+    auto operator<=>(const EngineLoad &) const = default;
+};
+
+// The recent requests of one route at one router; older ones count less.
+struct PromptFlow
+{
+    const std::string service_;
+    const std::string route_;
+    // In thousandths of a request.
+    const std::uint64_t milliRequests_ = 0;
+    // Tokens of the parts of prompts that no other request shares.
+    const std::uint64_t tokens_ = 0;
+
+    auto operator<=>(const PromptFlow &) const = default;
+};
+
 // Router to router: what the sender gave to model engines.
 struct EngineUse
 {
     const NodeId router_;
-    // True if engines that are not named have no unread tokens of this router; else they have as many as before.
+    // True if this router has nothing at engines that are not named; else it has as much as before.
     const bool complete_ = false;
-    // Prompt tokens that the engine has not read yet, by engine.
-    const std::map<std::string, std::uint64_t> unread_;
+    const std::map<std::string, EngineLoad> engines_;
     // Prompts given since the last message, the oldest first.
     const std::vector<GivenPrompt> prompts_;
+    // The mix of prompts that arrived at the sender; empty if the message does not tell it.
+    const std::vector<PromptFlow> flows_;
 
     auto operator<=>(const EngineUse &) const = default;
 };
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -143,9 +143,19 @@
     return std::tie(value.engine_, value.parts_);
 }
 
+inline auto fieldsOf(const EngineLoad &value)
+{
+    return std::tie(value.unreadTokens_, value.running_);
+}
+
+inline auto fieldsOf(const PromptFlow &value)
+{
+    return std::tie(value.service_, value.route_, value.milliRequests_, value.tokens_);
+}
+
 inline auto fieldsOf(const EngineUse &value)
 {
-    return std::tie(value.router_, value.complete_, value.unread_, value.prompts_);
+    return std::tie(value.router_, value.complete_, value.engines_, value.prompts_, value.flows_);
 }
 
 inline auto fieldsOf(const Suspicions &value)
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -127,10 +127,16 @@
 
 inline auto anyEngineUse() -> EngineUse
 {
-    auto tokens = std::map<std::string, std::uint64_t>();
+    auto engines = std::map<std::string, EngineLoad>();
+    auto flows = std::vector<PromptFlow>();
     const auto count = *rc::gen::inRange(0, 5);
     for (auto index = 0; index < count; ++index) {
-        tokens.emplace(anyName(), anyNumber<std::uint64_t>());
+        engines.emplace(anyName(),
+            EngineLoad {.unreadTokens_ = anyNumber<std::uint64_t>(), .running_ = anyNumber<std::uint32_t>()});
+        flows.push_back({.service_ = anyName(),
+            .route_ = anyName(),
+            .milliRequests_ = anyNumber<std::uint64_t>(),
+            .tokens_ = anyNumber<std::uint64_t>()});
     }
     auto prompts = std::vector<GivenPrompt>();
     for (auto index = 0; index < count; ++index) {
@@ -138,8 +144,9 @@
     }
     return EngineUse {.router_ = anyNode(),
         .complete_ = anyNumber<bool>(),
-        .unread_ = std::move(tokens),
-        .prompts_ = std::move(prompts)};
+        .engines_ = std::move(engines),
+        .prompts_ = std::move(prompts),
+        .flows_ = std::move(flows)};
 }
 
 inline auto anyAnswer() -> std::optional<Answer>
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -159,7 +159,8 @@
                         const auto bytes = withByte(wire::encode(wire::Drain {}), versionPosition, '\x01');
                         const auto message = wire::decode(bytes);
                         check(!message && message.reason().step_ == "decode");
-                        check(message.reason().reason_ == "protocol version 1 instead of 2");
+                        check(message.reason().reason_
+                            == "protocol version 1 instead of " + std::to_string(wire::protocolVersion));
                     }),
             }),
         section("type",
