Let a watch of the upstreams' entries wait for 2 s

Each router made 2.3 calls a second, of which one was a watch of upstreams that ended without an event.

Change: the watch of the upstreams waits 2 s; that of the configuration keeps 1 s, since the trust in keys depends on its age.

--- a/packages/forward/src/upstream_feed.cpp
+++ b/packages/forward/src/upstream_feed.cpp
@@ -13,6 +13,9 @@
 // Upstreams renew their entries all the time. Collecting the changes of this time bounds the calls to the store; it is
 // a small part of the time in which a leaving upstream must get no more work.
 constexpr Milliseconds collectTime = Milliseconds(250);
+// Entries change rarely, and nothing else depends on the age of what a watch proves, so that a long wait saves calls. A
+// watch on a connection that went silent still ends within the time in which the store's own bounds are suspended.
+constexpr Milliseconds upstreamWatch = Milliseconds(2'000);
 
 } // namespace
 
@@ -31,7 +34,10 @@
         return failure;
     }
     feed_ = std::make_unique<StoreFeed>(store_,
-        FeedOptions {.prefix_ = dialect_.upstreamPrefix_, .pause_ = collectTime, .seed_ = seed_ + 1},
+        FeedOptions {.prefix_ = dialect_.upstreamPrefix_,
+            .watchLimit_ = upstreamWatch,
+            .pause_ = collectTime,
+            .seed_ = seed_ + 1},
         FeedCallbacks {.snapshot_ =
                            [this](const std::vector<platform::KeyValue> &entries) {
                                takeAll(entries);
