Wait for restarting engines, and ask again while a crash is unclear

Cause: in the known red story of the crashing request (1) an innocent stream ended by step "connect", because all engines that it could go on at restarted within the same moment and each was tried once; (2) the question whether an engine crashed got no usable answer from a process that was just ending, and was then taken as no.

Change: (1) a request that has started and finds no upstream, while its last attempt did not run, waits 100 ms and tries all again, 20 times at most, unless its caller left. (2) The agent asks up to 5 times until the engine refuses the connection, or tells its start time.

--- a/packages/agent/src/upstream.cpp
+++ b/packages/agent/src/upstream.cpp
@@ -15,6 +15,8 @@
 // Weight of the newest sample in the moving averages.
 constexpr double sampleWeight = 0.1;
 constexpr auto healthTimeout = Milliseconds(1000);
+// Questions to an upstream whose call broke, until it tells whether it restarted.
+constexpr auto crashQuestions = 5;
 constexpr auto okStatus = std::uint16_t(200);
 
 auto blend(double average, Microseconds sample) -> double
@@ -153,20 +155,27 @@
 
 auto Upstream::crashed(const std::string &baseUrl, const std::optional<std::string> &startedBefore) const -> bool
 {
-    const auto unhealthy = engine::probe(baseUrl, healthTimeout);
-    if (unhealthy) {
-        const auto lock = std::lock_guard(mutex_);
-        startedAt_.reset();
-        return unhealthy->step_ == "connect";
-    }
-    // An engine that restarts at once answers the probe again.
-    const auto started = startedBefore ? engine::startTime(baseUrl, healthTimeout) : Result<std::string>(Failure {});
-    if (!started || *started == *startedBefore) {
-        return false;
+    for (auto asked = 0; asked < crashQuestions; ++asked) {
+        const auto unhealthy = engine::probe(baseUrl, healthTimeout);
+        if (unhealthy && unhealthy->step_ == "connect") {
+            const auto lock = std::lock_guard(mutex_);
+            startedAt_.reset();
+            return true;
+        }
+        if (unhealthy && unhealthy->step_ == "timeout") {
+            return false;
+        }
+        // An engine that restarts at once answers the probe again.
+        const auto started = engine::startTime(baseUrl, healthTimeout);
+        if (!unhealthy && started) {
+            const auto lock = std::lock_guard(mutex_);
+            const auto restarted = startedBefore && *started != *startedBefore;
+            startedAt_ = *started;
+            return restarted;
+        }
+        // The connection reached a process that was just ending, or one that is not ready yet.
     }
-    const auto lock = std::lock_guard(mutex_);
-    startedAt_ = *started;
-    return true;
+    return false;
 }
 
 auto Upstream::broken(const std::string &baseUrl, std::uint64_t crashesBefore,
--- a/packages/router/include/jasminewood/router/request_run.h
+++ b/packages/router/include/jasminewood/router/request_run.h
@@ -89,6 +89,10 @@
 // Upstreams tried for a request that none of them has started. After the first refusal only upstreams that could make
 // room are tried, so few requests come near it.
 constexpr std::uint32_t maximumPlacements = 16;
+// A request that has started and finds no upstream, because those that were tried restart, tries again after this time.
+constexpr Milliseconds restartWait = Milliseconds(100);
+// Such waits of one request.
+constexpr std::uint32_t maximumRestartWaits = 20;
 // Upstreams that may start a request, counting the first.
 constexpr std::uint32_t maximumStarts = 4;
 // How often a waiting request looks for a caller that went away and for a free slot elsewhere.
@@ -138,6 +142,8 @@
     auto on(const LinkReplaced &event) -> Step;
     auto on(const LinkLost &event) -> Step;
     auto attemptFailed(const Flight &flight, const Failure &failure) -> Step;
+    // Waits until upstreams that restart may be back and allows them again; returns false if that is of no use.
+    auto awaitRestarts() -> bool;
     auto mayTryAgain(const Failure &failure) -> bool;
     auto broken(const Failure &failure) const -> RunStep;
     auto place() -> Result<NodeId>;
@@ -164,6 +170,7 @@
     std::vector<NodeId> tried_;
     std::uint32_t attempts_ = 0;
     std::uint32_t placements_ = 0;
+    std::uint32_t restartWaits_ = 0;
     std::uint32_t starts_ = 0;
     // Output tokens delivered so far; engines send one token in each frame.
     std::uint32_t deliveredTokens_ = 0;
--- a/packages/router/src/request_run.cpp
+++ b/packages/router/src/request_run.cpp
@@ -65,7 +65,7 @@
     }
     const auto chosen = place();
     if (!chosen) {
-        return broken(lastFailure_ ? *lastFailure_ : chosen.reason());
+        return awaitRestarts() ? Step() : broken(lastFailure_ ? *lastFailure_ : chosen.reason());
     }
     if (const auto failure = dispatch(*chosen, false)) {
         tried_.push_back(*chosen);
@@ -267,12 +267,29 @@
         return std::nullopt;
     }
     tried_.push_back(failedFlight.agent_);
-    if (mayTryAgain(failure)) {
+    if (mayTryAgain(failure) || awaitRestarts()) {
         return std::nullopt;
     }
     return broken(failure);
 }
 
+auto RequestRun::awaitRestarts() -> bool
+{
+    const auto started = starts_ > 0 && lastFailure_ && lastFailure_->runState_ == RunState::NotRun;
+    const auto gone = request_.callerGone_ && request_.callerGone_();
+    if (!started || gone || !request_.idempotent_ || restartWaits_ >= maximumRestartWaits) {
+        return false;
+    }
+    ++restartWaits_;
+    placements_ = 0;
+    tried_.clear();
+    environment_->event({.request_ = request_.id_, .number_ = attempts_}, "await restarts", "");
+    // No attempt is open, so that what arrives is late and has no use.
+    const auto end = Clock::now() + restartWait;
+    while (mailbox_->receive(end)) {}
+    return true;
+}
+
 auto RequestRun::mayTryAgain(const Failure &failure) -> bool
 {
     if (failure.runState_ == RunState::NotRun) {
