--- a/packages/routing/include/jasminewood/routing/engine_choice.h
+++ b/packages/routing/include/jasminewood/routing/engine_choice.h
@@ -70,7 +70,7 @@
 
 // Tokens of a shared part that would be read again count this many times: besides the request itself they delay all
 // that the engine reads after it.
-constexpr double rereadWeight = 3;
+constexpr double rereadWeight = 9;
 
 // Returns the number of engines for long prompts: the share of all engines, at least one for each lane if there are two
 // or more, and none if the share is 0. The previous size stays while it differs from the share by less than an engine,
--- a/packages/routing/tests/engine_choice_test.cpp
+++ b/packages/routing/tests/engine_choice_test.cpp
@@ -88,6 +88,20 @@
                         check(chooser.choose(request, engines(3'000)) == 1);
                         check(chooser.choose(request, engines(8'000)) == 0);
                     }),
+                // Guards against a burst in which each queue drives shared parts to further engines, so that reading
+                // them again makes the queues longer.
+                test("keeps a long shared part where it is, behind a queue that other engines do not have",
+                    [] {
+                        auto chooser = EngineChooser(1);
+                        const auto request = PromptRequest {.tokens_ = 9'000, .sharedPart_ = 5, .sharedTokens_ = 6'300};
+                        const auto engines = [](std::uint64_t unread) {
+                            return std::vector<EngineCandidate> {{.id_ = "a", .slots_ = 8},
+                                {.id_ = "b", .unreadTokens_ = unread, .cachedTokens_ = 6'300, .slots_ = 8},
+                                {.id_ = "c", .slots_ = 8}};
+                        };
+                        check(chooser.choose(request, engines(40'000)) == 1);
+                        check(chooser.choose(request, engines(80'000)) != 1);
+                    }),
                 // Guards against routers that each warm another engine for the same part.
                 test("starts at the part's home, which all routers know",
                     [] {
