Test the weight of re-read parts with a request that has no home

Cause: the test committed with the weight failed: the part that it named had its home, by the hash, at another engine than the one that held it.

Change: the request names shared tokens but no part, so that no engine is a home.

--- a/packages/routing/tests/engine_choice_test.cpp
+++ b/packages/routing/tests/engine_choice_test.cpp
@@ -93,7 +93,7 @@
                 test("keeps a long shared part where it is, behind a queue that other engines do not have",
                     [] {
                         auto chooser = EngineChooser(1);
-                        const auto request = PromptRequest {.tokens_ = 9'000, .sharedPart_ = 5, .sharedTokens_ = 6'300};
+                        const auto request = PromptRequest {.tokens_ = 9'000, .sharedTokens_ = 6'300};
                         const auto engines = [](std::uint64_t unread) {
                             return std::vector<EngineCandidate> {{.id_ = "a", .slots_ = 8},
                                 {.id_ = "b", .unreadTokens_ = unread, .cachedTokens_ = 6'300, .slots_ = 8},
