Let one router of each data centre read the store for the others

Change: package relay decides what a router may believe of what another one read: batches apply only without a gap and never go back, and a follower's state is as new as the newest of its own time stamps that its source received before the store's confirmation, so that neither a delayed datagram nor a suspended process makes it look newer. Service "store-feed" is the one watch of the store; it follows the router of its data centre with the highest rank and reads the store itself when changes are missing or 1.5 s go by without a confirmation. Service "peer-network" holds the socket, the membership and the lease (15 s, renewed each 5 s) that the load reports had; a router without an entry stays a peer while it is heard.

--- a/packages/forward/include/jasminewood/forward/configuration_watcher.h
+++ b/packages/forward/include/jasminewood/forward/configuration_watcher.h
@@ -8,25 +8,23 @@
 #include "jasminewood/core/boot_clock.h"
 #include "jasminewood/core/clock.h"
 #include "jasminewood/forward/protocol_adapter.h"
-#include "jasminewood/forward/store_watcher.h"
+#include "jasminewood/forward/store_feed.h"
 #include "jasminewood/kernel/service_registry.h"
 #include "jasminewood/node/environment.h"
-#include "jasminewood/platform/key_value.h"
 #include "jasminewood/routes/route_table.h"
 
-// Service "configuration": the newest configuration that this process has read from the store.
+// Service "configuration": the newest configuration of the operators that this process knows.
 
 namespace jasminewood::forward
 {
 
-// Requires the service "environment". Thread-safe.
+// Requires the services "environment" and "store-feed". Thread-safe.
 class ConfigurationWatcher
 {
 public:
     // API keys are accepted for keyTrustPeriod, less a safety margin, after the store last confirmed that the
     // configuration is the newest one; without a period they are always accepted.
-    ConfigurationWatcher(std::shared_ptr<platform::KeyValueClient> store, const ProtocolAdapter &protocolAdapter,
-        std::optional<Milliseconds> keyTrustPeriod, std::uint64_t seed);
+    ConfigurationWatcher(const ProtocolAdapter &protocolAdapter, std::optional<Milliseconds> keyTrustPeriod);
 
     auto start(const kernel::ServiceRegistry &services) -> Status;
     auto stop() -> void;
@@ -47,17 +45,14 @@
     auto applyConfiguration(const std::string &value) -> void;
     auto recordConfirmation(BootTime confirmedAt) -> void;
 
-    const std::shared_ptr<platform::KeyValueClient> store_;
     const ProtocolAdapter protocolAdapter_;
     const std::optional<Milliseconds> keyTrustPeriod_;
-    const std::uint64_t seed_;
     std::shared_ptr<node::Environment> environment_;
     mutable std::mutex mutex_;
     mutable std::condition_variable loadedCondition_;
     std::shared_ptr<const routes::RouteTable> current_;
     std::optional<BootTime> confirmedAt_;
     bool storeReachable_ = false;
-    std::unique_ptr<StoreWatcher> watcher_;
 };
 
 } // namespace jasminewood::forward
--- a/packages/forward/include/jasminewood/forward/upstream_watcher.h
+++ b/packages/forward/include/jasminewood/forward/upstream_watcher.h
@@ -5,24 +5,22 @@
 #include <mutex>
 
 #include "jasminewood/forward/protocol_adapter.h"
-#include "jasminewood/forward/store_watcher.h"
+#include "jasminewood/forward/store_feed.h"
 #include "jasminewood/forward/upstream_pool.h"
 #include "jasminewood/kernel/service_registry.h"
 #include "jasminewood/membership/upstream_directory.h"
 #include "jasminewood/node/environment.h"
-#include "jasminewood/platform/key_value.h"
 
 // Service "upstreams": keeps the pool consistent with the upstreams' entries in the store.
 
 namespace jasminewood::forward
 {
 
-// Requires the service "environment". Thread-safe.
+// Requires the services "environment" and "store-feed". Thread-safe.
 class UpstreamWatcher
 {
 public:
-    UpstreamWatcher(std::shared_ptr<platform::KeyValueClient> store, const ProtocolAdapter &protocolAdapter,
-        const std::string &dataCentre, std::uint64_t seed);
+    UpstreamWatcher(const ProtocolAdapter &protocolAdapter, const std::string &dataCentre, std::uint64_t seed);
 
     auto start(const kernel::ServiceRegistry &services) -> Status;
     auto stop() -> void;
@@ -43,9 +41,7 @@
     auto parseEntry(const platform::KeyValue &entry) const -> std::optional<membership::UpstreamRecord>;
     auto upstreamIdOf(const std::string &key) const -> std::string;
 
-    const std::shared_ptr<platform::KeyValueClient> store_;
     const ProtocolAdapter protocolAdapter_;
-    const std::uint64_t seed_;
     std::shared_ptr<node::Environment> environment_;
     UpstreamPool pool_;
     mutable std::mutex mutex_;
@@ -53,7 +49,6 @@
     membership::UpstreamDirectory directory_;
     bool loaded_ = false;
     bool storeReachable_ = false;
-    std::unique_ptr<StoreWatcher> watcher_;
 };
 
 } // namespace jasminewood::forward
--- a/packages/forward/src/configuration_watcher.cpp
+++ b/packages/forward/src/configuration_watcher.cpp
@@ -16,12 +16,10 @@
 
 } // namespace
 
-ConfigurationWatcher::ConfigurationWatcher(std::shared_ptr<platform::KeyValueClient> store,
-    const ProtocolAdapter &protocolAdapter, std::optional<Milliseconds> keyTrustPeriod, std::uint64_t seed)
-    : store_(std::move(store))
-    , protocolAdapter_(protocolAdapter)
+ConfigurationWatcher::ConfigurationWatcher(
+    const ProtocolAdapter &protocolAdapter, std::optional<Milliseconds> keyTrustPeriod)
+    : protocolAdapter_(protocolAdapter)
     , keyTrustPeriod_(keyTrustPeriod)
-    , seed_(seed)
 {
 }
 
@@ -30,43 +28,43 @@
     if (auto failure = services.require("environment", environment_)) {
         return failure;
     }
-    watcher_ = std::make_unique<StoreWatcher>(store_,
-        WatcherOptions {.keyPrefix_ = protocolAdapter_.configurationKey_, .seed_ = seed_},
-        WatcherCallbacks {.onSnapshot_ =
-                              [this](const std::vector<platform::KeyValue> &entries) {
-                                  for (const auto &entry : entries) {
-                                      if (entry.key_ == protocolAdapter_.configurationKey_) {
-                                          applyConfiguration(entry.value_);
-                                      }
-                                  }
-                              },
-            .onEvent_ =
-                [this](const platform::WatchEvent &event) {
-                    const auto *put = std::get_if<platform::KeyPut>(&event);
-                    if (put != nullptr && put->entry_.key_ == protocolAdapter_.configurationKey_) {
-                        applyConfiguration(put->entry_.value_);
-                    }
-                },
-            .onProgress_ =
-                [this](BootTime confirmedAt) {
-                    recordConfirmation(confirmedAt);
-                },
-            .onFailure_ =
-                [this](const Failure &failure) {
-                    const auto lock = std::scoped_lock(mutex_);
-                    if (std::exchange(storeReachable_, false)) {
-                        environment_->log().warning(
-                            "the store of the configuration is unreachable", observe::fieldsOf(failure));
+    auto feed = std::shared_ptr<StoreFeed>();
+    if (auto failure = services.require("store-feed", feed)) {
+        return failure;
+    }
+    feed->addListener({.keyPrefix_ = protocolAdapter_.configurationKey_,
+        .onSnapshot_ =
+            [this](const std::vector<platform::KeyValue> &entries) {
+                for (const auto &entry : entries) {
+                    if (entry.key_ == protocolAdapter_.configurationKey_) {
+                        applyConfiguration(entry.value_);
                     }
-                }});
+                }
+            },
+        .onEvent_ =
+            [this](const platform::WatchEvent &event) {
+                const auto *put = std::get_if<platform::KeyPut>(&event);
+                if (put != nullptr && put->entry_.key_ == protocolAdapter_.configurationKey_) {
+                    applyConfiguration(put->entry_.value_);
+                }
+            },
+        .onProgress_ =
+            [this](BootTime confirmedAt) {
+                recordConfirmation(confirmedAt);
+            },
+        .onFailure_ =
+            [this](const Failure &failure) {
+                const auto lock = std::scoped_lock(mutex_);
+                if (std::exchange(storeReachable_, false)) {
+                    environment_->log().warning(
+                        "the store of the configuration is unreachable", observe::fieldsOf(failure));
+                }
+            }});
     return std::nullopt;
 }
 
 auto ConfigurationWatcher::stop() -> void
 {
-    if (watcher_) {
-        watcher_->stop();
-    }
 }
 
 auto ConfigurationWatcher::applyConfiguration(const std::string &value) -> void
--- /dev/null
+++ b/packages/forward/src/peer_network.cpp
@@ -0,0 +1,397 @@
+#include "jasminewood/forward/peer_network.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <optional>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fragments.h"
+#include "jasminewood/wire/codec.h"
+
+namespace jasminewood::forward
+{
+
+namespace
+{
+
+// The entry of a router that stopped without revoking its lease expires after this time. Nothing waits for that: what
+// such a router reported expires by itself.
+constexpr Milliseconds leaseTimeToLive = Milliseconds(15'000);
+constexpr Milliseconds leaseRenewalInterval = Milliseconds(5'000);
+// The pause before another attempt to register or to receive after a failure.
+constexpr Milliseconds retryInterval = Milliseconds(1'000);
+// A router without an entry is still a peer if it was heard within this time: the store may turn it away.
+constexpr Milliseconds silenceLimit = Milliseconds(3'000);
+
+auto socketAddress(const std::string &host, std::uint16_t port) -> std::optional<sockaddr_in>
+{
+    auto address = sockaddr_in {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    if (inet_pton(AF_INET, host.c_str(), &address.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    return address;
+}
+
+auto parseAddress(const std::string &text) -> std::optional<sockaddr_in>
+{
+    const auto colon = text.rfind(':');
+    const auto port = colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1);
+    return port > 0 && port <= UINT16_MAX ? socketAddress(text.substr(0, colon), std::uint16_t(port)) : std::nullopt;
+}
+
+auto isSameAddress(const sockaddr_in &left, const sockaddr_in &right) -> bool
+{
+    return left.sin_addr.s_addr == right.sin_addr.s_addr && left.sin_port == right.sin_port;
+}
+
+} // namespace
+
+PeerNetwork::PeerNetwork(std::shared_ptr<platform::KeyValueClient> store, const PeerNetworkOptions &options)
+    : store_(std::move(store))
+    , options_(options)
+{
+}
+
+auto PeerNetwork::openSocket() -> Status
+{
+    const auto bindFailure = [this](const std::string &reason) {
+        return Failure {
+            .step_ = "bind", .peer_ = fmt::format("{}:{}", options_.address_, options_.port_), .reason_ = reason};
+    };
+    auto address = socketAddress(options_.address_, options_.port_);
+    if (!address) {
+        return bindFailure("not a numeric IPv4 address");
+    }
+    socket_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (socket_ < 0 || bind(socket_, reinterpret_cast<const sockaddr *>(&*address), sizeof(*address)) != 0) {
+        return bindFailure(std::strerror(errno));
+    }
+    auto size = socklen_t(sizeof(*address));
+    getsockname(socket_, reinterpret_cast<sockaddr *>(&*address), &size);
+    port_ = ntohs(address->sin_port);
+    return std::nullopt;
+}
+
+auto PeerNetwork::start(const kernel::ServiceRegistry &services) -> Status
+{
+    if (auto failure = services.require("environment", environment_)) {
+        return failure;
+    }
+    auto feed = std::shared_ptr<StoreFeed>();
+    if (auto failure = services.require("store-feed", feed)) {
+        return failure;
+    }
+    if (auto failure = openSocket()) {
+        return failure;
+    }
+    // Distinct from the ids of an earlier process with this address.
+    nextMessageId_ = environment_->identity().node_.incarnation_;
+    subscribe(*feed);
+    receiverThread_ = std::thread([this] {
+        receiveLoop();
+    });
+    registrationThread_ = std::thread([this] {
+        registrationLoop();
+    });
+    return std::nullopt;
+}
+
+auto PeerNetwork::subscribe(StoreFeed &feed) -> void
+{
+    feed.addListener({.keyPrefix_ = options_.keyPrefix_,
+        .onSnapshot_ =
+            [this](const std::vector<platform::KeyValue> &entries) {
+                {
+                    const auto lock = std::scoped_lock(mutex_);
+                    for (auto &[name, peer] : peers_) {
+                        peer.registered_ = false;
+                    }
+                }
+                for (const auto &entry : entries) {
+                    addPeer(entry.key_, entry.value_);
+                }
+            },
+        .onEvent_ =
+            [this](const platform::WatchEvent &event) {
+                if (const auto *put = std::get_if<platform::KeyPut>(&event)) {
+                    addPeer(put->entry_.key_, put->entry_.value_);
+                } else {
+                    removePeer(std::get<platform::KeyDeleted>(event).key_);
+                }
+            }});
+}
+
+auto PeerNetwork::stop() -> void
+{
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        stopping_ = true;
+    }
+    stopCondition_.notify_all();
+    if (registrationThread_.joinable()) {
+        registrationThread_.join();
+    }
+    if (receiverThread_.joinable()) {
+        // An empty datagram to its own address wakes the receiver thread, which then ends.
+        const auto ownAddress = socketAddress(options_.address_, port_);
+        sendto(socket_, "", 0, 0, reinterpret_cast<const sockaddr *>(&*ownAddress), sizeof(*ownAddress));
+        receiverThread_.join();
+    }
+    if (socket_ >= 0) {
+        close(socket_);
+        socket_ = -1;
+    }
+}
+
+auto PeerNetwork::addHandler(MessageHandler handler) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    handlers_.push_back(std::move(handler));
+}
+
+auto PeerNetwork::port() const -> std::uint16_t
+{
+    return port_;
+}
+
+auto PeerNetwork::peerCount() const -> std::size_t
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return peers_.size();
+}
+
+auto PeerNetwork::dataCentrePeers() const -> std::vector<std::string>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto names = std::vector<std::string>();
+    for (const auto &[name, peer] : peers_) {
+        if (peer.dataCentre_ == options_.dataCentre_) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+auto PeerNetwork::addPeer(const std::string &key, const std::string &value) -> void
+{
+    const auto name = key.substr(std::min(key.size(), options_.keyPrefix_.size()));
+    const auto slash = value.find('/');
+    const auto text = value.substr(0, slash);
+    const auto address = parseAddress(text);
+    if (name == environment_->identity().node_.name_ || !address) {
+        return;
+    }
+    const auto lock = std::scoped_lock(mutex_);
+    auto &peer = peers_[name];
+    const auto changed = peer.address_ != text;
+    peer.address_ = text;
+    peer.dataCentre_ = slash == std::string::npos ? "" : value.substr(slash + 1);
+    peer.socketAddress_ = *address;
+    peer.registered_ = true;
+    if (changed) {
+        environment_->log().info("the set of routers changed",
+            {{"router", name}, {"address", text}, {"routers", std::int64_t(peers_.size() + 1)}});
+    }
+}
+
+auto PeerNetwork::removePeer(const std::string &key) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = peers_.find(key.substr(std::min(key.size(), options_.keyPrefix_.size())));
+    if (found != peers_.end()) {
+        found->second.registered_ = false;
+    }
+}
+
+auto PeerNetwork::forgetSilentPeers() -> void
+{
+    for (auto entry = peers_.begin(); entry != peers_.end();) {
+        const auto gone = !entry->second.registered_ && Clock::now() - entry->second.heardAt_ > silenceLimit;
+        if (gone) {
+            environment_->log().info("the set of routers changed",
+                {{"router", entry->first}, {"address", ""}, {"routers", std::int64_t(peers_.size())}});
+        }
+        entry = gone ? peers_.erase(entry) : std::next(entry);
+    }
+}
+
+auto PeerNetwork::waitUnlessStopped(Milliseconds time) -> bool
+{
+    auto lock = std::unique_lock(mutex_);
+    return !stopCondition_.wait_for(lock, time, [this] {
+        return stopping_;
+    });
+}
+
+auto PeerNetwork::registrationLoop() -> void
+{
+    for (auto delay = Milliseconds(0); waitUnlessStopped(delay);) {
+        const auto failure = renewRegistration();
+        if (failure) {
+            environment_->log().debug("this router could not be registered", observe::fieldsOf(*failure));
+        }
+        delay = failure ? retryInterval : leaseRenewalInterval;
+    }
+    if (lease_ != platform::noLease) {
+        if (const auto failure = store_->revokeLease(lease_)) {
+            environment_->log().debug("the lease could not be revoked", observe::fieldsOf(*failure));
+        }
+    }
+}
+
+auto PeerNetwork::renewRegistration() -> Status
+{
+    if (lease_ != platform::noLease) {
+        const auto remainingTime = store_->keepAlive(lease_);
+        if (!remainingTime) {
+            return remainingTime.failure();
+        }
+        if (remainingTime->count() > 0) {
+            return std::nullopt;
+        }
+        lease_ = platform::noLease;
+    }
+    const auto lease = store_->grantLease(std::chrono::ceil<std::chrono::seconds>(leaseTimeToLive));
+    if (!lease) {
+        return lease.failure();
+    }
+    const auto key = options_.keyPrefix_ + environment_->identity().node_.name_;
+    const auto written
+        = store_->put(key, fmt::format("{}:{}/{}", options_.address_, port_, options_.dataCentre_), *lease);
+    if (!written) {
+        return written.failure();
+    }
+    lease_ = *lease;
+    return std::nullopt;
+}
+
+auto PeerNetwork::encodeDatagrams(const wire::Message &message) -> std::vector<std::string>
+{
+    const auto encoded = wire::encode(message);
+    auto messageId = std::uint64_t(0);
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        messageId = ++nextMessageId_;
+    }
+    auto datagrams = internal::splitMessage(encoded, messageId);
+    if (datagrams.empty()) {
+        environment_->log().warning("a message to the routers is too large", {{"bytes", std::int64_t(encoded.size())}});
+    }
+    return datagrams;
+}
+
+auto PeerNetwork::sendDatagrams(const std::vector<std::string> &datagrams, const std::vector<sockaddr_in> &addresses)
+    -> void
+{
+    for (const auto &address : addresses) {
+        for (const auto &datagram : datagrams) {
+            // A datagram is dropped if the send buffer is full.
+            sendto(socket_, datagram.data(), datagram.size(), MSG_DONTWAIT,
+                reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        }
+    }
+}
+
+auto PeerNetwork::send(const std::string &router, const wire::Message &message) -> void
+{
+    auto addresses = std::vector<sockaddr_in>();
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto found = peers_.find(router);
+        if (found == peers_.end()) {
+            return;
+        }
+        addresses.push_back(found->second.socketAddress_);
+    }
+    sendDatagrams(encodeDatagrams(message), addresses);
+}
+
+auto PeerNetwork::broadcast(const wire::Message &message) -> void
+{
+    auto addresses = std::vector<sockaddr_in>();
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        forgetSilentPeers();
+        for (const auto &[name, peer] : peers_) {
+            addresses.push_back(peer.socketAddress_);
+        }
+    }
+    sendDatagrams(encodeDatagrams(message), addresses);
+}
+
+auto PeerNetwork::recordHeard(const sockaddr_in &sender) -> std::string
+{
+    const auto lock = std::scoped_lock(mutex_);
+    for (auto &[name, peer] : peers_) {
+        if (isSameAddress(peer.socketAddress_, sender)) {
+            peer.heardAt_ = Clock::now();
+            return name;
+        }
+    }
+    return "";
+}
+
+auto PeerNetwork::receiveLoop() -> void
+{
+    auto assembler = internal::FragmentAssembler();
+    auto buffer = std::array<char, internal::maximumDatagramBytes + 1>();
+    while (true) {
+        auto sender = sockaddr_in {};
+        auto senderSize = socklen_t(sizeof(sender));
+        const auto size
+            = recvfrom(socket_, buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr *>(&sender), &senderSize);
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            if (stopping_) {
+                return;
+            }
+        }
+        if (size < 0 && errno != EINTR && errno != ECONNREFUSED) {
+            environment_->log().warning(
+                "datagrams of the other routers cannot be received", {{"error", std::strerror(errno)}});
+            if (!waitUnlessStopped(retryInterval)) {
+                return;
+            }
+        }
+        const auto router = recordHeard(sender);
+        auto message = wire::decode(std::string_view(buffer.data(), std::size_t(std::max<ssize_t>(size, 0))));
+        const auto *fragment = message ? std::get_if<wire::Fragment>(&*message) : nullptr;
+        if (fragment != nullptr) {
+            // Only known routers may occupy memory.
+            const auto joined = router.empty() ? std::nullopt : assembler.add(router, *fragment);
+            if (!joined) {
+                continue;
+            }
+            const auto whole = wire::decode(*joined);
+            if (whole) {
+                handleMessage(*whole);
+            }
+        } else if (message) {
+            handleMessage(*message);
+        }
+    }
+}
+
+auto PeerNetwork::handleMessage(const wire::Message &message) -> void
+{
+    auto handlers = std::vector<MessageHandler>();
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        handlers = handlers_;
+    }
+    for (const auto &handler : handlers) {
+        handler(message);
+    }
+}
+
+} // namespace jasminewood::forward
--- a/packages/forward/src/upstream_watcher.cpp
+++ b/packages/forward/src/upstream_watcher.cpp
@@ -7,23 +7,9 @@
 namespace jasminewood::forward
 {
 
-namespace
-{
-
-// Upstreams renew their entries continuously. Batching the changes over this time bounds the number of calls to the
-// store. It delays the removal of a leaving upstream only slightly.
-constexpr Milliseconds upstreamBatchDelay = Milliseconds(250);
-// Entries change rarely, and nothing else depends on how current the watch is, so a long watch saves calls. A watch on
-// a dead connection still ends within the time for which the store's own time limits are suspended after an outage.
-constexpr Milliseconds upstreamWatchTimeout = Milliseconds(2'000);
-
-} // namespace
-
-UpstreamWatcher::UpstreamWatcher(std::shared_ptr<platform::KeyValueClient> store,
+UpstreamWatcher::UpstreamWatcher(
     const ProtocolAdapter &protocolAdapter, const std::string &dataCentre, std::uint64_t seed)
-    : store_(std::move(store))
-    , protocolAdapter_(protocolAdapter)
-    , seed_(seed)
+    : protocolAdapter_(protocolAdapter)
     , pool_(seed, dataCentre)
 {
 }
@@ -33,46 +19,43 @@
     if (auto failure = services.require("environment", environment_)) {
         return failure;
     }
-    watcher_ = std::make_unique<StoreWatcher>(store_,
-        WatcherOptions {.keyPrefix_ = protocolAdapter_.upstreamPrefix_,
-            .watchTimeout_ = upstreamWatchTimeout,
-            .batchDelay_ = upstreamBatchDelay,
-            .seed_ = seed_ + 1},
-        WatcherCallbacks {.onSnapshot_ =
-                              [this](const std::vector<platform::KeyValue> &entries) {
-                                  applySnapshot(entries);
-                              },
-            .onEvent_ =
-                [this](const platform::WatchEvent &event) {
-                    applyEvent(event);
-                },
-            .onProgress_ =
-                [this](BootTime /*at*/) {
-                    const auto lock = std::scoped_lock(mutex_);
-                    directory_.onStoreAvailable(Clock::now());
-                    updatePool();
-                    if (!std::exchange(storeReachable_, true)) {
-                        environment_->log().info("the store of the upstreams is reachable");
-                    }
-                },
-            .onFailure_ =
-                [this](const Failure &failure) {
-                    const auto lock = std::scoped_lock(mutex_);
-                    directory_.onStoreFailed(Clock::now());
-                    updatePool();
-                    if (std::exchange(storeReachable_, false)) {
-                        environment_->log().warning(
-                            "the store of the upstreams is unreachable", observe::fieldsOf(failure));
-                    }
-                }});
+    auto feed = std::shared_ptr<StoreFeed>();
+    if (auto failure = services.require("store-feed", feed)) {
+        return failure;
+    }
+    feed->addListener({.keyPrefix_ = protocolAdapter_.upstreamPrefix_,
+        .onSnapshot_ =
+            [this](const std::vector<platform::KeyValue> &entries) {
+                applySnapshot(entries);
+            },
+        .onEvent_ =
+            [this](const platform::WatchEvent &event) {
+                applyEvent(event);
+            },
+        .onProgress_ =
+            [this](BootTime /*at*/) {
+                const auto lock = std::scoped_lock(mutex_);
+                directory_.onStoreAvailable(Clock::now());
+                updatePool();
+                if (!std::exchange(storeReachable_, true)) {
+                    environment_->log().info("the store of the upstreams is reachable");
+                }
+            },
+        .onFailure_ =
+            [this](const Failure &failure) {
+                const auto lock = std::scoped_lock(mutex_);
+                directory_.onStoreFailed(Clock::now());
+                updatePool();
+                if (std::exchange(storeReachable_, false)) {
+                    environment_->log().warning(
+                        "the store of the upstreams is unreachable", observe::fieldsOf(failure));
+                }
+            }});
     return std::nullopt;
 }
 
 auto UpstreamWatcher::stop() -> void
 {
-    if (watcher_) {
-        watcher_->stop();
-    }
 }
 
 auto UpstreamWatcher::pool() -> UpstreamPool &
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -103,6 +103,11 @@
         .parseResponseMetadata_ = &parseResponseMetadata};
 }
 
+auto testFeedOptions() -> StoreFeedOptions
+{
+    return {.keyPrefix_ = "/", .watchTimeout_ = Milliseconds(50), .batchDelay_ = Milliseconds(0)};
+}
+
 auto sampleConfiguration() -> routes::Configuration
 {
     return {.version_ = 1,
@@ -119,13 +124,14 @@
     , store_(*testbench::FakeKv::start({}))
     , client_(std::make_shared<platform::KeyValueClient>(
           platform::KeyValueOptions {.url_ = fmt::format("http://127.0.0.1:{}", store_->port())}))
-    , configuration_(std::make_shared<ConfigurationWatcher>(client_, testProtocolAdapter(sample), keyTrustPeriod, seed))
-    , upstreams_(std::make_shared<UpstreamWatcher>(client_, testProtocolAdapter(sample), "local", seed))
+    , configuration_(std::make_shared<ConfigurationWatcher>(testProtocolAdapter(sample), keyTrustPeriod))
+    , upstreams_(std::make_shared<UpstreamWatcher>(testProtocolAdapter(sample), "local", seed))
     , frontend_(std::make_shared<Frontend>(FrontendOptions {}, testProtocolAdapter(sample)))
 {
     registry_.add("environment", environment_);
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
+    registry_.add("store-feed", std::make_shared<StoreFeed>(client_, testFeedOptions()));
     registry_.add("front", frontend_);
     const auto failure = registry_.startAll();
     testkit::check(!failure, failure ? toString(*failure) : "");
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -27,6 +27,9 @@
 // Returns an adapter that parses a configuration's value as its version and takes the rest from the sample.
 auto testProtocolAdapter(const routes::Configuration &sample) -> ProtocolAdapter;
 
+// Returns options with which the feed watches all keys of the tests and passes on changes soon.
+auto testFeedOptions() -> StoreFeedOptions;
+
 // Returns a configuration with the routes "/once/", "/again/" (two attempts), "/stream/" and "/resumable/" (two
 // attempts) of host "shop" to service "pool". sampleApiKey is the API key of account "installer".
 auto sampleConfiguration() -> routes::Configuration;
--- a/packages/forward/tests/peer_load_exchange_test.cpp
+++ b/packages/forward/tests/peer_load_exchange_test.cpp
@@ -1,7 +1,7 @@
 #include "jasminewood/forward/peer_load_exchange.h"
 
-#include "frontend_fixture.h"
 #include "jasminewood/testkit/test_suite.h"
+#include "router_fixture.h"
 
 using namespace jasminewood;
 using namespace jasminewood::forward;
@@ -12,33 +12,6 @@
 namespace
 {
 
-// The upstream pool and the load exchange of one router, without a frontend.
-struct RouterUnderTest
-{
-    RouterUnderTest(const std::string &name, const std::string &storeUrl)
-        : client_(std::make_shared<platform::KeyValueClient>(platform::KeyValueOptions {.url_ = storeUrl}))
-        , upstreams_(std::make_shared<UpstreamWatcher>(client_, testProtocolAdapter(sampleConfiguration()), "local", 1))
-        , peers_(std::make_shared<PeerLoadExchange>(client_, PeerLoadExchangeOptions {.address_ = "127.0.0.1"}, 1))
-    {
-        registry_.add("environment",
-            std::make_shared<node::Environment>(
-                node::createIdentity(name, wire::Role::Router, "local", ""), observe::Level::Error));
-        registry_.add("upstreams", upstreams_);
-        registry_.add("peers", peers_);
-        check(!registry_.startAll());
-    }
-
-    ~RouterUnderTest()
-    {
-        registry_.stopAll();
-    }
-
-    std::shared_ptr<platform::KeyValueClient> client_;
-    std::shared_ptr<UpstreamWatcher> upstreams_;
-    std::shared_ptr<PeerLoadExchange> peers_;
-    kernel::ServiceRegistry registry_;
-};
-
 auto longPromptRequest() -> SelectionCriteria
 {
     return {.service_ = "pool",
@@ -55,26 +28,23 @@
                 test("send long prompts to engines that the others have not loaded",
                     [] {
                         const auto store = *testbench::FakeKv::start({});
-                        const auto url = "http://127.0.0.1:" + std::to_string(store->port());
-                        auto first = RouterUnderTest("first", url);
-                        auto second = RouterUnderTest("second", url);
-                        check(bool(first.client_->put(std::string(upstreamPrefix) + "a", "127.0.0.1:1 ready")));
-                        check(bool(first.client_->put(std::string(upstreamPrefix) + "b", "127.0.0.1:2 ready")));
+                        auto first = RouterFixture("first", store->port());
+                        auto second = RouterFixture("second", store->port());
+                        check(bool(first.store().put(std::string(upstreamPrefix) + "a", "127.0.0.1:1 ready")));
+                        check(bool(first.store().put(std::string(upstreamPrefix) + "b", "127.0.0.1:2 ready")));
                         waitUntil(
                             [&] {
-                                return first.upstreams_->pool().contains("b") && second.upstreams_->pool().contains("b")
-                                    && first.peers_->peerCount() == 1 && second.peers_->peerCount() == 1;
+                                return first.pool().contains("b") && second.pool().contains("b")
+                                    && first.network().peerCount() == 1 && second.network().peerCount() == 1;
                             },
                             "the routers discover each other and the engines");
-                        const auto firstChoice = first.upstreams_->pool().choose(longPromptRequest(), Clock::now());
+                        const auto firstChoice = first.pool().choose(longPromptRequest(), Clock::now());
                         const auto loadedEngine = firstChoice->upstream_.id_;
                         waitUntil(
                             [&] {
-                                const auto secondChoice
-                                    = second.upstreams_->pool().choose(longPromptRequest(), Clock::now());
+                                const auto secondChoice = second.pool().choose(longPromptRequest(), Clock::now());
                                 const auto onOtherEngine = secondChoice->upstream_.id_ != loadedEngine;
-                                second.upstreams_->pool().recordAttemptEnd(
-                                    *secondChoice, AttemptResult::Cancelled, Clock::now());
+                                second.pool().recordAttemptEnd(*secondChoice, AttemptResult::Cancelled, Clock::now());
                                 return onOtherEngine && secondChoice->pendingPrefillTokens_ == 0;
                             },
                             "the second router avoids the engine");
--- /dev/null
+++ b/packages/forward/tests/router_fixture.cpp
@@ -0,0 +1,71 @@
+#include "router_fixture.h"
+
+#include "jasminewood/testkit/test_suite.h"
+
+namespace jasminewood::forward
+{
+
+RouterFixture::RouterFixture(const std::string &name, std::uint16_t storePort,
+    std::optional<Milliseconds> keyTrustPeriod, const StoreFeedOptions &feedOptions)
+    : storePath_(std::make_shared<testbench::TcpRelay>("127.0.0.1:" + std::to_string(storePort)))
+    , client_(std::make_shared<platform::KeyValueClient>(
+          platform::KeyValueOptions {.url_ = "http://" + storePath_->address(), .timeout_ = Milliseconds(500)}))
+    , environment_(std::make_shared<node::Environment>(
+          node::createIdentity(name, wire::Role::Router, "local", ""), observe::Level::Error))
+    , configuration_(std::make_shared<ConfigurationWatcher>(testProtocolAdapter(sampleConfiguration()), keyTrustPeriod))
+    , upstreams_(std::make_shared<UpstreamWatcher>(testProtocolAdapter(sampleConfiguration()), "local", 1))
+    , network_(std::make_shared<PeerNetwork>(
+          client_, PeerNetworkOptions {.address_ = "127.0.0.1", .dataCentre_ = "local", .keyPrefix_ = "/routers/"}))
+{
+    registry_.add("environment", environment_);
+    registry_.add("configuration", configuration_);
+    registry_.add("upstreams", upstreams_);
+    registry_.add("peer-network", network_);
+    registry_.add("peers", std::make_shared<PeerLoadExchange>());
+    registry_.add("store-feed", std::make_shared<StoreFeed>(client_, feedOptions));
+    const auto failure = registry_.startAll();
+    testkit::check(!failure, failure ? toString(*failure) : "");
+}
+
+RouterFixture::~RouterFixture()
+{
+    registry_.stopAll();
+}
+
+auto RouterFixture::store() -> platform::KeyValueClient &
+{
+    return *client_;
+}
+
+auto RouterFixture::storePath() -> testbench::TcpRelay &
+{
+    return *storePath_;
+}
+
+auto RouterFixture::configuration() -> ConfigurationWatcher &
+{
+    return *configuration_;
+}
+
+auto RouterFixture::pool() -> UpstreamPool &
+{
+    return upstreams_->pool();
+}
+
+auto RouterFixture::network() -> PeerNetwork &
+{
+    return *network_;
+}
+
+auto RouterFixture::metrics() const -> std::string
+{
+    return environment_->metrics().text();
+}
+
+auto RouterFixture::crash() -> void
+{
+    storePath_->closeAndRefuse();
+    registry_.stopAll();
+}
+
+} // namespace jasminewood::forward
--- /dev/null
+++ b/packages/forward/tests/router_fixture.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "frontend_fixture.h"
+#include "jasminewood/forward/peer_load_exchange.h"
+#include "jasminewood/forward/peer_network.h"
+#include "jasminewood/testbench/tcp_relay.h"
+
+// One router without a frontend: its configuration, its upstream pool, its feed of the store and its exchange with the
+// other routers.
+
+namespace jasminewood::forward
+{
+
+class RouterFixture
+{
+public:
+    RouterFixture(const std::string &name, std::uint16_t storePort,
+        std::optional<Milliseconds> keyTrustPeriod = std::nullopt,
+        const StoreFeedOptions &feedOptions = testFeedOptions());
+    ~RouterFixture();
+
+    RouterFixture(const RouterFixture &) = delete;
+    auto operator=(const RouterFixture &) -> RouterFixture & = delete;
+
+    auto store() -> platform::KeyValueClient &;
+    // The path from this router to the store.
+    auto storePath() -> testbench::TcpRelay &;
+    auto configuration() -> ConfigurationWatcher &;
+    auto pool() -> UpstreamPool &;
+    auto network() -> PeerNetwork &;
+    // Returns the metrics in Prometheus's text format.
+    auto metrics() const -> std::string;
+
+    // Ends the router as a crash does: its entry in the store stays.
+    auto crash() -> void;
+
+private:
+    std::shared_ptr<testbench::TcpRelay> storePath_;
+    std::shared_ptr<platform::KeyValueClient> client_;
+    std::shared_ptr<node::Environment> environment_;
+    std::shared_ptr<ConfigurationWatcher> configuration_;
+    std::shared_ptr<UpstreamWatcher> upstreams_;
+    std::shared_ptr<PeerNetwork> network_;
+    kernel::ServiceRegistry registry_;
+};
+
+} // namespace jasminewood::forward
--- /dev/null
+++ b/packages/forward/tests/store_feed_test.cpp
@@ -0,0 +1,176 @@
+#include "jasminewood/forward/store_feed.h"
+
+#include <algorithm>
+#include <thread>
+
+#include "jasminewood/testkit/test_suite.h"
+#include "router_fixture.h"
+
+using namespace jasminewood;
+using namespace jasminewood::forward;
+using namespace std::chrono_literals;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+using Routers = std::vector<std::unique_ptr<RouterFixture>>;
+
+auto versionOf(RouterFixture &router) -> std::int64_t
+{
+    const auto table = router.configuration().current();
+    return table ? table->configuration().version_ : 0;
+}
+
+auto publish(RouterFixture &router, std::int64_t version) -> void
+{
+    check(bool(router.store().put(configurationKey, std::to_string(version))), "the configuration was written");
+}
+
+auto awaitVersion(const Routers &routers, std::int64_t version) -> void
+{
+    waitUntil(
+        [&routers, version] {
+            return std::all_of(routers.begin(), routers.end(), [version](const auto &router) {
+                return versionOf(*router) == version;
+            });
+        },
+        "all routers have the configuration");
+}
+
+auto startRouters(std::size_t count, std::uint16_t storePort, const StoreFeedOptions &options = testFeedOptions())
+    -> Routers
+{
+    auto routers = Routers();
+    for (auto index = std::size_t(0); index < count; ++index) {
+        routers.push_back(
+            std::make_unique<RouterFixture>("router-" + std::to_string(index), storePort, 5'000ms, options));
+    }
+    waitUntil(
+        [&routers, count] {
+            return std::all_of(routers.begin(), routers.end(), [count](const auto &router) {
+                return router->network().peerCount() == count - 1;
+            });
+        },
+        "the routers discover each other");
+    return routers;
+}
+
+auto callsOf(const Routers &routers) -> std::uint64_t
+{
+    auto calls = std::uint64_t(0);
+    for (const auto &router : routers) {
+        calls += router->store().callCount();
+    }
+    return calls;
+}
+
+// Returns the router that reads the store: the one with most calls.
+auto readerOf(const Routers &routers) -> std::size_t
+{
+    const auto reader = std::max_element(routers.begin(), routers.end(), [](const auto &left, const auto &right) {
+        return left->store().callCount() < right->store().callCount();
+    });
+    return std::size_t(reader - routers.begin());
+}
+
+const testkit::TestSuite suite = {"routers of one data centre that share a feed of the store",
+    {
+        section("in steady state",
+            {
+                // Guards against calls that grow with the number of routers: the store charges for each and limits
+                // them.
+                test("make about as many calls as one router, and all learn of a change",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        const auto options = StoreFeedOptions {.keyPrefix_ = "/"};
+                        const auto routers = startRouters(6, store->port(), options);
+                        std::this_thread::sleep_for(1s);
+                        const auto before = callsOf(routers);
+                        std::this_thread::sleep_for(3s);
+                        // One router watches for 500 ms, with pauses of 250 ms. Besides, each renews its lease.
+                        const auto watches = 3'000 / 500 + 1;
+                        const auto calls = callsOf(routers) - before;
+                        check(calls <= watches + routers.size(), std::to_string(calls) + " calls in 3 s");
+                        publish(*routers.front(), 2);
+                        awaitVersion(routers, 2);
+                    }),
+            }),
+        section("whose reader crashes",
+            {
+                // Guards against followers that believe in a state that nobody confirms, and against a data centre that
+                // stays without a reader.
+                test("learn of the next change all the same",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto routers = startRouters(4, store->port());
+                        publish(*routers.front(), 2);
+                        awaitVersion(routers, 2);
+                        std::this_thread::sleep_for(1s);
+                        const auto reader = readerOf(routers);
+                        routers[reader]->crash();
+                        routers.erase(routers.begin() + std::ptrdiff_t(reader));
+                        const auto publishedAt = Clock::now();
+                        publish(*routers.front(), 3);
+                        awaitVersion(routers, 3);
+                        check(Clock::now() - publishedAt < 2s, "a change arrives within 2 s");
+                    }),
+            }),
+        section("one of which the store turns away",
+            {
+                // Guards against refusing all callers with keys at a router that others keep up to date.
+                test("keep it up to date, and its keys confirmed",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto routers = startRouters(3, store->port());
+                        publish(*routers.front(), 2);
+                        awaitVersion(routers, 2);
+                        std::this_thread::sleep_for(500ms);
+                        const auto turnedAway = readerOf(routers);
+                        auto &cutOff = *routers[turnedAway];
+                        cutOff.storePath().closeAndRefuse();
+                        const auto until = Clock::now() + 5s;
+                        while (Clock::now() < until) {
+                            check(cutOff.configuration().keysConfirmed(), "the keys stay confirmed");
+                            std::this_thread::sleep_for(20ms);
+                        }
+                        publish(*routers[(turnedAway + 1) % routers.size()], 3);
+                        awaitVersion(routers, 3);
+                    }),
+                // Guards against keys that are accepted for ever because routers confirm them to each other.
+                test("accept no keys once the store turns all of them away",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto routers = startRouters(3, store->port());
+                        publish(*routers.front(), 2);
+                        awaitVersion(routers, 2);
+                        for (const auto &router : routers) {
+                            router->storePath().closeAndRefuse();
+                        }
+                        std::this_thread::sleep_for(3'600ms);
+                        check(std::none_of(routers.begin(), routers.end(), [](const auto &router) {
+                            return router->configuration().keysConfirmed();
+                        }));
+                    }),
+            }),
+        section("whose configuration exceeds a datagram",
+            {
+                // Guards against followers that miss each larger change and read the store for it.
+                test("pass it on in parts",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto routers = startRouters(3, store->port());
+                        std::this_thread::sleep_for(500ms);
+                        const auto value = "7" + std::string(20'000, ' ');
+                        check(bool(routers.front()->store().put(configurationKey, value)));
+                        awaitVersion(routers, 7);
+                        for (const auto &router : routers) {
+                            check(router->metrics().find("store_feed_gaps_total 0") != std::string::npos, "no gap");
+                        }
+                    }),
+            }),
+    }};
+
+} // namespace
--- a/packages/platform/include/jasminewood/platform/key_value.h
+++ b/packages/platform/include/jasminewood/platform/key_value.h
@@ -50,6 +50,8 @@
     // The retry time in failures.
     const Milliseconds retryAfter_ = Milliseconds(1'000);
     const KeyValueProtocol protocol_ = EtcdGateway {};
+    // Called before each call with the name of its operation, such as "watch"; may be empty.
+    const std::function<auto(const std::string &operation)->void> onCall_ = {};
 };
 
 // Thread-safe. All calls block, at most until their deadline.
@@ -99,6 +101,7 @@
 private:
     auto post(const std::string &operation, const std::string &path, const std::string &body) -> Result<std::string>;
     auto wrapFailure(const std::string &operation, const Failure &reason) const -> Failure;
+    auto countCall(const std::string &operation) -> void;
     // Performs a call and returns its response with any status.
     auto performCall(const std::string &operation, const HttpCall &call) -> Result<http::ClientResponse>;
     template <typename Value>
--- a/packages/platform/src/key_value.cpp
+++ b/packages/platform/src/key_value.cpp
@@ -145,6 +145,14 @@
     return calls_;
 }
 
+auto KeyValueClient::countCall(const std::string &operation) -> void
+{
+    ++calls_;
+    if (options_.onCall_) {
+        options_.onCall_(operation);
+    }
+}
+
 auto KeyValueClient::post(const std::string &operation, const std::string &path, const std::string &body)
     -> Result<std::string>
 {
@@ -162,7 +170,7 @@
 
 auto KeyValueClient::performCall(const std::string &operation, const HttpCall &call) -> Result<http::ClientResponse>
 {
-    ++calls_;
+    countCall("watch");
     auto headers = std::vector<http::HeaderField>();
     if (!call.body_.empty()) {
         headers.push_back({.name_ = "Content-Type", .value_ = "application/json"});
@@ -370,7 +378,7 @@
     const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<Revision>
 {
     constexpr int statusGone = 410;
-    ++calls_;
+    countCall("watch");
     const auto written = protocol.encodeWatch_(request);
     auto body = std::string();
     const auto status = call.call_.perform({.method_ = written.method_,
@@ -404,7 +412,7 @@
 auto KeyValueClient::watchStream(const WatchRequest &request, WatchCall &call,
     const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<Revision>
 {
-    ++calls_;
+    countCall("watch");
     auto watchReader = WatchReader(request.fromRevision_, onEvent);
     const auto ended = call.call_.perform({.method_ = "POST",
                                               .url_ = options_.url_ + "/v3/watch",
--- /dev/null
+++ b/packages/relay/src/change_log.cpp
@@ -0,0 +1,89 @@
+#include "jasminewood/relay/change_log.h"
+
+#include <algorithm>
+
+namespace jasminewood::relay
+{
+
+namespace
+{
+
+auto sizeOf(const platform::WatchEvent &change) -> std::size_t
+{
+    const auto *put = std::get_if<platform::KeyPut>(&change);
+    return put == nullptr ? std::get<platform::KeyDeleted>(change).key_.size()
+                          : put->entry_.key_.size() + put->entry_.value_.size();
+}
+
+} // namespace
+
+auto revisionOf(const platform::WatchEvent &change) -> platform::Revision
+{
+    const auto *put = std::get_if<platform::KeyPut>(&change);
+    return put == nullptr ? std::get<platform::KeyDeleted>(change).revision_ : put->entry_.modRevision_;
+}
+
+auto applyBatch(platform::Revision applied, const ChangeBatch &batch) -> BatchStep
+{
+    if (applied == 0 || batch.after_ > applied) {
+        return MissingChanges {};
+    }
+    if (batch.upTo_ <= applied) {
+        return NothingNew {};
+    }
+    auto changes = std::vector<platform::WatchEvent>();
+    for (const auto &change : batch.changes_) {
+        if (revisionOf(change) > applied) {
+            changes.push_back(change);
+        }
+    }
+    return NewChanges {.upTo_ = batch.upTo_, .changes_ = changes};
+}
+
+auto ChangeLog::restart(platform::Revision revision) -> void
+{
+    changes_.clear();
+    bytes_ = 0;
+    after_ = revision;
+    upTo_ = revision;
+}
+
+auto ChangeLog::append(const ChangeBatch &batch) -> void
+{
+    for (const auto &change : batch.changes_) {
+        changes_.push_back(change);
+        bytes_ += sizeOf(change);
+    }
+    upTo_ = std::max(upTo_, batch.upTo_);
+    while (bytes_ > maximumLogBytes) {
+        dropOldest();
+    }
+}
+
+auto ChangeLog::dropOldest() -> void
+{
+    // One transaction makes several changes of the same revision, which are passed on together or not at all.
+    after_ = revisionOf(changes_.front());
+    while (!changes_.empty() && revisionOf(changes_.front()) <= after_) {
+        bytes_ -= sizeOf(changes_.front());
+        changes_.pop_front();
+    }
+}
+
+auto ChangeLog::changesSince(platform::Revision revision) const -> std::optional<ChangeBatch>
+{
+    if (revision < after_ || revision > upTo_ || upTo_ == 0) {
+        return std::nullopt;
+    }
+    const auto first = std::find_if(changes_.begin(), changes_.end(), [revision](const auto &change) {
+        return revisionOf(change) > revision;
+    });
+    return ChangeBatch {.after_ = revision, .upTo_ = upTo_, .changes_ = {first, changes_.end()}};
+}
+
+auto ChangeLog::upTo() const -> platform::Revision
+{
+    return upTo_;
+}
+
+} // namespace jasminewood::relay
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -288,6 +288,62 @@
     auto operator<=>(const EngineUsageReport &) const = default;
 };
 
+// Router to router: asks for the changes of the platform's store that follow a revision.
+struct StoreFollow
+{
+    const NodeId router_;
+    // The revision up to which the sender has applied all changes.
+    const std::uint64_t appliedRevision_ = 0;
+    // The reading of the sender's clock, in nanoseconds since an epoch that only the sender knows.
+    const std::uint64_t stamp_ = 0;
+    // The newest stamp that was returned to the sender; 0 if none was.
+    const std::uint64_t confirmedStamp_ = 0;
+
+    auto operator<=>(const StoreFollow &) const = default;
+};
+
+// One change of a key in the platform's store.
+struct StoreChange
+{
+    const std::string key_;
+    // Empty if the key was removed.
+    const std::string value_;
+    const std::uint64_t revision_ = 0;
+    const bool removed_ = false;
+
+    auto operator<=>(const StoreChange &) const = default;
+};
+
+// Router to router, in response to StoreFollow and after each change: all changes after one revision up to another one.
+struct StoreChanges
+{
+    // The sender, and the process whose stamp is returned.
+    const NodeId router_;
+    const NodeId follower_;
+    const std::uint64_t afterRevision_ = 0;
+    const std::uint64_t upToRevision_ = 0;
+    const std::vector<StoreChange> changes_;
+    // A stamp of the follower: the store had no changes after upToRevision_ when the sender received it; 0 if there is
+    // none.
+    const std::uint64_t confirmedStamp_ = 0;
+    // The number of outages of the store that the sender has noticed.
+    const std::uint64_t outages_ = 0;
+
+    auto operator<=>(const StoreChanges &) const = default;
+};
+
+// Router to router: a part of the encoding of a message that exceeds a datagram.
+struct Fragment
+{
+    // Distinguishes the messages of one sender.
+    const std::uint64_t messageId_ = 0;
+    const std::uint32_t index_ = 0;
+    const std::uint32_t count_ = 0;
+    const std::string data_;
+
+    auto operator<=>(const Fragment &) const = default;
+};
+
 // Router to router: one crash while requests with this fingerprint were running. Receivers merge reports by crash id.
 struct CrashReport
 {
@@ -338,6 +394,6 @@
 
 using Message = std::variant<Hello, Heartbeat, Dispatch, Started, Frame, Finished, Failed, Cancel, Attach, Void,
     VoidReply, Leaving, ManifestUpdate, AccountUsageReport, CrashReports, Drain, TimelineQuery, TimelineReply,
-    EngineUsageReport>;
+    EngineUsageReport, StoreFollow, StoreChanges, Fragment>;
 
 } // namespace jasminewood::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -159,6 +159,29 @@
     return std::tie(value.router_, value.complete_, value.engines_, value.prompts_, value.promptStats_);
 }
 
+inline auto fieldsOf(const StoreFollow &value)
+{
+    return std::tie(value.router_, value.appliedRevision_, value.stamp_, value.confirmedStamp_);
+}
+
+inline auto fieldsOf(const StoreChange &value)
+{
+    return std::make_tuple(
+        std::cref(value.key_), Body {value.value_}, std::cref(value.revision_), std::cref(value.removed_));
+}
+
+inline auto fieldsOf(const StoreChanges &value)
+{
+    return std::tie(value.router_, value.follower_, value.afterRevision_, value.upToRevision_, value.changes_,
+        value.confirmedStamp_, value.outages_);
+}
+
+inline auto fieldsOf(const Fragment &value)
+{
+    return std::make_tuple(
+        std::cref(value.messageId_), std::cref(value.index_), std::cref(value.count_), Body {value.data_});
+}
+
 inline auto fieldsOf(const CrashReports &value)
 {
     return std::tie(value.reports_);
@@ -227,5 +250,11 @@
 inline constexpr std::uint32_t typeNumber<TimelineReply> = 18;
 template <>
 inline constexpr std::uint32_t typeNumber<EngineUsageReport> = 19;
+template <>
+inline constexpr std::uint32_t typeNumber<StoreFollow> = 20;
+template <>
+inline constexpr std::uint32_t typeNumber<StoreChanges> = 21;
+template <>
+inline constexpr std::uint32_t typeNumber<Fragment> = 22;
 
 } // namespace jasminewood::wire::internal
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -150,6 +150,20 @@
         .promptStats_ = std::move(promptStats)};
 }
 
+inline auto anyStoreChanges() -> StoreChanges
+{
+    return {.router_ = anyNodeId(),
+        .follower_ = anyNodeId(),
+        .afterRevision_ = anyNumber<std::uint64_t>(),
+        .upToRevision_ = anyNumber<std::uint64_t>(),
+        .changes_ = {{.key_ = anyName(),
+            .value_ = anyBody(),
+            .revision_ = anyNumber<std::uint64_t>(),
+            .removed_ = anyNumber<bool>()}},
+        .confirmedStamp_ = anyNumber<std::uint64_t>(),
+        .outages_ = anyNumber<std::uint64_t>()};
+}
+
 inline auto anyOptionalResponse() -> std::optional<UpstreamResponse>
 {
     if (anyNumber<bool>()) {
@@ -186,7 +200,16 @@
             .requestId_ = anyName(),
             .fromMicros_ = anyNumber<std::uint64_t>(),
             .toMicros_ = anyNumber<std::uint64_t>()},
-        TimelineReply {.queryId_ = anyNumber<std::uint64_t>(), .events_ = anyBody()}, anyEngineUsageReport()};
+        TimelineReply {.queryId_ = anyNumber<std::uint64_t>(), .events_ = anyBody()}, anyEngineUsageReport(),
+        StoreFollow {.router_ = anyNodeId(),
+            .appliedRevision_ = anyNumber<std::uint64_t>(),
+            .stamp_ = anyNumber<std::uint64_t>(),
+            .confirmedStamp_ = anyNumber<std::uint64_t>()},
+        anyStoreChanges(),
+        Fragment {.messageId_ = anyNumber<std::uint64_t>(),
+            .index_ = anyNumber<std::uint32_t>(),
+            .count_ = anyNumber<std::uint32_t>(),
+            .data_ = anyBody()}};
 }
 
 } // namespace jasminewood::wire
