Assume only unknown tokens cached at the home engine of a prefix

Cause: all routers assume that the home engine of a shared prefix has it, so that they agree while none of them knows.

Change: only the tokens that no engine is known to have count as cached at the home engine. The test failed before.

--- a/packages/routing/include/jasminewood/routing/engine_chooser.h
+++ b/packages/routing/include/jasminewood/routing/engine_chooser.h
@@ -66,9 +66,9 @@
 // Costs that differ by less than this count as equal; an engine in the router's own data centre is then preferred.
 constexpr double costTieTokens = 64;
 
-// Returns the cost of the choice in prompt tokens to prefill before the first output token. home is true if the
-// candidate is the home engine of the shared prefix.
-auto prefillCost(const PromptRequest &request, const EngineCandidate &candidate, bool home) -> double;
+// Returns the cost of the choice in prompt tokens to prefill before the first output token. cachedTokens are the tokens
+// of the prompt that the candidate has cached, for certain or by assumption.
+auto prefillCost(const PromptRequest &request, const EngineCandidate &candidate, std::uint64_t cachedTokens) -> double;
 
 // Weight of the tokens of a shared prefix that would have to be computed again: they delay not only the request itself
 // but all prompts that the engine processes after it.
--- a/packages/routing/src/engine_chooser.cpp
+++ b/packages/routing/src/engine_chooser.cpp
@@ -25,14 +25,39 @@
     return crossLanePenaltyTokens + (request.isLongPrompt_ ? tokensPerDelayedStream * candidate.activeRequests_ : 0);
 }
 
+// Returns the index of the home engine of the shared prefix, which all routers with the same engines compute alike; the
+// number of candidates if there is none.
+auto homeEngine(const PromptRequest &request, const std::vector<EngineCandidate> &candidates) -> std::size_t
+{
+    auto home = candidates.size();
+    auto homeWeight = std::uint64_t(0);
+    for (auto index = std::size_t(0); index < candidates.size(); ++index) {
+        const auto weight = internal::rendezvousWeight(candidates[index].id_, request.sharedPrefixId_);
+        if (request.sharedPrefixId_ != 0 && candidates[index].inLongPromptLane_ == request.isLongPrompt_
+            && weight >= homeWeight) {
+            home = index;
+            homeWeight = weight;
+        }
+    }
+    return home;
+}
+
+// Returns the tokens of the shared prefix that no engine is known to have cached. Another router has probably just sent
+// them to the home engine. What some engine has cached, the home engine may lack.
+auto unknownPrefixTokens(const PromptRequest &request, const std::vector<EngineCandidate> &candidates) -> std::uint64_t
+{
+    auto known = std::uint64_t(0);
+    for (const auto &candidate : candidates) {
+        known = std::max(known, candidate.cachedPrefixTokens_);
+    }
+    return request.sharedPrefixTokens_ - std::min(request.sharedPrefixTokens_, known);
+}
+
 } // namespace
 
-auto prefillCost(const PromptRequest &request, const EngineCandidate &candidate, bool home) -> double
+auto prefillCost(const PromptRequest &request, const EngineCandidate &candidate, std::uint64_t cachedTokens) -> double
 {
-    // All routers compute the same home engine for a shared prefix, so other routers have probably sent it there
-    // already.
-    const auto assumedCached = home ? request.sharedPrefixTokens_ : 0;
-    const auto cached = std::min(request.promptTokens_, std::max(candidate.cachedPrefixTokens_, assumedCached));
+    const auto cached = std::min(request.promptTokens_, cachedTokens);
     const auto queuedRequests
         = candidate.activeRequests_ >= candidate.slots_ ? candidate.activeRequests_ - candidate.slots_ + 1 : 0;
     const auto shared = std::min(request.sharedPrefixTokens_, request.promptTokens_);
@@ -79,23 +104,16 @@
 auto EngineChooser::choose(const PromptRequest &request, const std::vector<EngineCandidate> &candidates) -> std::size_t
 {
     assert(!candidates.empty());
-    auto home = std::size_t(candidates.size());
-    auto homeWeight = std::uint64_t(0);
-    for (auto index = std::size_t(0); index < candidates.size(); ++index) {
-        const auto weight = internal::rendezvousWeight(candidates[index].id_, request.sharedPrefixId_);
-        if (request.sharedPrefixId_ != 0 && candidates[index].inLongPromptLane_ == request.isLongPrompt_
-            && weight >= homeWeight) {
-            home = index;
-            homeWeight = weight;
-        }
-    }
+    const auto home = homeEngine(request, candidates);
+    const auto assumedTokens = unknownPrefixTokens(request, candidates);
     auto best = std::size_t(0);
     auto bestCost = std::numeric_limits<double>::infinity();
     auto tieBreak = std::uniform_real_distribution<double>(0, costTieTokens);
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
         const auto &candidate = candidates[index];
         const auto remotePenalty = candidate.dataCentre_ == dataCentre_ ? 0 : costTieTokens;
-        const auto cost = prefillCost(request, candidate, index == home) + remotePenalty + tieBreak(random_);
+        const auto cachedTokens = candidate.cachedPrefixTokens_ + (index == home ? assumedTokens : 0);
+        const auto cost = prefillCost(request, candidate, cachedTokens) + remotePenalty + tieBreak(random_);
         if (cost < bestCost) {
             best = index;
             bestCost = cost;
--- a/packages/routing/tests/engine_chooser_test.cpp
+++ b/packages/routing/tests/engine_chooser_test.cpp
@@ -114,6 +114,26 @@
                         check(chooser.choose(request, engines(40'000)) == 1);
                         check(chooser.choose(request, engines(80'000)) != 1);
                     }),
+                // Guards against a home engine that changes with the lanes and reads again what another engine keeps.
+                test("prefers an engine that is known to hold it to the home engine, which may not",
+                    [] {
+                        auto engines = std::vector<EngineCandidate>();
+                        for (const auto &id : engineIds(6)) {
+                            engines.push_back({.id_ = id, .slots_ = 8});
+                        }
+                        const auto request = PromptRequest {
+                            .promptTokens_ = 15'000, .sharedPrefixId_ = 77, .sharedPrefixTokens_ = 14'000};
+                        const auto home = EngineChooser(1).choose(request, engines);
+                        const auto holder = (home + 1) % engines.size();
+                        auto afterwards = std::vector<EngineCandidate>();
+                        for (auto index = std::size_t(0); index < engines.size(); ++index) {
+                            afterwards.push_back({.id_ = engines[index].id_,
+                                .pendingPrefillTokens_ = index == holder ? 20'000U : 0U,
+                                .cachedPrefixTokens_ = index == holder ? 14'000U : 0U,
+                                .slots_ = 8});
+                        }
+                        check(EngineChooser(1).choose(request, afterwards) == holder);
+                    }),
                 // Guards against routers that each fill the cache of a different engine with the same prefix.
                 test("sends an uncached shared prefix to the same home engine from all routers",
                     [] {
