--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -35,6 +35,8 @@
     const Milliseconds deadlineMargin_ = Milliseconds(20);
     // Limits of the retries, per service and across all routers.
     const routing::RetryBudgetOptions retryBudget_;
+    // The time after the start in which this router discovers with how many others it shares the slack of the retries.
+    const Milliseconds retryLearningTime_ = Milliseconds(0);
 };
 
 // Requires the services "environment", "configuration" and "upstreams". Thread-safe.
@@ -69,7 +71,8 @@
 
     const FrontendOptions options_;
     const ProtocolAdapter protocolAdapter_;
-    const routing::RetryBudgetOptions retryBudgetOptions_;
+    // Set at the start.
+    std::optional<routing::RetryBudgetOptions> retryBudgetOptions_;
     std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -8,12 +8,13 @@
 namespace
 {
 
-auto scaleToRetryBudgetShare(const routing::RetryBudgetOptions &options) -> routing::RetryBudgetOptions
+auto scaleToRetryBudgetShare(const routing::RetryBudgetOptions &options, TimePoint slackFrom)
+    -> routing::RetryBudgetOptions
 {
     return {.fraction_ = options.fraction_ * retryBudgetShare,
         .slack_ = options.slack_ * retryBudgetShare,
         .window_ = options.window_,
-        .slackDelay_ = options.slackDelay_};
+        .slackFrom_ = slackFrom};
 }
 
 } // namespace
@@ -21,7 +22,6 @@
 Frontend::Frontend(const FrontendOptions &options, const ProtocolAdapter &protocolAdapter)
     : options_(options)
     , protocolAdapter_(protocolAdapter)
-    , retryBudgetOptions_(scaleToRetryBudgetShare(options.retryBudget_))
 {
 }
 
@@ -36,6 +36,8 @@
     if (auto failure = services.require("upstreams", upstreams_)) {
         return failure;
     }
+    retryBudgetOptions_.emplace(
+        scaleToRetryBudgetShare(options_.retryBudget_, Clock::now() + options_.retryLearningTime_));
     const auto &metrics = environment_->metrics();
     requestCounter_.emplace(metrics.counter("jasminewood_forward_requests_total", "Requests received"));
     retryCounter_.emplace(
@@ -100,7 +102,7 @@
 auto Frontend::countRequest(const std::string &service) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    retryBudgets_.try_emplace(service, retryBudgetOptions_).first->second.recordRequest(Clock::now());
+    retryBudgets_.try_emplace(service, *retryBudgetOptions_).first->second.recordRequest(Clock::now());
 }
 
 auto Frontend::tryAcquireRetry(const std::string &service) -> bool
@@ -109,7 +111,7 @@
     const auto routers = upstreams_->pool().routerCount(now);
     {
         const auto lock = std::scoped_lock(mutex_);
-        if (!retryBudgets_.try_emplace(service, retryBudgetOptions_).first->second.tryAcquireRetry(routers, now)) {
+        if (!retryBudgets_.try_emplace(service, *retryBudgetOptions_).first->second.tryAcquireRetry(routers, now)) {
             return false;
         }
     }
--- a/packages/routing/include/jasminewood/routing/retry_budget.h
+++ b/packages/routing/include/jasminewood/routing/retry_budget.h
@@ -26,9 +26,8 @@
     const double slack_ = 20;
     // Precondition: at least retryWindowBuckets milliseconds.
     const Milliseconds window_ = Milliseconds(10'000);
-    // The slack is available only after this time, in which a router that has just started discovers how many routers
-    // share it.
-    const Milliseconds slackDelay_ = Milliseconds(0);
+    // The slack is available from this time on. A router that has just started does not know how many routers share it.
+    const TimePoint slackFrom_ = TimePoint::min();
 
     auto operator<=>(const RetryBudgetOptions &) const = default;
 };
@@ -64,8 +63,6 @@
 
     RetryBudgetOptions options_;
     std::array<Bucket, retryWindowBuckets + 1> buckets_;
-    TimePoint slackUsableAt_ = TimePoint::min();
-    bool started_ = false;
 };
 
 } // namespace jasminewood::routing
--- a/packages/routing/src/retry_budget.cpp
+++ b/packages/routing/src/retry_budget.cpp
@@ -31,7 +31,7 @@
         // The oldest bucket is only partly within the window.
         requests += index > bucket.index_ - std::int64_t(retryWindowBuckets) ? requestCount : 0;
     }
-    const auto slack = now >= slackUsableAt_ ? options_.slack_ / double(routers) : 0;
+    const auto slack = now >= options_.slackFrom_ ? options_.slack_ / double(routers) : 0;
     if (retries + 1 > options_.fraction_ * requests + slack) {
         return false;
     }
@@ -41,10 +41,6 @@
 
 auto RetryBudget::currentBucket(TimePoint now) -> Bucket &
 {
-    if (!started_) {
-        started_ = true;
-        slackUsableAt_ = now + options_.slackDelay_;
-    }
     const auto index = std::int64_t(now.time_since_epoch() / (options_.window_ / std::int64_t(retryWindowBuckets)));
     auto &bucket = buckets_[std::size_t(index) % buckets_.size()];
     if (bucket.index_ != index) {
--- a/packages/routing/tests/budgets_test.cpp
+++ b/packages/routing/tests/budgets_test.cpp
@@ -74,11 +74,18 @@
                 // Guards against routers that restart together and each use the whole slack.
                 test("withholds the slack until the number of routers is established",
                     [] {
-                        auto budget = RetryBudget({.slackDelay_ = Milliseconds(2'000)});
+                        auto budget = RetryBudget({.slackFrom_ = start + Milliseconds(2'000)});
                         check(!budget.tryAcquireRetry(1, start)
                             && !budget.tryAcquireRetry(1, start + Milliseconds(1'999)));
                         check(budget.tryAcquireRetry(1, start + Milliseconds(2'000)));
                     }),
+                // Guards against a router that is long ready when its first requests come and retries none of them.
+                test("allows the first request a retry if the number of routers was established before it",
+                    [] {
+                        auto budget = RetryBudget({.slackFrom_ = start + Milliseconds(2'000)});
+                        budget.recordRequest(start + Milliseconds(10'000));
+                        check(budget.tryAcquireRetry(1, start + Milliseconds(10'000)));
+                    }),
             }),
         section("of hedges",
             {
