Bound what a faulty upstream may send, and judge streams by their events

(2) A body without end was buffered without a limit until the deadline. (3) A resumable stream counted as alive while any byte arrived, a comment now and then included, and an event without end was buffered. (4) A stream was resumed elsewhere after 1.2 s without data even on a route that aims at pauses of 800 ms. (5) A stream that may not be resumed had no limit on progress.

Change: a kept connection on which anything is readable is closed before it is used. Only complete events with data or an id count as progress; the stall timeout of a resumable stream is three times the route's pause, at least 1.2 s.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -37,6 +37,12 @@
     const routing::RetryBudgetOptions retryBudget_;
     // The time after the start in which this router discovers with how many others it shares the slack of the retries.
     const Milliseconds retryLearningTime_ = Milliseconds(0);
+    // Longest response that is not a stream; a longer one counts as a failure of the upstream.
+    const std::size_t maximumResponseBytes_ = std::size_t(8) << 20U;
+    // Longest event of a stream.
+    const std::size_t maximumEventBytes_ = std::size_t(1) << 20U;
+    // A stream that cannot be resumed ends if it brings no event for this time.
+    const Milliseconds streamStallTimeout_ = Milliseconds(60'000);
 };
 
 // Requires the services "environment", "configuration" and "upstreams". Thread-safe.
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -23,8 +23,6 @@
 
 // Upstreams are on the local network. One that does not accept a connection within this time is considered down.
 constexpr Milliseconds connectTimeout = Milliseconds(400);
-// A resumable stream that delivers no data for this time is resumed at another upstream before its caller times out.
-constexpr Milliseconds stallTimeout = Milliseconds(1'200);
 constexpr int okStatus = 200;
 // A connection on which neither data nor a keep-alive probe is acknowledged for this time is considered dead.
 constexpr Milliseconds deadPeerTimeout = Milliseconds(2'000);
@@ -257,6 +255,12 @@
         if (!*chunk) {
             return body;
         }
+        if (body.size() + (*chunk)->size() > frontend_.options_.maximumResponseBytes_) {
+            return Failure {.step_ = "answer",
+                .peer_ = assignment_->upstream_.address_,
+                .reason_ = "the response exceeds the limit",
+                .runState_ = RunState::MayHaveRun};
+        }
         body += **chunk;
     }
 }
@@ -264,6 +268,7 @@
 auto RequestRun::relayStream(const StartedResponse &started, const AdmittedRequest &admitted) -> http::Response
 {
     const auto self = shared_from_this();
+    streamProgress_.emplace(streamLimits(admitted), Clock::now());
     return http::StreamResponse {.status_ = started.head_.status_,
         .headers_ = internal::endToEndFields(started.head_.fields_),
         .nextEvent_ = [self, admitted] {
@@ -271,16 +276,31 @@
         }};
 }
 
-auto RequestRun::awaitChunk(const AdmittedRequest &admitted) -> Result<std::optional<std::string>>
+auto RequestRun::streamLimits(const AdmittedRequest &admitted) const -> internal::StreamLimits
 {
+    const auto &options = frontend_.options_;
     const auto resumable = allowsRerun(*admitted.route_);
-    const auto stallDeadline = Clock::now() + stallTimeout;
-    auto chunk = exchange_->next(resumable ? std::min(deadline_, stallDeadline) : deadline_);
-    if (!chunk && chunk.failure().step_ == "wait" && Clock::now() < deadline_) {
+    return {.stallTimeout_ = resumable ? internal::resumeTimeout(*admitted.route_) : options.streamStallTimeout_,
+        .maximumEventBytes_ = options.maximumEventBytes_};
+}
+
+auto RequestRun::awaitChunk() -> Result<std::optional<std::string>>
+{
+    const auto stallFailure = [this](const std::string &reason) {
         return Failure {.step_ = "stall",
-            .peer_ = chunk.failure().peer_,
-            .reason_ = "no data on the stream within the stall timeout",
+            .peer_ = assignment_->upstream_.address_,
+            .reason_ = reason,
             .runState_ = RunState::MayHaveRun};
+    };
+    auto chunk = exchange_->next(std::min(deadline_, streamProgress_->stallsAt()));
+    if (!chunk && chunk.failure().step_ == "wait" && Clock::now() < deadline_) {
+        return stallFailure("no event of the stream within the stall timeout");
+    }
+    if (chunk && *chunk) {
+        streamProgress_->record(**chunk, Clock::now());
+        if (streamProgress_->exceedsEventLimit()) {
+            return stallFailure("an event of the stream exceeds the limit");
+        }
     }
     return chunk;
 }
@@ -288,7 +308,7 @@
 auto RequestRun::nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent
 {
     while (true) {
-        const auto chunk = awaitChunk(admitted);
+        const auto chunk = awaitChunk();
         if (!chunk) {
             static_cast<void>(failAttempt(chunk.failure()));
             if (!resumeStream(admitted)) {
@@ -325,11 +345,13 @@
         if (startAttempt(admitted)) {
             return false;
         }
-        const auto head = exchange_->head(std::min(deadline_, Clock::now() + stallTimeout));
+        const auto head
+            = exchange_->head(std::min(deadline_, Clock::now() + internal::resumeTimeout(*admitted.route_)));
         const auto checked = head ? checkResponseHead(*head)
                                   : std::variant<StartedResponse, FailedAttempt>(failAttempt(head.failure()));
         const auto *started = std::get_if<StartedResponse>(&checked);
         if (started != nullptr && started->metadata_.isEventStream_ && started->head_.status_ == okStatus) {
+            streamProgress_.emplace(streamLimits(admitted), Clock::now());
             frontend_.environment_->log().info("resumed a stream",
                 {{"request", requestMetadata_.requestId_}, {"upstream", assignment_->upstream_.id_},
                     {"after", eventSplitter_.lastEventId()}});
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -11,6 +11,7 @@
 #include "jasminewood/forward/frontend.h"
 #include "jasminewood/forward/retry_decision.h"
 #include "jasminewood/http/client.h"
+#include "stream_progress.h"
 
 // Runs one request of a caller, from its arrival to the end of its response, on the thread of the caller's
 // connection.
@@ -54,11 +55,11 @@
     auto relayResponse(const StartedResponse &started, const AdmittedRequest &admitted)
         -> std::variant<http::Response, FailedAttempt>;
     auto readBody() -> Result<std::string>;
+    auto streamLimits(const AdmittedRequest &admitted) const -> internal::StreamLimits;
     auto relayStream(const StartedResponse &started, const AdmittedRequest &admitted) -> http::Response;
     auto nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent;
-    // Waits for data of the stream. Fails with step "stall" if a resumable stream delivers none within the stall
-    // timeout.
-    auto awaitChunk(const AdmittedRequest &admitted) -> Result<std::optional<std::string>>;
+    // Waits for data of the stream. Fails with step "stall" if the stream makes no progress.
+    auto awaitChunk() -> Result<std::optional<std::string>>;
     // Resumes an interrupted stream at another upstream after the last complete event. Returns whether it succeeded.
     auto resumeStream(const AdmittedRequest &admitted) -> bool;
     // Ends the attempt without a usable response.
@@ -102,6 +103,8 @@
     std::optional<TimePoint> lastChunkAt_;
     Clock::duration longestChunkGap_ = Clock::duration::zero();
     internal::EventSplitter eventSplitter_;
+    // The progress of the stream of the latest attempt.
+    std::optional<internal::StreamProgress> streamProgress_;
     // Body bytes that were passed to the caller.
     std::size_t relayedBytes_ = 0;
     bool outcomeRecorded_ = false;
--- /dev/null
+++ b/packages/forward/src/stream_progress.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "jasminewood/core/clock.h"
+#include "jasminewood/routes/configuration.h"
+
+// Decides whether a stream of server-sent events still makes progress. Only complete events with an id or data count:
+// single bytes, comments and an event without end do not.
+
+namespace jasminewood::forward::internal
+{
+
+struct StreamLimits
+{
+    // Longest time between two events.
+    const Milliseconds stallTimeout_ = Milliseconds(0);
+    // Longest event, comments before it included.
+    const std::size_t maximumEventBytes_ = 0;
+
+    auto operator<=>(const StreamLimits &) const = default;
+};
+
+// A resumable stream without an event for this time, or for stallFactor times the longest pause that the route aims at,
+// is resumed at another upstream before its caller gives up.
+constexpr Milliseconds minimumStallTimeout = Milliseconds(1'200);
+constexpr int stallFactor = 3;
+
+// Returns the stall timeout of a resumable stream of the route.
+auto resumeTimeout(const routes::Route &route) -> Milliseconds;
+
+class StreamProgress
+{
+public:
+    StreamProgress(const StreamLimits &limits, TimePoint startedAt);
+
+    // Records received data.
+    auto record(std::string_view data, TimePoint now) -> void;
+
+    // Returns when the stream counts as stalled unless an event is complete before.
+    auto stallsAt() const -> TimePoint;
+
+    // Returns whether more data than one event may have arrived without completing one.
+    auto exceedsEventLimit() const -> bool;
+
+private:
+    auto endLine(TimePoint now) -> void;
+
+    StreamLimits limits_;
+    TimePoint lastEventAt_;
+    std::size_t bytesSinceEvent_ = 0;
+    // The start of the current line, as far as it is needed to recognise its field.
+    std::string lineStart_;
+    bool hasField_ = false;
+};
+
+} // namespace jasminewood::forward::internal
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -79,9 +79,10 @@
         .pathPrefix_ = "/" + name + "/",
         .retrySafety_ = repetition,
         .timeout_ = Milliseconds(20'000),
+        .eventGapTarget_ = name == "patient" ? std::optional(Milliseconds(800)) : std::nullopt,
         .weightedServices_ = {{.service_ = "pool"}},
         .maximumAttempts_ = attempts,
-        .resumable_ = name == "resumable"};
+        .resumable_ = name == "resumable" || name == "patient"};
 }
 
 } // namespace
@@ -113,12 +114,14 @@
     return {.version_ = 1,
         .routes_ = {makeRoute("once", routes::RetrySafety::AtMostOnce, 1),
             makeRoute("again", routes::RetrySafety::Idempotent, 2), makeRoute("stream", routes::RetrySafety::Stream, 1),
-            makeRoute("resumable", routes::RetrySafety::Stream, 2)},
+            makeRoute("resumable", routes::RetrySafety::Stream, 2),
+            makeRoute("patient", routes::RetrySafety::Stream, 2)},
         .services_ = {{.name_ = "pool"}},
         .accounts_ = {{.name_ = "installer", .keys_ = {sampleApiKey}}}};
 }
 
-FrontendFixture::FrontendFixture(const routes::Configuration &sample, std::optional<Milliseconds> keyTrustPeriod)
+FrontendFixture::FrontendFixture(
+    const routes::Configuration &sample, std::optional<Milliseconds> keyTrustPeriod, const FrontendOptions &options)
     : environment_(std::make_shared<node::Environment>(
         node::createIdentity("front", wire::Role::Router, "local", ""), observe::Level::Error))
     , store_(*testbench::FakeKv::start({}))
@@ -126,7 +129,7 @@
           platform::KeyValueOptions {.url_ = fmt::format("http://127.0.0.1:{}", store_->port())}))
     , configuration_(std::make_shared<ConfigurationWatcher>(testProtocolAdapter(sample), keyTrustPeriod))
     , upstreams_(std::make_shared<UpstreamWatcher>(testProtocolAdapter(sample), "local", seed))
-    , frontend_(std::make_shared<Frontend>(FrontendOptions {}, testProtocolAdapter(sample)))
+    , frontend_(std::make_shared<Frontend>(options, testProtocolAdapter(sample)))
 {
     registry_.add("environment", environment_);
     registry_.add("configuration", configuration_);
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -30,8 +30,9 @@
 // Returns options with which the feed watches all keys of the tests and passes on changes soon.
 auto testFeedOptions() -> StoreFeedOptions;
 
-// Returns a configuration with the routes "/once/", "/again/" (two attempts), "/stream/" and "/resumable/" (two
-// attempts) of host "shop" to service "pool". sampleApiKey is the API key of account "installer".
+// Returns a configuration with the routes "/once/", "/again/" (two attempts), "/stream/", "/resumable/" (two attempts)
+// and "/patient/" (as "/resumable/", with pauses of up to 800 ms) of host "shop" to service "pool". sampleApiKey is the
+// API key of account "installer".
 auto sampleConfiguration() -> routes::Configuration;
 
 class FrontendFixture
@@ -39,7 +40,7 @@
 public:
     // Publishes the sample to the store unless its version is 0.
     explicit FrontendFixture(const routes::Configuration &sample = sampleConfiguration(),
-        std::optional<Milliseconds> keyTrustPeriod = std::nullopt);
+        std::optional<Milliseconds> keyTrustPeriod = std::nullopt, const FrontendOptions &options = {});
     ~FrontendFixture();
 
     FrontendFixture(const FrontendFixture &) = delete;
--- a/packages/http/include/jasminewood/http/client.h
+++ b/packages/http/include/jasminewood/http/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,14 +19,19 @@
 //     const auto response = http::fetch({.url_ = "http://127.0.0.1:8080/health"});
 //     if (response && response->status_ == 200) { ... }
 //
-// A failure has step "connect", "send", "receive", "timeout" or "cancel" and the peer HOST:PORT. Its run state is
-// NotRun only if the connection was never established, else MayHaveRun. Connections are reused. An idle one is kept for
-// at most 3 s, less if the peer's Keep-Alive field says so. If a reused connection closes without a response, libcurl
-// sends the request again if it is retryable_; any other request fails.
+// A failure has step "connect", "send", "receive", "timeout" or "cancel" and the peer HOST:PORT. A response that
+// exceeds maximumHeadBytes or the request's maximumBodyBytes_ fails with step "receive". Its run state is NotRun only
+// if the connection was never established, else MayHaveRun. Connections are reused. An idle one is kept for at most 3
+// s, less if the peer's Keep-Alive field says so. If a reused connection closes without a response, libcurl sends the
+// request again if it is retryable_; any other request fails.
 
 namespace jasminewood::http
 {
 
+// Limit of the status line and the header fields of a response, interim responses included.
+constexpr std::size_t maximumHeadBytes = 64U << 10U;
+constexpr std::size_t defaultMaximumBodyBytes = 64U << 20U;
+
 struct ClientRequest
 {
     const std::string method_ = "GET";
@@ -41,6 +47,8 @@
     // A connection whose peer acknowledges neither data nor TCP keep-alive probes for this time is closed; 0 means
     // never.
     const Milliseconds deadPeerTimeout_ = Milliseconds(0);
+    // Longest body of the response; a longer one fails the call. 0 means no limit.
+    const std::size_t maximumBodyBytes_ = defaultMaximumBodyBytes;
     // True if the request may reach the peer twice.
     const bool retryable_ = method_ == "GET" || method_ == "HEAD";
     // True to send no header fields besides headers_, Content-Length and Host.
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -43,7 +43,7 @@
         for (auto found = idle_.find(origin); found != idle_.end(); found = idle_.find(origin)) {
             auto transfer = std::move(found->second);
             idle_.erase(found);
-            if (now < transfer->usableUntil()) {
+            if (now < transfer->usableUntil() && transfer->isQuiet()) {
                 return transfer;
             }
             expired.push_back(std::move(transfer));
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -4,10 +4,12 @@
 #include <cctype>
 #include <cerrno>
 #include <cstdlib>
+#include <string>
 #include <string_view>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace jasminewood::http::internal
@@ -135,6 +137,15 @@
     return usableUntil_;
 }
 
+auto Transfer::isQuiet() const -> bool
+{
+    if (idleSocket_ == CURL_SOCKET_BAD) {
+        return false;
+    }
+    auto poller = pollfd {.fd = idleSocket_, .events = POLLIN | POLLRDHUP, .revents = 0};
+    return poll(&poller, 1, 0) == 0;
+}
+
 auto Transfer::onConnected(void *progress, char * /*peer*/, char * /*local*/, int /*peerPort*/, int /*localPort*/)
     -> int
 {
@@ -154,6 +165,11 @@
     auto &state = *static_cast<Progress *>(progress);
     state.lastByteAt_ = Clock::now();
     const auto line = std::string_view(data, size * count);
+    state.headBytes_ += line.size();
+    if (state.headBytes_ > maximumHeadBytes) {
+        // A result other than the size of the data makes libcurl abort the transfer.
+        return 0;
+    }
     const auto colon = line.find(':');
     if (line.starts_with("HTTP/")) {
         state.fields_.clear();
@@ -177,9 +193,13 @@
     auto &state = *static_cast<Progress *>(progress);
     state.lastByteAt_ = Clock::now();
     const auto piece = std::string_view(data, size * count);
+    state.bodyBytes_ += piece.size();
+    const auto limit = state.request_.maximumBodyBytes_;
+    if (limit > 0 && state.bodyBytes_ > limit) {
+        return 0;
+    }
     if (state.onData_ && !state.onData_(piece)) {
         state.dataRejected_ = true;
-        // A result smaller than the size of the data makes libcurl abort the transfer.
         return 0;
     }
     return piece.size();
@@ -225,12 +245,26 @@
     }
 }
 
+auto Transfer::exceededLimit() const -> std::string
+{
+    const auto bodyLimit = progress_->request_.maximumBodyBytes_;
+    if (progress_->headBytes_ > maximumHeadBytes) {
+        return "the head of the response exceeds the limit of " + std::to_string(maximumHeadBytes) + " bytes";
+    }
+    if (bodyLimit > 0 && progress_->bodyBytes_ > bodyLimit) {
+        return "the body of the response exceeds the limit of " + std::to_string(bodyLimit) + " bytes";
+    }
+    return "";
+}
+
 auto Transfer::failure(CURLcode code) const -> Failure
 {
     const auto cancelled = cancelled_ || progress_->dataRejected_;
+    const auto limit = exceededLimit();
+    const auto reason = limit.empty() ? reasonOf(code) : limit;
     return Failure {.step_ = cancelled ? "cancel" : stepOf(code, progress_->connected_),
         .peer_ = peerOf(progress_->request_.url_),
-        .reason_ = cancelled ? "the call was cancelled" : reasonOf(code),
+        .reason_ = cancelled ? "the call was cancelled" : reason,
         .runState_ = progress_->connected_ ? RunState::MayHaveRun : RunState::NotRun};
 }
 
@@ -322,6 +356,8 @@
     const auto code = progress_->result_.value_or(CURLE_ABORTED_BY_CALLBACK);
     auto status = 0L;
     curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+    idleSocket_ = CURL_SOCKET_BAD;
+    curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &idleSocket_);
     curl_multi_remove_handle(multi_, easy_);
     curl_easy_reset(easy_);
     auto outcome = code == CURLE_OK ? Result<int>(int(status)) : Result<int>(failure(code));
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -65,6 +65,10 @@
     // Returns until when the connection of the last call may be reused.
     auto usableUntil() const -> TimePoint;
 
+    // Returns whether nothing arrived on the connection since the last call, neither data nor its end. Data that
+    // arrives between two calls belongs to no request.
+    auto isQuiet() const -> bool;
+
 private:
     // The state of one call, updated by the callbacks of libcurl.
     struct Progress
@@ -76,6 +80,8 @@
         std::vector<HeaderField> fields_ = {};
         TimePoint lastByteAt_ = Clock::now();
         std::optional<CURLcode> result_ = std::nullopt;
+        std::size_t headBytes_ = 0;
+        std::size_t bodyBytes_ = 0;
         bool connected_ = false;
         bool fieldsDelivered_ = false;
         bool dataRejected_ = false;
@@ -90,6 +96,8 @@
 
     auto configure(const ClientRequest &request) -> void;
     auto failure(CURLcode code) const -> Failure;
+    // Returns which limit the response exceeds; empty if none.
+    auto exceededLimit() const -> std::string;
     // Lets libcurl do the work that is possible without waiting, and records the result if the call has ended.
     auto advance() -> void;
     // Waits for activity at most until the given time; returns false if the watched descriptor hung up.
@@ -104,6 +112,8 @@
     std::unique_ptr<Progress> progress_;
     HeaderList headers_ = {nullptr, &curl_slist_free_all};
     TimePoint usableUntil_;
+    // The socket of the last call; CURL_SOCKET_BAD if it is closed.
+    curl_socket_t idleSocket_ = CURL_SOCKET_BAD;
     std::atomic<bool> cancelled_ = false;
 };
 
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -7,11 +7,14 @@
 #include <unistd.h>
 
 #include "jasminewood/http/client.h"
+#include "jasminewood/testbench/raw_peer.h"
 #include "jasminewood/testkit/test_suite.h"
-#include "raw_peer.h"
 
 using namespace jasminewood;
 using namespace jasminewood::http;
+using jasminewood::testbench::connectTo;
+using jasminewood::testbench::readUntil;
+using jasminewood::testbench::sendText;
 using jasminewood::testkit::check;
 using jasminewood::testkit::section;
 using jasminewood::testkit::test;
--- a/packages/http/tests/raw_peer.h
+++ b/packages/testbench/include/jasminewood/testbench/raw_peer.h
@@ -9,7 +9,7 @@
 
 // Plain TCP peers, for responses and callers that neither HTTP library can produce.
 
-namespace jasminewood::http
+namespace jasminewood::testbench
 {
 
 // Connects to a port on 127.0.0.1 and returns the socket, or -1 on failure.
@@ -44,4 +44,4 @@
     std::thread thread_;
 };
 
-} // namespace jasminewood::http
+} // namespace jasminewood::testbench
--- a/packages/http/tests/raw_peer.cpp
+++ b/packages/testbench/src/raw_peer.cpp
@@ -1,11 +1,11 @@
-#include "raw_peer.h"
+#include "jasminewood/testbench/raw_peer.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace jasminewood::http
+namespace jasminewood::testbench
 {
 
 namespace
@@ -105,4 +105,4 @@
     return "http://127.0.0.1:" + std::to_string(port_) + "/";
 }
 
-} // namespace jasminewood::http
+} // namespace jasminewood::testbench
