Admit a request again before an attempt that starts later

Cause: the key, the route and the deadline of a request were checked once, at its arrival. A request that waited, for an upstream or because the process was paused, was then sent with a permission that had run out meanwhile, and its remaining time did not count a suspension of the machine.

Change: before an attempt that starts more than 250 ms after the last admission, by a clock that counts suspensions, the request is admitted again by the configuration in force; the remaining time counts by the same clock.

Test: an upstream holds a request until the keys are no longer confirmed and refuses it then; the second upstream must not get it.

--- a/packages/forward/include/jasminewood/forward/admission.h
+++ b/packages/forward/include/jasminewood/forward/admission.h
@@ -47,4 +47,12 @@
 auto admit(const routes::RouteTable &table, const RequestMetadata &metadata, const std::string &target,
     bool keysConfirmed) -> std::variant<AdmittedRequest, Refusal>;
 
+// A request is admitted again before an attempt if its last admission is older than this: keys may have been revoked,
+// or the process suspended, in the meantime.
+constexpr Milliseconds admissionValidity = Milliseconds(250);
+
+// Returns the time that remains of a timeout. Both durations count from the arrival; the second one includes the time
+// for which the machine was suspended.
+auto remainingTimeout(Milliseconds timeout, Clock::duration steadyElapsed, Clock::duration bootElapsed) -> Milliseconds;
+
 } // namespace jasminewood::forward
--- a/packages/forward/src/admission.cpp
+++ b/packages/forward/src/admission.cpp
@@ -43,4 +43,9 @@
         .timeout_ = route->timeout_.count() > 0 ? std::min(timeout, route->timeout_) : timeout};
 }
 
+auto remainingTimeout(Milliseconds timeout, Clock::duration steadyElapsed, Clock::duration bootElapsed) -> Milliseconds
+{
+    return std::chrono::floor<Milliseconds>(timeout - std::max(steadyElapsed, bootElapsed));
+}
+
 } // namespace jasminewood::forward
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -45,6 +45,8 @@
     : frontend_(frontend)
     , request_(request)
     , arrivedAt_(Clock::now())
+    , arrivedAtBoot_(BootClock::now())
+    , admittedAt_(arrivedAtBoot_)
     , requestMetadata_(frontend.protocolAdapter_.parseRequestMetadata_(request))
     , routeTable_(frontend.configuration_->awaitCurrent(arrivedAt_ + maximumStartupWait))
 {
@@ -58,7 +60,22 @@
 
 auto RequestRun::remainingTime() const -> Milliseconds
 {
-    return std::chrono::floor<Milliseconds>(deadline_ - Clock::now());
+    return remainingTimeout(timeout_, Clock::now() - arrivedAt_, BootClock::now() - arrivedAtBoot_);
+}
+
+auto RequestRun::readmit() -> std::optional<Refusal>
+{
+    const auto now = BootClock::now();
+    if (now - admittedAt_ <= admissionValidity) {
+        return std::nullopt;
+    }
+    admittedAt_ = now;
+    const auto admission = admit(*frontend_.configuration_->current(), requestMetadata_, request_.requestTarget_,
+        frontend_.configuration_->keysConfirmed());
+    if (const auto *refusal = std::get_if<Refusal>(&admission)) {
+        return *refusal;
+    }
+    return std::nullopt;
 }
 
 auto RequestRun::handle() -> http::Response
@@ -86,7 +103,8 @@
 
 auto RequestRun::forward(const AdmittedRequest &admitted) -> http::Response
 {
-    deadline_ = arrivedAt_ + admitted.timeout_ - frontend_.options_.deadlineMargin_;
+    timeout_ = admitted.timeout_ - frontend_.options_.deadlineMargin_;
+    deadline_ = arrivedAt_ + timeout_;
     route_ = admitted.route_->name_;
     enginePriority_ = admitted.enginePriority_;
     service_ = routes::chooseService(
@@ -94,6 +112,9 @@
     frontend_.countRequest(service_);
     frontend_.upstreams_->pool().recordArrival(selectionCriteria(), arrivedAt_);
     do {
+        if (const auto refusal = readmit()) {
+            return possiblyRunAttempts_ == 0 ? refuse(*refusal) : respondAfterFailure();
+        }
         if (const auto failure = startAttempt(admitted)) {
             if (lastFailure_) {
                 return respondAfterFailure();
@@ -342,7 +363,7 @@
     eventSplitter_.discardPartial();
     // A stream that has already sent data can be resumed only after an event with an id.
     while ((relayedBytes_ == 0 || !eventSplitter_.lastEventId().empty()) && tryAcquireRetry(admitted)) {
-        if (startAttempt(admitted)) {
+        if (readmit() || startAttempt(admitted)) {
             return false;
         }
         const auto head
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "event_splitter.h"
+#include "jasminewood/core/boot_clock.h"
 #include "jasminewood/core/result.h"
 #include "jasminewood/forward/admission.h"
 #include "jasminewood/forward/frontend.h"
@@ -75,11 +76,18 @@
     auto endAttempt(AttemptResult result) -> void;
     auto refuse(const Refusal &refusal) -> http::Response;
     auto recordOutcome(const std::string &outcome, int status, const observe::Fields &extraFields = {}) -> void;
+    // Returns a refusal if the request may not be sent any more: its key or its route was taken away since it was
+    // admitted, or the keys are no longer confirmed.
+    auto readmit() -> std::optional<Refusal>;
     auto remainingTime() const -> Milliseconds;
 
     Frontend &frontend_;
     const http::Request request_;
     const TimePoint arrivedAt_;
+    const BootTime arrivedAtBoot_;
+    BootTime admittedAt_;
+    // The total time that the request may take.
+    Milliseconds timeout_ = Milliseconds(0);
     const RequestMetadata requestMetadata_;
     const std::shared_ptr<const routes::RouteTable> routeTable_;
     TimePoint deadline_;
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -159,6 +159,11 @@
         "the configuration was read");
 }
 
+auto FrontendFixture::stopStore() -> void
+{
+    store_->stop();
+}
+
 auto FrontendFixture::addUpstream(const std::string &id, http::Handler handler) -> void
 {
     servers_.push_back(*http::Server::start({}, std::move(handler)));
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -52,6 +52,8 @@
     // not.
     auto registerUpstream(const std::string &id, const std::string &address, const std::string &state) -> void;
     auto publish(std::int64_t version) -> void;
+    // Makes the store refuse all connections.
+    auto stopStore() -> void;
 
     auto url(const std::string &path) const -> std::string;
     auto port() const -> std::uint16_t;
--- a/packages/forward/tests/frontend_test.cpp
+++ b/packages/forward/tests/frontend_test.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "frontend_fixture.h"
+#include "jasminewood/forward/admission.h"
 #include "jasminewood/testkit/test_suite.h"
 
 using namespace jasminewood;
@@ -109,6 +110,44 @@
                         check(*runs == 2);
                     }),
             }),
+        section("that holds a request while its keys cease to be confirmed",
+            {
+                // Guards against a request that is sent although the permission that it was admitted with has run out.
+                test("does not send it to another upstream",
+                    [] {
+                        auto fixture = FrontendFixture(sampleConfiguration(), Milliseconds(1'000));
+                        auto runs = std::make_shared<std::atomic<int>>(0);
+                        for (const auto *id : {"a", "b"}) {
+                            fixture.addUpstream(id, [runs, &fixture](const http::Request &request) -> http::Response {
+                                if ((*runs)++ > 0) {
+                                    return authenticResponse(request, 200, "done");
+                                }
+                                while (fixture.configuration().keysConfirmed()) {
+                                    std::this_thread::sleep_for(Milliseconds(10));
+                                }
+                                return http::BufferedResponse {
+                                    .status_ = 503, .headers_ = {{.name_ = "Not-Run", .value_ = "1"}}};
+                            });
+                        }
+                        waitUntil(
+                            [&fixture] {
+                                return fixture.configuration().keysConfirmed();
+                            },
+                            "the keys are confirmed");
+                        fixture.stopStore();
+                        const auto response
+                            = sendRequest(fixture, "GET", "/again/", FrontendFixture::requestFields("r1"));
+                        check(response.status_ == 503 && *runs == 1);
+                    }),
+                // Guards against an upstream that works longer than the caller waits, since the clock of the timeout
+                // stood still while the machine was suspended.
+                test("counts the time of a suspension",
+                    [] {
+                        const auto second = Milliseconds(1'000);
+                        check(remainingTimeout(4 * second, second, second) == 3 * second);
+                        check(remainingTimeout(4 * second, second, 3 * second) == second);
+                    }),
+            }),
         section("whose upstream closes the connection without a response",
             {
                 // Guards against a request that runs twice, and against a wrong "not run".
