Do not send a request whose caller has left

Traces: the caller leaves at 16.26 s, the request reaches an engine at 18.85 s and is cancelled 13 ms later. The router looked at the caller's socket only after libcurl had sent.

Change: the caller's socket is looked at before each attempt, and again when the connection is ready, just before the request is written.

Test: a caller that left before a request is sent on a kept connection. Without the second check it failed.

--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -112,6 +112,9 @@
     frontend_.countRequest(service_);
     frontend_.upstreams_->pool().recordArrival(selectionCriteria(), arrivedAt_);
     do {
+        if (request_.callerDisconnected_ && request_.callerDisconnected_()) {
+            return closeForLeftCaller();
+        }
         if (const auto refusal = readmit()) {
             return possiblyRunAttempts_ == 0 ? refuse(*refusal) : respondAfterFailure();
         }
@@ -417,12 +420,17 @@
     return true;
 }
 
+auto RequestRun::closeForLeftCaller() -> http::Response
+{
+    recordOutcome("caller left", http::closeWithoutResponse);
+    return http::BufferedResponse {.status_ = http::closeWithoutResponse};
+}
+
 auto RequestRun::respondAfterFailure() -> http::Response
 {
     const auto &failure = lastFailure_->failure_;
     if (failure.step_ == "caller") {
-        recordOutcome("caller left", http::closeWithoutResponse);
-        return http::BufferedResponse {.status_ = http::closeWithoutResponse};
+        return closeForLeftCaller();
     }
     if (lastFailure_->response_) {
         recordOutcome("answered with a failure", lastFailure_->response_->status_, observe::fieldsOf(failure));
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -73,6 +73,8 @@
     // Decides whether the request is retried. If so, acquires the retry from the budget and returns true.
     auto tryAcquireRetry(const AdmittedRequest &admitted) -> bool;
     auto respondAfterFailure() -> http::Response;
+    // Ends a request whose caller closed its connection.
+    auto closeForLeftCaller() -> http::Response;
     auto endAttempt(AttemptResult result) -> void;
     auto refuse(const Refusal &refusal) -> http::Response;
     auto recordOutcome(const std::string &outcome, int status, const observe::Fields &extraFields = {}) -> void;
--- a/packages/http/include/jasminewood/http/client.h
+++ b/packages/http/include/jasminewood/http/client.h
@@ -57,8 +57,8 @@
     const std::string requestTarget_ = {};
     // True to open a new connection instead of reusing an idle one.
     const bool forceNewConnection_ = false;
-    // A socket whose hang-up ends the wait for a response, such as that of the caller; -1 for none. No data is consumed
-    // from it.
+    // A socket whose hang-up ends the wait for a response, such as that of the caller; -1 for none. A request whose
+    // descriptor hung up before it could be sent is not sent. No data is consumed from it.
     const int watchedDescriptor_ = -1;
 
     auto operator<=>(const ClientRequest &) const = default;
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -155,6 +155,12 @@
     if (state.connected_ && !state.request_.retryable_) {
         return CURL_PREREQFUNC_ABORT;
     }
+    // The connection may have taken long, or this thread may have waited for the processor.
+    const auto watched = state.request_.watchedDescriptor_;
+    if (watched >= 0 && state.watching_ && hungUp(watched, state.watching_)) {
+        state.hungUpBeforeSend_ = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     state.connected_ = true;
     state.lastByteAt_ = Clock::now();
     return CURL_PREREQFUNC_OK;
@@ -315,6 +321,9 @@
             return DriveResult::Ready;
         }
         advance();
+        if (progress_->hungUpBeforeSend_) {
+            return DriveResult::HungUp;
+        }
         if (ready()) {
             return DriveResult::Ready;
         }
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -86,6 +86,8 @@
         bool fieldsDelivered_ = false;
         bool dataRejected_ = false;
         bool watching_ = true;
+        // True if the watched descriptor hung up before the request was sent.
+        bool hungUpBeforeSend_ = false;
     };
 
     using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
--- a/packages/http/tests/hostile_peer_test.cpp
+++ b/packages/http/tests/hostile_peer_test.cpp
@@ -1,8 +1,11 @@
+#include <array>
 #include <atomic>
 #include <string>
 #include <thread>
 
 #include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "jasminewood/http/client.h"
 #include "jasminewood/testbench/raw_peer.h"
@@ -56,8 +59,52 @@
 
 constexpr std::size_t manyBytes = 64U << 20U;
 
+// A pair of connected sockets, such as those of a caller and a router.
+struct SocketPair
+{
+    SocketPair()
+    {
+        check(socketpair(AF_UNIX, SOCK_STREAM, 0, ends_.data()) == 0, "sockets");
+    }
+
+    ~SocketPair()
+    {
+        close(ends_[0]);
+        close(ends_[1]);
+    }
+
+    SocketPair(const SocketPair &) = delete;
+    auto operator=(const SocketPair &) -> SocketPair & = delete;
+
+    std::array<int, 2> ends_ = {-1, -1};
+};
+
 const testkit::TestSuite suite = {"a peer",
     {
+        section("whose caller has left before the request could be sent",
+            {
+                // Guards against work for callers who are gone, at the time when the processor is short.
+                test("does not get the request",
+                    [] {
+                        auto received = std::make_shared<std::atomic<int>>(0);
+                        const auto peer = RawServer([received](int socket) {
+                            while (!readUntil(socket, "\r\n\r\n").empty()) {
+                                ++*received;
+                                sendText(socket, responseWithBody("own"));
+                            }
+                        });
+                        // The connection is kept, so the next request could be sent at once.
+                        check(bool(fetch({.url_ = peer.url()})));
+                        const auto caller = SocketPair();
+                        const auto request = ClientRequest {.url_ = peer.url(), .watchedDescriptor_ = caller.ends_[1]};
+                        shutdown(caller.ends_[0], SHUT_RDWR);
+                        auto exchange = Exchange(request);
+                        const auto head = exchange.head(Clock::now() + 5s);
+                        check(!head && head.failure().step_ == "caller");
+                        std::this_thread::sleep_for(100ms);
+                        check(*received == 1, "the request was not sent");
+                    }),
+            }),
         section("that sends a second copy of a response, late, on a kept connection",
             {
                 // Guards against a caller that gets the response to another request.
