Leave a cached prefix whose engine would answer too late

Change: the choice of an engine knows how many tokens can be prefilled until the response is due, from the route's target and an estimate of the prefill rate (a quantile of the service's own times to first token). A first token that would be late costs 60,000 tokens: more than a prefix of some thousand tokens, so the request goes where it is in time, and stays if it is late everywhere or in time at both.

--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -15,6 +15,7 @@
 #include "jasminewood/membership/upstream_directory.h"
 #include "jasminewood/routing/engine_chooser.h"
 #include "jasminewood/routing/peer_loads.h"
+#include "jasminewood/routing/prefill_rate.h"
 #include "jasminewood/routing/prefix_cache_model.h"
 #include "jasminewood/routing/route_prompt_stats.h"
 #include "jasminewood/routing/upstream_chooser.h"
@@ -56,6 +57,8 @@
     const std::optional<PromptInfo> prompt_;
     // Capacity of the KV cache of one engine of the service, in tokens; 0 if unknown.
     const std::uint64_t engineCacheTokens_ = 0;
+    // The time until the response should start, by the target of the route; empty without a target.
+    const std::optional<Milliseconds> timeUntilDue_ = std::nullopt;
     // Ids of upstreams that were already tried for this request.
     const std::vector<std::string> excludedUpstreams_;
 };
@@ -201,6 +204,7 @@
     auto slowness(const Upstream &upstream, TimePoint now) -> double;
     auto notifyLoadChange() const -> void;
     auto recordRoutedPrompt(const std::string &engine, const PromptInfo &prompt) -> void;
+    auto makePromptRequest(const SelectionCriteria &criteria, bool isLongPrompt) const -> routing::PromptRequest;
     auto removePendingPrefill(Upstream &upstream, const Assignment &assignment) -> void;
 
     mutable std::mutex mutex_;
@@ -216,6 +220,7 @@
     std::map<std::string, std::size_t> longPromptLaneSizes_;
     std::map<std::string, Upstream> upstreams_;
     std::map<std::string, routing::UpstreamHealth> health_;
+    std::map<std::string, routing::PrefillRate> prefillRates_;
 };
 
 } // namespace jasminewood::forward
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -110,7 +110,7 @@
     service_ = routes::chooseService(
         *admitted.route_, XXH3_64bits(requestMetadata_.requestId_.data(), requestMetadata_.requestId_.size()));
     frontend_.countRequest(service_);
-    frontend_.upstreams_->pool().recordArrival(selectionCriteria(), arrivedAt_);
+    frontend_.upstreams_->pool().recordArrival(selectionCriteria(admitted), arrivedAt_);
     do {
         if (request_.callerDisconnected_ && request_.callerDisconnected_()) {
             return closeForLeftCaller();
@@ -135,21 +135,24 @@
     return respondAfterFailure();
 }
 
-auto RequestRun::selectionCriteria() const -> SelectionCriteria
+auto RequestRun::selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria
 {
     const auto *service = routeTable_->findService(service_);
+    const auto target = admitted.route_->targetLatency_;
+    const auto elapsed = std::chrono::ceil<Milliseconds>(Clock::now() - arrivedAt_);
     return {.service_ = service_,
         .route_ = route_,
         .prompt_ = requestMetadata_.prompt_,
         .engineCacheTokens_
         = service != nullptr && service->engineCapacity_ ? service->engineCapacity_->kvCacheTokens_ : 0,
+        .timeUntilDue_ = target.count() > 0 ? std::optional(target - elapsed) : std::nullopt,
         .excludedUpstreams_ = triedUpstreams_};
 }
 
 auto RequestRun::startAttempt(const AdmittedRequest &admitted) -> Status
 {
     const auto now = Clock::now();
-    const auto assignment = frontend_.upstreams_->pool().choose(selectionCriteria(), now);
+    const auto assignment = frontend_.upstreams_->pool().choose(selectionCriteria(admitted), now);
     if (!assignment) {
         return assignment.failure();
     }
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -48,7 +48,7 @@
 
 private:
     auto forward(const AdmittedRequest &admitted) -> http::Response;
-    auto selectionCriteria() const -> SelectionCriteria;
+    auto selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria;
     // Chooses an upstream and sends the request to it; sets assignment_ and exchange_. Fails if there is no upstream.
     auto startAttempt(const AdmittedRequest &admitted) -> Status;
     auto awaitResponse(const AdmittedRequest &admitted) -> std::variant<http::Response, FailedAttempt>;
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -15,6 +15,8 @@
 // Candidates compared for one choice (power of d choices). More than the usual two, because with few routers each one
 // sees most of the load.
 constexpr std::uint32_t candidatesPerChoice = 4;
+// Part of a route's target that is left for the network and for the wait until the engine's next step.
+constexpr Milliseconds firstTokenMargin = Milliseconds(50);
 // The share of an engine's KV cache that is assumed to hold reusable prompt prefixes. Running requests use the rest.
 constexpr double prefixCacheShare = 0.6;
 
@@ -38,18 +40,6 @@
     return prompt.segments_.empty() ? prompt.promptTokens_ : prompt.segments_.back().tokens_;
 }
 
-// Describes the prompt for the choice of an engine. The prefix that other requests may share ends with the second to
-// last segment, whose id identifies it.
-auto makePromptRequest(const PromptInfo &prompt, bool isLongPrompt) -> routing::PromptRequest
-{
-    const auto hasSharedPrefix = prompt.segments_.size() > 1;
-    const auto tokens = promptTokens(prompt);
-    return {.promptTokens_ = tokens,
-        .isLongPrompt_ = isLongPrompt,
-        .sharedPrefixId_ = hasSharedPrefix ? prompt.segments_[prompt.segments_.size() - 2].id_ : 0,
-        .sharedPrefixTokens_ = hasSharedPrefix ? tokens - unsharedTokens(prompt) : 0};
-}
-
 // Returns the time to first token, normalised to a fixed number of prefill tokens, so that engines which receive long
 // prompts do not appear slower than others.
 auto normalisedTimeToFirstToken(const Assignment &assignment, TimePoint now) -> Microseconds
@@ -186,7 +176,25 @@
             .inLongPromptLane_ = inLongPromptLane[index]});
     }
     return ids[engineChooser_.choose(
-        makePromptRequest(*criteria.prompt_, promptStats.hasLongPrompts(criteria.route_)), candidates)];
+        makePromptRequest(criteria, promptStats.hasLongPrompts(criteria.route_)), candidates)];
+}
+
+// The prefix that other requests may share ends with the second to last segment, whose id identifies it.
+auto UpstreamPool::makePromptRequest(const SelectionCriteria &criteria, bool isLongPrompt) const
+    -> routing::PromptRequest
+{
+    const auto &prompt = *criteria.prompt_;
+    const auto hasSharedPrefix = prompt.segments_.size() > 1;
+    const auto tokens = promptTokens(prompt);
+    const auto rate = prefillRates_.find(criteria.service_);
+    const auto estimate = rate == prefillRates_.end() ? routing::PrefillRate() : rate->second;
+    return {.promptTokens_ = tokens,
+        .isLongPrompt_ = isLongPrompt,
+        .sharedPrefixId_ = hasSharedPrefix ? prompt.segments_[prompt.segments_.size() - 2].id_ : 0,
+        .sharedPrefixTokens_ = hasSharedPrefix ? tokens - unsharedTokens(prompt) : 0,
+        .tokensUntilDue_ = criteria.timeUntilDue_
+            ? std::optional(estimate.tokensIn(*criteria.timeUntilDue_ - firstTokenMargin))
+            : std::nullopt};
 }
 
 auto UpstreamPool::recordArrival(const SelectionCriteria &criteria, TimePoint now) -> void
@@ -250,6 +258,10 @@
     notifyLoadChange();
     health_[assignment.upstream_.service_].recordTimeToFirstToken(
         nodeIdOf(assignment.upstream_), normalisedTimeToFirstToken(assignment, now), now);
+    if (assignment.pendingPrefillTokens_ == 0) {
+        prefillRates_[assignment.upstream_.service_].record(
+            assignment.prefillTokens_, std::max(1.0, found->second.reportedSlowness_), now - assignment.startedAt_);
+    }
 }
 
 auto UpstreamPool::recordAttemptEnd(const Assignment &assignment, AttemptResult result, TimePoint now) -> void
--- a/packages/routing/include/jasminewood/routing/engine_chooser.h
+++ b/packages/routing/include/jasminewood/routing/engine_chooser.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -50,6 +51,8 @@
     const std::uint64_t sharedPrefixId_ = 0;
     // Length of the shared prefix in tokens.
     const std::uint64_t sharedPrefixTokens_ = 0;
+    // The prompt tokens that an engine of usual speed prefills until the response is due; empty if that is not known.
+    const std::optional<std::uint64_t> tokensUntilDue_ = std::nullopt;
 
     auto operator<=>(const PromptRequest &) const = default;
 };
@@ -63,6 +66,10 @@
 // Cost of a long prompt for each stream that runs at an engine of the other lane: the prefill increases the inter-token
 // latency of the stream, which costs as much as this many tokens.
 constexpr double tokensPerDelayedStream = 4'000;
+// Cost of a first output token that comes too late. It exceeds that of computing a shared prefix of some thousand
+// tokens again, so a request leaves the queue of the engine that has its prefix cached if it would be late there and
+// not elsewhere.
+constexpr double lateFirstTokenCost = 60'000;
 // Costs that differ by less than this count as equal; an engine in the router's own data centre is then preferred.
 constexpr double costTieTokens = 64;
 
--- a/packages/routing/src/engine_chooser.cpp
+++ b/packages/routing/src/engine_chooser.cpp
@@ -63,9 +63,10 @@
     const auto shared = std::min(request.sharedPrefixTokens_, request.promptTokens_);
     const auto recomputed = shared - std::min(shared, cached);
     const auto tokens = double(candidate.pendingPrefillTokens_) + double(request.promptTokens_ - cached)
-        + (recomputeWeight - 1) * double(recomputed) + tokensPerRunningRequest * candidate.activeRequests_
-        + tokensPerQueuedRequest * queuedRequests;
-    return tokens * candidate.slowness_ + crossLaneCost(request, candidate);
+        + tokensPerRunningRequest * candidate.activeRequests_ + tokensPerQueuedRequest * queuedRequests;
+    const auto isLate = request.tokensUntilDue_ && tokens * candidate.slowness_ > double(*request.tokensUntilDue_);
+    return (tokens + (recomputeWeight - 1) * double(recomputed)) * candidate.slowness_
+        + (isLate ? lateFirstTokenCost : 0) + crossLaneCost(request, candidate);
 }
 
 auto longPromptLaneSize(double share, std::size_t engines, std::size_t previous) -> std::size_t
--- a/packages/routing/tests/engine_chooser_test.cpp
+++ b/packages/routing/tests/engine_chooser_test.cpp
@@ -114,6 +114,27 @@
                         check(chooser.choose(request, engines(40'000)) == 1);
                         check(chooser.choose(request, engines(80'000)) != 1);
                     }),
+                // Guards against a burst in which requests queue beyond their target behind a shared prefix, while
+                // other engines are idle.
+                test("leaves it for an idle engine if the first token would be late there",
+                    [] {
+                        const auto engines = std::vector<EngineCandidate> {{.id_ = "a", .slots_ = 12},
+                            {.id_ = "b",
+                                .pendingPrefillTokens_ = 27'000,
+                                .cachedPrefixTokens_ = 6'300,
+                                .activeRequests_ = 4,
+                                .slots_ = 12}};
+                        const auto choose = [&engines](std::optional<std::uint64_t> tokensUntilDue) {
+                            return EngineChooser(1).choose({.promptTokens_ = 9'190,
+                                                               .sharedPrefixTokens_ = 6'300,
+                                                               .tokensUntilDue_ = tokensUntilDue},
+                                engines);
+                        };
+                        check(choose(15'000) == 0, "the idle engine is in time");
+                        check(choose(60'000) == 1, "both are in time");
+                        check(choose(5'000) == 1, "both are late");
+                        check(choose(std::nullopt) == 1, "no target is known");
+                    }),
                 // Guards against a home engine that changes with the lanes and reads again what another engine keeps.
                 test("prefers an engine that is known to hold it to the home engine, which may not",
                     [] {
