--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -63,6 +63,8 @@
     const std::vector<std::string> excludedUpstreams_;
 };
 
+constexpr Milliseconds noLoadReport = Milliseconds(-1);
+
 // The upstream chosen for one attempt, and its load at that time.
 struct Assignment
 {
@@ -73,7 +75,7 @@
     const std::uint64_t pendingPrefillTokens_ = 0;
     // Requests that ran or waited at the upstream when it was chosen.
     const std::uint32_t inFlightRequests_ = 0;
-    // Age of the upstream's last load report when it was chosen.
+    // Age of the upstream's last load report when it was chosen; noLoadReport if it had sent none.
     const Milliseconds loadReportAge_ = Milliseconds(0);
     const TimePoint startedAt_;
 
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -232,7 +232,9 @@
         .prefillTokens_ = prefillTokens,
         .pendingPrefillTokens_ = loadBefore.pendingPrefillTokens_,
         .inFlightRequests_ = loadBefore.inFlightRequests_,
-        .loadReportAge_ = std::chrono::duration_cast<Milliseconds>(now - upstream.reportedAt_),
+        .loadReportAge_ = upstream.reportedAt_ == TimePoint()
+            ? noLoadReport
+            : std::chrono::duration_cast<Milliseconds>(now - upstream.reportedAt_),
         .startedAt_ = now};
 }
 
