Satisfy the linter in the feed and the new tests

Cause: clang-tidy stopped at a value-initialised struct of const fields, a copied parameter and the name of a constant in a class. No behaviour changes. Tests of relay, http and forward pass as before.

--- a/packages/forward/src/store_feed.cpp
+++ b/packages/forward/src/store_feed.cpp
@@ -100,7 +100,7 @@
 
 auto StoreFeed::chooseSource() -> std::optional<std::string>
 {
-    const auto routers = network_ ? network_->routerNames() : relay::RouterNames();
+    const auto routers = network_ ? network_->routerNames() : relay::RouterNames {};
     const auto lock = std::scoped_lock(mutex_);
     auto source = state_->applied() > 0 ? selector_->choose(routers, Clock::now()) : std::nullopt;
     if (source != source_) {
--- a/packages/http/tests/hostile_peer_test.cpp
+++ b/packages/http/tests/hostile_peer_test.cpp
@@ -43,7 +43,7 @@
 
 // Returns a peer that answers the first request of a connection and then sends `extra`, and answers each later request
 // with "own".
-auto peerWithLateBytes(const std::string &extra, std::shared_ptr<std::atomic<int>> connections)
+auto peerWithLateBytes(const std::string &extra, const std::shared_ptr<std::atomic<int>> &connections)
 {
     return [extra, connections](int socket) {
         ++*connections;
--- a/packages/relay/tests/relay_model_test.cpp
+++ b/packages/relay/tests/relay_model_test.cpp
@@ -23,6 +23,9 @@
 constexpr int steps = 400;
 constexpr auto stepTime = Milliseconds(10);
 
+// The revision of the store before the first change.
+constexpr platform::Revision firstRevision = 1;
+
 using Entries = std::map<std::string, std::string>;
 
 // A store that keeps all of its history.
@@ -82,8 +85,6 @@
         }
     }
 
-    static constexpr platform::Revision firstRevision = 1;
-
 private:
     platform::Revision revision_ = firstRevision;
     std::vector<platform::WatchEvent> changes_;
