Accept datagrams from known routers only, and changes from the source only

Cause: since routers pass on the store's changes by datagrams, a datagram may change the configuration of a process. Anything that could be decoded was accepted, from any address.

Change: a datagram counts only if it comes from the address of a router that the store names, and changes only if they come from the router that this one follows. Others are counted. Test: a malformed datagram, changes of a stranger and an impossible fragment.

--- a/packages/forward/include/jasminewood/forward/peer_network.h
+++ b/packages/forward/include/jasminewood/forward/peer_network.h
@@ -6,7 +6,9 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -38,6 +40,13 @@
     const std::string keyPrefix_ = "jasminewood/routers/";
 };
 
+namespace internal
+{
+
+class FragmentAssembler;
+
+} // namespace internal
+
 // Called on the receiving thread for each message.
 using MessageHandler = std::function<auto(const wire::Message &message)->void>;
 
@@ -81,6 +90,10 @@
     auto openSocket() -> Status;
     auto subscribe(StoreFeed &feed) -> void;
     auto receiveLoop() -> void;
+    // Passes the message of a datagram to the handlers, once all of its fragments have arrived. Only known routers may
+    // change what this process believes or occupy its memory.
+    auto receiveDatagram(std::string_view datagram, const sockaddr_in &sender, internal::FragmentAssembler &assembler)
+        -> void;
     // Passes a message to the handlers.
     auto handleMessage(const wire::Message &message) -> void;
     // Returns the name of the router with this address, and records that it was heard.
@@ -109,6 +122,7 @@
     // The other routers by name.
     std::map<std::string, Peer> peers_;
     std::vector<MessageHandler> handlers_;
+    std::optional<observe::Counter> rejectedCounter_;
     std::thread receiverThread_;
     std::thread registrationThread_;
 };
--- a/packages/forward/src/peer_network.cpp
+++ b/packages/forward/src/peer_network.cpp
@@ -94,6 +94,8 @@
     if (auto failure = openSocket()) {
         return failure;
     }
+    rejectedCounter_.emplace(environment_->metrics().counter("jasminewood_peer_datagrams_rejected_total",
+        "Datagrams that cannot be decoded or do not come from a known router"));
     // Distinct from the ids of an earlier process with this address.
     nextMessageId_ = environment_->identity().node_.incarnation_;
     subscribe(*feed);
@@ -362,21 +364,27 @@
                 return;
             }
         }
-        const auto router = recordHeard(sender);
-        auto message = wire::decode(std::string_view(buffer.data(), std::size_t(std::max<ssize_t>(size, 0))));
-        const auto *fragment = message ? std::get_if<wire::Fragment>(&*message) : nullptr;
-        if (fragment != nullptr) {
-            // Only known routers may occupy memory.
-            const auto joined = router.empty() ? std::nullopt : assembler.add(router, *fragment);
-            if (!joined) {
-                continue;
-            }
-            const auto whole = wire::decode(*joined);
-            if (whole) {
-                handleMessage(*whole);
-            }
-        } else if (message) {
-            handleMessage(*message);
+        receiveDatagram(std::string_view(buffer.data(), std::size_t(std::max<ssize_t>(size, 0))), sender, assembler);
+    }
+}
+
+auto PeerNetwork::receiveDatagram(
+    std::string_view datagram, const sockaddr_in &sender, internal::FragmentAssembler &assembler) -> void
+{
+    const auto router = recordHeard(sender);
+    const auto message = wire::decode(datagram);
+    if (router.empty() || !message) {
+        rejectedCounter_->add();
+        return;
+    }
+    const auto *fragment = std::get_if<wire::Fragment>(&*message);
+    if (fragment == nullptr) {
+        handleMessage(*message);
+    } else if (const auto joined = assembler.add(router, *fragment)) {
+        if (const auto whole = wire::decode(*joined)) {
+            handleMessage(*whole);
+        } else {
+            rejectedCounter_->add();
         }
     }
 }
--- a/packages/forward/src/store_feed.cpp
+++ b/packages/forward/src/store_feed.cpp
@@ -249,13 +249,14 @@
 {
     const auto update = internal::parseChanges(message);
     const auto lock = std::scoped_lock(mutex_);
+    if (message.router_.name_ != source_) {
+        return;
+    }
     const auto confirmedBefore = state_->confirmedAt();
-    if (message.router_.name_ == source_) {
-        if (sourceOutages_ && message.outages_ > *sourceOutages_) {
-            notifyFailure({.step_ = "relay", .peer_ = message.router_.name_, .reason_ = "the store was unavailable"});
-        }
-        sourceOutages_ = message.outages_;
+    if (sourceOutages_ && message.outages_ > *sourceOutages_) {
+        notifyFailure({.step_ = "relay", .peer_ = message.router_.name_, .reason_ = "the store was unavailable"});
     }
+    sourceOutages_ = message.outages_;
     const auto step = state_->applyUpdate(update, BootClock::now());
     notifyChanges(step);
     if (std::holds_alternative<relay::MissingChanges>(step)) {
--- a/packages/forward/tests/store_feed_test.cpp
+++ b/packages/forward/tests/store_feed_test.cpp
@@ -3,7 +3,13 @@
 #include <algorithm>
 #include <thread>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "jasminewood/testkit/test_suite.h"
+#include "jasminewood/wire/codec.h"
 #include "router_fixture.h"
 
 using namespace jasminewood;
@@ -76,6 +82,26 @@
     return std::size_t(reader - routers.begin());
 }
 
+auto rejectedDatagrams(const RouterFixture &router) -> int
+{
+    const auto name = std::string("\njasminewood_peer_datagrams_rejected_total ");
+    const auto metrics = router.metrics();
+    const auto position = metrics.find(name);
+    check(position != std::string::npos, "the counter");
+    return std::stoi(metrics.substr(position + name.size()));
+}
+
+auto sendDatagram(std::uint16_t port, const std::string &datagram) -> void
+{
+    const auto socket = ::socket(AF_INET, SOCK_DGRAM, 0);
+    auto address = sockaddr_in {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    sendto(socket, datagram.data(), datagram.size(), 0, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    close(socket);
+}
+
 const testkit::TestSuite suite = {"routers of one data centre that share a feed of the store",
     {
         section("in steady state",
@@ -155,6 +181,30 @@
                         }));
                     }),
             }),
+        section("that get datagrams of a stranger",
+            {
+                // Guards against a malformed or foreign datagram that ends a process or changes its configuration.
+                test("reject them and go on",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto routers = startRouters(2, store->port());
+                        publish(*routers.front(), 2);
+                        awaitVersion(routers, 2);
+                        const auto before = rejectedDatagrams(*routers.front());
+                        sendDatagram(routers.front()->network().port(), "no message");
+                        sendDatagram(routers.front()->network().port(),
+                            wire::encode(wire::StoreChanges {.router_ = {.name_ = "router-1"}, .upToRevision_ = 99}));
+                        sendDatagram(routers.front()->network().port(),
+                            wire::encode(wire::Fragment {.index_ = 7, .count_ = 3, .data_ = "x"}));
+                        waitUntil(
+                            [&routers, before] {
+                                return rejectedDatagrams(*routers.front()) >= before + 3;
+                            },
+                            "the datagrams are rejected");
+                        publish(*routers.front(), 3);
+                        awaitVersion(routers, 3);
+                    }),
+            }),
         section("whose configuration exceeds a datagram",
             {
                 // Guards against followers that miss each larger change and read the store for it.
