Count other routers' prompts at engines that this router never used

A router dropped the reports of prompts at engines that it had not used itself, since it knew no cache capacity for them: with 68 routers and 117 engines that is nearly all of them. What little it knew made the assumption about home engines useless.

Change: the capacity is set for all engines of a service. The test (an engine that only another router used) failed before.

--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -179,7 +179,7 @@
         double reportedSlowness_ = 1;
         TimePoint reportedAt_;
         // The part of the engine's KV cache that is assumed to hold reusable prefixes, in tokens; 0 until the first
-        // prompt is routed to the upstream.
+        // prompt for its service.
         std::uint64_t cacheCapacityTokens_ = 0;
         // Tokens to prefill for the attempts whose response has not started, by the time at which the upstream was
         // chosen.
@@ -206,6 +206,8 @@
     auto slowness(const Upstream &upstream, TimePoint now) -> double;
     auto notifyLoadChange() const -> void;
     auto recordRoutedPrompt(const std::string &engine, const PromptInfo &prompt) -> void;
+    // Sets the capacity of all engines of the service, so that the reports of other routers count for each of them.
+    auto setCacheCapacity(const SelectionCriteria &criteria) -> void;
     auto makePromptRequest(const SelectionCriteria &criteria, bool isLongPrompt) const -> routing::PromptRequest;
     auto removePendingPrefill(Upstream &upstream, const Assignment &assignment) -> void;
 
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -205,9 +205,22 @@
     }
 }
 
+auto UpstreamPool::setCacheCapacity(const SelectionCriteria &criteria) -> void
+{
+    const auto capacity = std::uint64_t(prefixCacheShare * double(criteria.engineCacheTokens_));
+    for (auto &[id, upstream] : upstreams_) {
+        if (upstream.record_->service_ == criteria.service_) {
+            upstream.cacheCapacityTokens_ = capacity;
+        }
+    }
+}
+
 auto UpstreamPool::choose(const SelectionCriteria &criteria, TimePoint now) -> Result<Assignment>
 {
     const auto lock = std::scoped_lock(mutex_);
+    if (criteria.prompt_) {
+        setCacheCapacity(criteria);
+    }
     const auto candidates = eligibleUpstreams(criteria, now);
     const auto chosenId = criteria.prompt_ && !candidates.empty()
         ? Result<std::string>(chooseEngine(criteria, candidates, now))
@@ -222,7 +235,6 @@
     if (criteria.prompt_) {
         prefillTokens = promptTokens(*criteria.prompt_)
             - prefixCacheModel_.cachedPrefixTokens(*chosenId, criteria.prompt_->segments_);
-        upstream.cacheCapacityTokens_ = std::uint64_t(prefixCacheShare * double(criteria.engineCacheTokens_));
         prefixCacheModel_.recordPrompt(*chosenId, criteria.prompt_->segments_, upstream.cacheCapacityTokens_);
         recordRoutedPrompt(*chosenId, *criteria.prompt_);
         upstream.pendingPrefill_.emplace(now, prefillTokens);
