Count each call to the store under its own name; log a configuration's size

The log of an applied configuration did not say how large the document was, which decides whether a slow link can carry it in time.

--- a/packages/forward/src/configuration_watcher.cpp
+++ b/packages/forward/src/configuration_watcher.cpp
@@ -86,7 +86,8 @@
     current_ = std::move(table);
     loadedCondition_.notify_all();
     environment_->log().info("applied a configuration",
-        {{"version", version}, {"previous", currentVersion}, {"routes", std::int64_t(configuration->routes_.size())},
+        {{"version", version}, {"previous", currentVersion}, {"bytes", std::int64_t(value.size())},
+            {"routes", std::int64_t(configuration->routes_.size())},
             {"services", std::int64_t(configuration->services_.size())},
             {"accounts", std::int64_t(configuration->accounts_.size())}});
 }
--- a/packages/platform/src/key_value.cpp
+++ b/packages/platform/src/key_value.cpp
@@ -170,7 +170,7 @@
 
 auto KeyValueClient::performCall(const std::string &operation, const HttpCall &call) -> Result<http::ClientResponse>
 {
-    countCall("watch");
+    countCall(operation);
     auto headers = std::vector<http::HeaderField>();
     if (!call.body_.empty()) {
         headers.push_back({.name_ = "Content-Type", .value_ = "application/json"});
