Let a read of the store take as long as its response keeps arriving

The followers could not help, since the change exceeds what a source passes on. Class: a deadline on the whole of a transfer whose size others decide, instead of on its progress.

Writes and leases keep their total deadline.

--- a/packages/platform/include/jasminewood/platform/key_value.h
+++ b/packages/platform/include/jasminewood/platform/key_value.h
@@ -40,11 +40,16 @@
     std::atomic<bool> cancelled_ = false;
 };
 
+// The maximum time of a read whose response keeps arriving, as a multiple of the timeout.
+constexpr int maximumReadTimeouts = 10;
+
 struct KeyValueOptions
 {
     // For example "http://10.0.0.9:2379".
     const std::string url_;
-    // Timeout of each call except a watch.
+    // Timeout of each call that is not a watch. A read of a prefix, and the response to a watch with PagedProtocol, may
+    // take longer for as long as the response keeps arriving, up to maximumReadTimeouts times the timeout: how much
+    // there is to read depends on what others have written.
     const Milliseconds timeout_ = Milliseconds(2'000);
     const Milliseconds connectTimeout_ = Milliseconds(1'000);
     // The retry time in failures.
@@ -99,15 +104,26 @@
     auto callCount() const -> std::uint64_t;
 
 private:
+    // The maximum time of a call, and the maximum time without data; 0 for no limit.
+    struct CallLimits
+    {
+        const Milliseconds total_ = Milliseconds(0);
+        const Milliseconds idle_ = Milliseconds(0);
+    };
+
     auto post(const std::string &operation, const std::string &path, const std::string &body) -> Result<std::string>;
     auto wrapFailure(const std::string &operation, const Failure &reason) const -> Failure;
     auto countCall(const std::string &operation) -> void;
     // Performs a call and returns its response with any status.
-    auto performCall(const std::string &operation, const HttpCall &call) -> Result<http::ClientResponse>;
+    auto performCall(const std::string &operation, const HttpCall &call, const CallLimits &limits)
+        -> Result<http::ClientResponse>;
     template <typename Value>
     auto parseBody(const std::string &operation, const Result<std::string> &body,
         const std::function<auto(const std::string &)->Result<Value>> &parser) const -> Result<Value>;
-    auto fetchBody(const std::string &operation, const HttpCall &call) -> Result<std::string>;
+    auto fetchBody(const std::string &operation, const HttpCall &call, const CallLimits &limits) -> Result<std::string>;
+    // Limits of a call that must be complete within the timeout, and of a read, which must make progress.
+    auto callLimits() const -> CallLimits;
+    auto readLimits() const -> CallLimits;
     auto getAllPages(const PagedProtocol &protocol, const std::string &prefix) -> Result<Snapshot>;
     auto watchStream(const WatchRequest &request, WatchCall &call,
         const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<Revision>;
--- a/packages/platform/src/key_value.cpp
+++ b/packages/platform/src/key_value.cpp
@@ -156,7 +156,17 @@
 auto KeyValueClient::post(const std::string &operation, const std::string &path, const std::string &body)
     -> Result<std::string>
 {
-    return fetchBody(operation, HttpCall {.path_ = path, .body_ = body});
+    return fetchBody(operation, HttpCall {.path_ = path, .body_ = body}, callLimits());
+}
+
+auto KeyValueClient::callLimits() const -> CallLimits
+{
+    return {.total_ = options_.timeout_};
+}
+
+auto KeyValueClient::readLimits() const -> CallLimits
+{
+    return {.total_ = maximumReadTimeouts * options_.timeout_, .idle_ = options_.timeout_};
 }
 
 auto KeyValueClient::wrapFailure(const std::string &operation, const Failure &reason) const -> Failure
@@ -168,7 +178,8 @@
         .retryAfter_ = options_.retryAfter_};
 }
 
-auto KeyValueClient::performCall(const std::string &operation, const HttpCall &call) -> Result<http::ClientResponse>
+auto KeyValueClient::performCall(const std::string &operation, const HttpCall &call, const CallLimits &limits)
+    -> Result<http::ClientResponse>
 {
     countCall(operation);
     auto headers = std::vector<http::HeaderField>();
@@ -180,13 +191,15 @@
         .headers_ = headers,
         .body_ = call.body_,
         .connectTimeout_ = options_.connectTimeout_,
-        .timeout_ = options_.timeout_});
+        .timeout_ = limits.total_,
+        .idleTimeout_ = limits.idle_});
     return response ? response : Result<http::ClientResponse>(wrapFailure(operation, response.failure()));
 }
 
-auto KeyValueClient::fetchBody(const std::string &operation, const HttpCall &call) -> Result<std::string>
+auto KeyValueClient::fetchBody(const std::string &operation, const HttpCall &call, const CallLimits &limits)
+    -> Result<std::string>
 {
-    const auto response = performCall(operation, call);
+    const auto response = performCall(operation, call, limits);
     if (!response) {
         return response.failure();
     }
@@ -213,7 +226,7 @@
     auto first = std::optional<Revision>();
     auto after = std::string();
     for (auto hasMore = true; hasMore;) {
-        const auto body = fetchBody("get prefix", protocol.encodeRange_(prefix, after));
+        const auto body = fetchBody("get prefix", protocol.encodeRange_(prefix, after), readLimits());
         if (!body) {
             return body.failure();
         }
@@ -247,7 +260,7 @@
         return getAllPages(*protocol, prefix);
     }
     const auto range = internal::encodeRange(prefix, internal::prefixEnd(prefix));
-    const auto body = post("get prefix", "/v3/kv/range", range.dump());
+    const auto body = fetchBody("get prefix", HttpCall {.path_ = "/v3/kv/range", .body_ = range.dump()}, readLimits());
     return decodeResponse(options_, "get prefix", body, [](const json &response) {
         return Snapshot {.revision_ = internal::revisionOf(response), .entries_ = internal::decodeEntries(response)};
     });
@@ -283,7 +296,7 @@
 {
     const auto entry = PutKey {.key_ = key, .value_ = value, .lease_ = lease};
     if (const auto *protocol = std::get_if<PagedProtocol>(&options_.protocol_)) {
-        return parseBody("put", fetchBody("put", protocol->encodePut_(entry)), protocol->parsePut_);
+        return parseBody("put", fetchBody("put", protocol->encodePut_(entry), callLimits()), protocol->parsePut_);
     }
     return decodeResponse(
         options_, "put", post("put", "/v3/kv/put", internal::encodePut(entry).dump()), [](const json &response) {
@@ -320,8 +333,8 @@
 auto KeyValueClient::grantLease(std::chrono::seconds timeToLive) -> Result<LeaseId>
 {
     if (const auto *protocol = std::get_if<PagedProtocol>(&options_.protocol_)) {
-        return parseBody(
-            "lease grant", fetchBody("lease grant", protocol->encodeGrantLease_(timeToLive)), protocol->parseLease_);
+        return parseBody("lease grant", fetchBody("lease grant", protocol->encodeGrantLease_(timeToLive), callLimits()),
+            protocol->parseLease_);
     }
     const auto request = json {{"TTL", std::to_string(timeToLive.count())}};
     return decodeResponse(
@@ -333,7 +346,7 @@
 auto KeyValueClient::keepAlive(LeaseId lease) -> Result<std::chrono::seconds>
 {
     if (const auto *protocol = std::get_if<PagedProtocol>(&options_.protocol_)) {
-        const auto response = performCall("lease keepalive", protocol->encodeRenewLease_(lease));
+        const auto response = performCall("lease keepalive", protocol->encodeRenewLease_(lease), callLimits());
         if (!response) {
             return response.failure();
         }
@@ -357,7 +370,7 @@
 auto KeyValueClient::revokeLease(LeaseId lease) -> Status
 {
     if (const auto *protocol = std::get_if<PagedProtocol>(&options_.protocol_)) {
-        const auto body = fetchBody("lease revoke", protocol->encodeRevokeLease_(lease));
+        const auto body = fetchBody("lease revoke", protocol->encodeRevokeLease_(lease), callLimits());
         return body ? std::nullopt : Status(body.failure());
     }
     const auto request = json {{"ID", std::to_string(lease)}};
@@ -385,7 +398,8 @@
                                                .url_ = options_.url_ + written.path_,
                                                .body_ = written.body_,
                                                .connectTimeout_ = options_.connectTimeout_,
-                                               .timeout_ = request.timeout_ + options_.timeout_},
+                                               .timeout_ = request.timeout_ + readLimits().total_,
+                                               .idleTimeout_ = request.timeout_ + readLimits().idle_},
         nullptr, [&body](std::string_view data) {
             body.append(data);
             return true;
