Treat a removed entry as gone if the other upstreams kept theirs

Cause: what is missing after an outage stayed routable for 2 s, counted from the read, because its entry may have expired during the outage. An outage of the store, in which the upstreams cannot renew their entries, and a cut between this router and the store looked alike. Class: a belief held on to after an outage, counted from the wrong moment.

Change: the directory looks at the entries that it knew before. Only if most of them are missing, or were created anew (the store's creation revision, now part of the record), did they expire; then the old rule holds. Otherwise the upstreams had the store and what is missing has left.

Evidence: upstream_directory_test "after an outage in which most upstreams kept their entries / ..." (complete read, and change) failed before, "after an outage in which most entries expired" and the earlier tests guard the other side.

--- a/packages/forward/include/jasminewood/forward/protocol_adapter.h
+++ b/packages/forward/include/jasminewood/forward/protocol_adapter.h
@@ -12,6 +12,7 @@
 #include "jasminewood/http/client.h"
 #include "jasminewood/http/server.h"
 #include "jasminewood/membership/upstream_directory.h"
+#include "jasminewood/platform/key_value_types.h"
 #include "jasminewood/routes/configuration.h"
 #include "jasminewood/routing/prefix_cache_model.h"
 
@@ -112,8 +113,7 @@
     const std::string readinessPath_;
     // Parsers fail with step "decode".
     const std::function<auto(const std::string &value)->Result<routes::Configuration>> parseConfiguration_;
-    const std::function<auto(const std::string &key, const std::string &value)->Result<membership::UpstreamRecord>>
-        parseUpstream_;
+    const std::function<auto(const platform::KeyValue &entry)->Result<membership::UpstreamRecord>> parseUpstream_;
     const std::function<auto(const http::Request &request)->RequestMetadata> parseRequestMetadata_;
     // Returns the header fields of the request to the upstream, made from the end-to-end fields of the caller's
     // request.
--- a/packages/forward/src/upstream_watcher.cpp
+++ b/packages/forward/src/upstream_watcher.cpp
@@ -84,7 +84,7 @@
 
 auto UpstreamWatcher::parseEntry(const platform::KeyValue &entry) const -> std::optional<membership::UpstreamRecord>
 {
-    const auto record = protocolAdapter_.parseUpstream_(entry.key_, entry.value_);
+    const auto record = protocolAdapter_.parseUpstream_(entry);
     if (!record) {
         environment_->log().warning("ignored a malformed upstream entry", observe::fieldsOf(record.failure()));
         return std::nullopt;
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -32,9 +32,10 @@
     return parts;
 }
 
-auto parseUpstream(const std::string &key, const std::string &value) -> Result<membership::UpstreamRecord>
+auto parseUpstream(const platform::KeyValue &entry) -> Result<membership::UpstreamRecord>
 {
-    const auto parts = splitWords(value);
+    const auto &key = entry.key_;
+    const auto parts = splitWords(entry.value_);
     if (parts.size() != 2) {
         return Failure {.step_ = "decode", .peer_ = key, .reason_ = "not two words"};
     }
--- a/packages/membership/include/jasminewood/membership/upstream_directory.h
+++ b/packages/membership/include/jasminewood/membership/upstream_directory.h
@@ -34,6 +34,9 @@
     // When the process started, in milliseconds since the epoch; distinguishes successive runs under one id. 0 if
     // unknown.
     const std::int64_t incarnation_ = 0;
+    // The revision of the store at which the entry was created; 0 if unknown. It changes if the entry expires and the
+    // upstream registers again.
+    const std::int64_t registeredAt_ = 0;
 
     auto operator<=>(const UpstreamRecord &) const = default;
 };
@@ -62,16 +65,19 @@
     // Adds the entry of an upstream or replaces the one with the same id.
     auto put(const UpstreamRecord &record, TimePoint now) -> void;
 
-    // Handles an entry that was removed or can no longer be read. During an outage, and within lapsedEntryGracePeriod
-    // after it, the upstream stays routable for a grace period, because its entry may have expired only because it
-    // could not be renewed.
+    // Handles an entry that was removed or can no longer be read. Within lapsedEntryGracePeriod after an outage the
+    // upstream stays routable for a grace period, because its entry may have expired only because it could not be
+    // renewed. During an outage it does so until onStoreAvailable() decides.
     auto remove(const std::string &id, TimePoint now) -> void;
 
     // Replaces all entries by the result of a complete read.
     auto replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now) -> void;
 
     // Called when a call to the store failed. The outage ends with onStoreAvailable(), which must be called after the
-    // changes that the first successful call reports have been applied.
+    // changes that the first successful call reports have been applied. If most of the entries known before were
+    // removed during the outage, they have expired, and the upstreams among them that are still missing stay routable
+    // for lapsedEntryGracePeriod. Otherwise the upstreams could renew their entries, only this router could not read
+    // them, and those that are missing have left.
     auto onStoreFailed(TimePoint now) -> void;
     auto onStoreAvailable(TimePoint now) -> void;
 
@@ -84,8 +90,13 @@
         std::shared_ptr<const UpstreamRecord> record_;
         // When the upstream stops being routable; set only for a removed entry.
         std::optional<TimePoint> routableUntil_;
+        // Whether the entry was known before the current outage, and was removed during it, even if it is back.
+        bool knownBeforeOutage_ = false;
+        bool removedInOutage_ = false;
     };
 
+    auto mostEntriesExpired() const -> bool;
+
     std::map<std::string, Entry> entries_;
     // Empty unless the store is unavailable.
     std::optional<TimePoint> outageStart_;
--- a/packages/membership/src/upstream_directory.cpp
+++ b/packages/membership/src/upstream_directory.cpp
@@ -8,8 +8,12 @@
 
 auto UpstreamDirectory::put(const UpstreamRecord &record, TimePoint /*now*/) -> void
 {
-    entries_[record.id_]
-        = Entry {.record_ = std::make_shared<const UpstreamRecord>(record), .routableUntil_ = std::nullopt};
+    auto &entry = entries_[record.id_];
+    const auto registeredAgain = entry.record_ && entry.record_->registeredAt_ > 0 && record.registeredAt_ > 0
+        && entry.record_->registeredAt_ != record.registeredAt_;
+    entry.removedInOutage_ = entry.removedInOutage_ || (outageStart_ && registeredAgain);
+    entry.record_ = std::make_shared<const UpstreamRecord>(record);
+    entry.routableUntil_.reset();
 }
 
 auto UpstreamDirectory::remove(const std::string &id, TimePoint now) -> void
@@ -23,6 +27,7 @@
     }
     if (outageStart_) {
         found->second.routableUntil_ = now + lapsedEntryGracePeriod;
+        found->second.removedInOutage_ = true;
     } else if (now < graceEndsAt_) {
         found->second.routableUntil_ = std::min(graceEndsAt_, now + removedEntryGracePeriod);
     } else {
@@ -50,15 +55,39 @@
 
 auto UpstreamDirectory::onStoreFailed(TimePoint now) -> void
 {
-    outageStart_ = outageStart_.value_or(now);
+    if (outageStart_) {
+        return;
+    }
+    outageStart_ = now;
+    for (auto &[id, entry] : entries_) {
+        entry.knownBeforeOutage_ = true;
+        entry.removedInOutage_ = entry.routableUntil_.has_value();
+    }
+}
+
+auto UpstreamDirectory::mostEntriesExpired() const -> bool
+{
+    const auto known = std::count_if(entries_.begin(), entries_.end(), [](const auto &item) {
+        return item.second.knownBeforeOutage_;
+    });
+    const auto removed = std::count_if(entries_.begin(), entries_.end(), [](const auto &item) {
+        return item.second.knownBeforeOutage_ && item.second.removedInOutage_;
+    });
+    return 2 * removed > known;
 }
 
 auto UpstreamDirectory::onStoreAvailable(TimePoint now) -> void
 {
-    if (outageStart_) {
-        graceEndsAt_ = now + lapsedEntryGracePeriod;
-        outageStart_.reset();
+    if (!outageStart_) {
+        return;
     }
+    const auto keepsMissing = mostEntriesExpired();
+    std::erase_if(entries_, [keepsMissing, now](const auto &item) {
+        const auto &until = item.second.routableUntil_;
+        return until && (!keepsMissing || now >= *until);
+    });
+    graceEndsAt_ = now + lapsedEntryGracePeriod;
+    outageStart_.reset();
 }
 
 auto UpstreamDirectory::routableUpstreams(TimePoint now) const -> std::vector<RoutableUpstream>
--- a/packages/membership/tests/upstream_directory_test.cpp
+++ b/packages/membership/tests/upstream_directory_test.cpp
@@ -12,9 +12,14 @@
 namespace
 {
 
-auto record(const std::string &id, bool leaving = false) -> UpstreamRecord
+auto record(const std::string &id, bool leaving = false, std::int64_t registeredAt = 0) -> UpstreamRecord
 {
-    return {.id_ = id, .service_ = "pool", .address_ = "10.0.0.1:80", .leaving_ = leaving, .incarnation_ = 7};
+    return {.id_ = id,
+        .service_ = "pool",
+        .address_ = "10.0.0.1:80",
+        .leaving_ = leaving,
+        .incarnation_ = 7,
+        .registeredAt_ = registeredAt};
 }
 
 const testkit::TestSuite story = {"a directory of upstreams",
@@ -34,6 +39,48 @@
                             && !routable.front().routableUntil_);
                     }),
             }),
+        section("after an outage in which most upstreams kept their entries",
+            {
+                // Guards against new work for an upstream that left while only this router had no way to the store: its
+                // entry was removed on purpose.
+                test("drops an upstream whose entry a complete read lacks",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.replaceAll({record("a"), record("b"), record("c")}, now);
+                        directory.onStoreFailed(now + 1s);
+                        directory.replaceAll({record("a"), record("b")}, now + 7s);
+                        directory.onStoreAvailable(now + 7s);
+                        check(directory.routableUpstreams(now + 7s).size() == 2);
+                    }),
+                // The same if the removal arrives as a change.
+                test("drops an upstream whose entry was removed meanwhile",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.replaceAll({record("a"), record("b"), record("c")}, now);
+                        directory.onStoreFailed(now + 1s);
+                        directory.remove("c", now + 7s);
+                        directory.onStoreAvailable(now + 7s);
+                        check(directory.routableUpstreams(now + 7s).size() == 2);
+                    }),
+            }),
+        section("after an outage in which most entries expired",
+            {
+                // Guards against a pool that loses the upstreams that have not registered again yet, only because
+                // others already have.
+                test("keeps the rest until they had time to register again",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.replaceAll(
+                            {record("a", false, 1), record("b", false, 2), record("c", false, 3)}, now);
+                        directory.onStoreFailed(now + 1s);
+                        directory.replaceAll({record("a", false, 11), record("b", false, 12)}, now + 7s);
+                        directory.onStoreAvailable(now + 7s);
+                        check(directory.routableUpstreams(now + 7s).size() == 3);
+                    }),
+            }),
         section("after a store outage",
             {
                 // Guards against a pool without upstreams because all entries expired during the outage.
