Count the timeout of a request from its arrival

Cause: the timeout and the time that is left, passed on to upstreams, were counted from the moment at which the handler ran: after the whole body had arrived, and after a thread had got the processor, also while the request waited behind another one on its connection.

Evidence: forward_test "a request that reaches its timeout / whose body arrived late" and "/ that was not read as soon as it arrived" failed before (over 1.4 s with a timeout of 1 s).

Change: a request carries its arrival: when its first line was read, less the time for which that data had waited in the kernel (TCP_INFO). A request whose timeout has passed before its first attempt is refused as not run (code expired) instead of being sent with 1 ms. A histogram, jasminewood_forward_pickup_seconds, tells the delay.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -90,6 +90,7 @@
     std::map<std::string, routing::RetryBudget> retryBudgets_;
     std::optional<observe::Counter> requestCounter_;
     std::optional<observe::Counter> retryCounter_;
+    std::optional<observe::Histogram> timeToHandler_;
     std::optional<observe::Histogram> timeToResponse_;
     std::shared_ptr<http::Server> server_;
 };
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -42,6 +42,8 @@
     requestCounter_.emplace(metrics.counter("jasminewood_forward_requests_total", "Requests received"));
     retryCounter_.emplace(
         metrics.counter("jasminewood_forward_retries_total", "Attempts beyond the first of a request"));
+    timeToHandler_.emplace(metrics.histogram("jasminewood_forward_pickup_seconds",
+        "Time from the arrival of a request until it was read and a thread handles it"));
     timeToResponse_.emplace(metrics.histogram("jasminewood_forward_answer_seconds", "Time until an answer begins"));
     const auto server = http::Server::start(options_.server_, [this](const http::Request &request) {
         return handleRequest(request);
@@ -122,6 +124,7 @@
 auto Frontend::handleRequest(const http::Request &request) -> http::Response
 {
     requestCounter_->add();
+    timeToHandler_->observe(std::chrono::duration<double>(Clock::now() - request.arrival_.steady_).count());
     return std::make_shared<RequestRun>(*this, request)->handle();
 }
 
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -44,11 +44,11 @@
 RequestRun::RequestRun(Frontend &frontend, const http::Request &request)
     : frontend_(frontend)
     , request_(request)
-    , arrivedAt_(Clock::now())
-    , arrivedAtBoot_(BootClock::now())
-    , admittedAt_(arrivedAtBoot_)
+    , arrivedAt_(request.arrival_.steady_)
+    , arrivedAtBoot_(request.arrival_.boot_)
+    , admittedAt_(BootClock::now())
     , requestMetadata_(frontend.protocolAdapter_.parseRequestMetadata_(request))
-    , routeTable_(frontend.configuration_->awaitCurrent(arrivedAt_ + maximumStartupWait))
+    , routeTable_(frontend.configuration_->awaitCurrent(Clock::now() + maximumStartupWait))
 {
 }
 
@@ -65,6 +65,12 @@
 
 auto RequestRun::readmit() -> std::optional<Refusal>
 {
+    if (remainingTime().count() <= 0) {
+        return Refusal {.status_ = serviceUnavailable,
+            .code_ = "expired",
+            .message_ = "the timeout of the request has passed",
+            .retryAfter_ = unavailableRetryAfter};
+    }
     const auto now = BootClock::now();
     if (now - admittedAt_ <= admissionValidity) {
         return std::nullopt;
@@ -86,7 +92,7 @@
             .message_ = "this process stops",
             .retryAfter_ = stoppingRetryAfter});
     }
-    frontend_.upstreams_->awaitLoaded(arrivedAt_ + maximumStartupWait);
+    frontend_.upstreams_->awaitLoaded(Clock::now() + maximumStartupWait);
     if (!routeTable_) {
         return refuse({.status_ = serviceUnavailable,
             .code_ = "no_configuration",
@@ -110,7 +116,7 @@
     service_ = routes::chooseService(
         *admitted.route_, XXH3_64bits(requestMetadata_.requestId_.data(), requestMetadata_.requestId_.size()));
     frontend_.countRequest(service_);
-    frontend_.upstreams_->pool().recordArrival(selectionCriteria(admitted), arrivedAt_);
+    frontend_.upstreams_->pool().recordArrival(selectionCriteria(admitted), Clock::now());
     do {
         if (request_.callerDisconnected_ && request_.callerDisconnected_()) {
             return closeForLeftCaller();
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -78,8 +78,8 @@
     auto endAttempt(AttemptResult result) -> void;
     auto refuse(const Refusal &refusal) -> http::Response;
     auto recordOutcome(const std::string &outcome, int status, const observe::Fields &extraFields = {}) -> void;
-    // Returns a refusal if the request may not be sent any more: its key or its route was taken away since it was
-    // admitted, or the keys are no longer confirmed.
+    // Returns a refusal if the request may not be sent any more: its timeout has passed, its key or its route was taken
+    // away since it was admitted, or the keys are no longer confirmed.
     auto readmit() -> std::optional<Refusal>;
     auto remainingTime() const -> Milliseconds;
 
--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "jasminewood/core/boot_clock.h"
 #include "jasminewood/core/clock.h"
 #include "jasminewood/core/result.h"
 
@@ -32,6 +33,15 @@
     auto operator<=>(const HeaderField &) const = default;
 };
 
+// A time by both clocks.
+struct Arrival
+{
+    const TimePoint steady_;
+    const BootTime boot_;
+
+    auto operator<=>(const Arrival &) const = default;
+};
+
 // A request whose body has arrived completely.
 struct Request
 {
@@ -54,6 +64,9 @@
     // The socket of the caller's connection, for poll() only: it reports a hang-up when the caller closes. Valid as
     // long as callerDisconnected_.
     const int callerDescriptor_ = -1;
+    // When the request arrived: when its first line was read, less the time for which that data had waited in the
+    // kernel, as far as the kernel tells.
+    const Arrival arrival_ = {};
 };
 
 // A response with this status closes the connection without sending anything.
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -2,13 +2,17 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstddef>
 #include <cstring>
 #include <memory>
 #include <utility>
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 namespace jasminewood::http::internal
 {
@@ -20,6 +24,9 @@
 // whether or not the buffer is full.
 constexpr std::size_t streamBlockBytes = 16 * 1024;
 
+// A longer wait in the kernel is not believed.
+constexpr auto maximumUnreadTime = Milliseconds(60'000);
+
 using NamedValues = std::map<std::string, std::string>;
 
 auto collectField(void *fields, MHD_ValueKind /*kind*/, const char *name, const char *value) -> MHD_Result
@@ -172,8 +179,17 @@
     return malformed || lengthCount + codingCount > 1;
 }
 
-auto makeRequest(MHD_Connection *connection, const char *method, const char *path, std::string target, std::string body)
-    -> Request
+auto arrivalOfLastData(MHD_Connection *connection) -> Arrival
+{
+    auto info = tcp_info {};
+    auto size = socklen_t(sizeof(info));
+    const auto known = getsockopt(socketOf(connection), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+        && size >= offsetof(tcp_info, tcpi_last_data_recv) + sizeof(info.tcpi_last_data_recv);
+    const auto waited = std::min(Milliseconds(known ? info.tcpi_last_data_recv : 0), maximumUnreadTime);
+    return {.steady_ = Clock::now() - waited, .boot_ = BootClock::now() - waited};
+}
+
+auto makeRequest(MHD_Connection *connection, const char *method, const char *path, PendingRequest &pending) -> Request
 {
     auto headers = NamedValues();
     auto fields = std::vector<HeaderField>();
@@ -188,14 +204,15 @@
         .query_ = std::move(query),
         .headers_ = std::move(headers),
         .fields_ = std::move(fields),
-        .requestTarget_ = std::move(target),
+        .requestTarget_ = std::move(pending.target_),
         .parameters_ = std::move(parameters),
-        .body_ = std::move(body),
+        .body_ = std::move(pending.body_),
         .callerDisconnected_ =
             [socket] {
                 return hungUp(socket);
             },
-        .callerDescriptor_ = socket};
+        .callerDescriptor_ = socket,
+        .arrival_ = pending.arrival_};
 }
 
 auto queueResponse(MHD_Connection *connection, const Response &response, bool closeAfterwards) -> MHD_Result
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -11,9 +11,22 @@
 namespace jasminewood::http::internal
 {
 
-// Builds the request from the connection and its completely received body.
-auto makeRequest(MHD_Connection *connection, const char *method, const char *path, std::string target, std::string body)
-    -> Request;
+// A request whose body is being received.
+struct PendingRequest
+{
+    std::string target_;
+    Arrival arrival_;
+    std::string body_ = {};
+    bool headersReceived_ = false;
+    std::size_t receivedBytes_ = 0;
+    bool responseDecided_ = false;
+};
+
+// Builds the request from the connection and its completely received body, which is moved.
+auto makeRequest(MHD_Connection *connection, const char *method, const char *path, PendingRequest &pending) -> Request;
+
+// Returns when the data that was last received on the connection had arrived.
+auto arrivalOfLastData(MHD_Connection *connection) -> Arrival;
 
 // Returns the value of a header field, or an empty string if the field is missing.
 auto headerValue(MHD_Connection *connection, const char *name) -> std::string;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -64,18 +64,10 @@
     return ntohs(address.sin_port);
 }
 
-// A request whose body is being received.
-struct PendingRequest
-{
-    std::string target_;
-    std::string body_;
-    bool headersReceived_ = false;
-    std::size_t receivedBytes_ = 0;
-    bool responseDecided_ = false;
-};
-
 } // namespace
 
+using internal::PendingRequest;
+
 class Server::State
 {
 public:
@@ -152,9 +144,9 @@
     }
 
     // Called with the request target as received; the returned object becomes the context of the request.
-    static auto onRequestTarget(void * /*self*/, const char *target, MHD_Connection * /*connection*/) -> void *
+    static auto onRequestTarget(void * /*self*/, const char *target, MHD_Connection *connection) -> void *
     {
-        return new PendingRequest {.target_ = target};
+        return new PendingRequest {.target_ = target, .arrival_ = internal::arrivalOfLastData(connection)};
     }
 
     static auto onCompleted(
@@ -182,8 +174,7 @@
         }
         // A slow handler or a pause in a stream must not count towards the idle timeout of the caller.
         MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
-        const auto response = callHandler(
-            internal::makeRequest(connection, method, path, std::move(pending.target_), std::move(pending.body_)));
+        const auto response = callHandler(internal::makeRequest(connection, method, path, pending));
         return internal::queueResponse(connection, response, closeConnections_);
     }
 
