Report a router as not ready while it closes new connections

Cause: readiness is answered by a server of its own and did not look at the callers' one. At its maximum of connections (1,024, idle ones included) libmicrohttpd closes each new connection at once, while the probe goes on saying 200.

Change: the probe asks whether a new connection would be served; the number of open ones is a gauge, jasminewood_forward_connections.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -63,6 +63,12 @@
     // Returns whether requests are refused because the process stops.
     auto refusesRequests() const -> bool;
 
+    // Returns whether a new connection of a caller would be served rather than closed for lack of room.
+    auto hasRoom() const -> bool;
+
+    // Returns the number of open connections of callers.
+    auto connectionCount() const -> unsigned;
+
     // Returns the port on which callers connect.
     auto port() const -> std::uint16_t;
 
--- a/packages/forward/include/jasminewood/forward/probes.h
+++ b/packages/forward/include/jasminewood/forward/probes.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "jasminewood/forward/configuration_watcher.h"
+#include "jasminewood/forward/frontend.h"
 #include "jasminewood/forward/upstream_watcher.h"
 #include "jasminewood/http/server.h"
 #include "jasminewood/kernel/service_registry.h"
@@ -22,7 +23,7 @@
     const http::ServerOptions metricsServer_;
 };
 
-// Requires the services "environment", "configuration" and "upstreams". Thread-safe.
+// Requires the services "environment", "configuration", "upstreams" and "front". Thread-safe.
 class ProbeServer
 {
 public:
@@ -34,7 +35,8 @@
     // Makes the readiness probe fail from now on, so that the load balancer opens no new connections.
     auto setNotReady() -> void;
 
-    // Returns true once the configuration and the upstreams have been read, until setNotReady().
+    // Returns true once the configuration and the upstreams have been read, until setNotReady(), unless all connections
+    // of callers are in use.
     auto ready() const -> bool;
 
 private:
@@ -45,6 +47,7 @@
     std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
+    std::shared_ptr<Frontend> frontend_;
     std::atomic<bool> stopping_ = false;
     std::shared_ptr<http::Server> readinessServer_;
     std::shared_ptr<http::Server> metricsServer_;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -88,6 +88,16 @@
     return refusing_;
 }
 
+auto Frontend::hasRoom() const -> bool
+{
+    return connectionCount() < options_.server_.maximumConnections_;
+}
+
+auto Frontend::connectionCount() const -> unsigned
+{
+    return server_->connectionCount();
+}
+
 auto Frontend::port() const -> std::uint16_t
 {
     return server_->port();
--- a/packages/forward/src/probes.cpp
+++ b/packages/forward/src/probes.cpp
@@ -28,6 +28,9 @@
     if (auto failure = services.require("upstreams", upstreams_)) {
         return failure;
     }
+    if (auto failure = services.require("front", frontend_)) {
+        return failure;
+    }
     const auto readinessServer = http::Server::start(options_.readinessServer_, [this](const http::Request &request) {
         return handleReadinessProbe(request);
     });
@@ -65,7 +68,7 @@
 
 auto ProbeServer::ready() const -> bool
 {
-    return !stopping_ && configuration_->current() && upstreams_->loaded();
+    return !stopping_ && configuration_->current() && upstreams_->loaded() && frontend_->hasRoom();
 }
 
 auto ProbeServer::updateGauges() const -> void
@@ -79,6 +82,8 @@
         .gauge("jasminewood_forward_configuration_age_seconds",
             "Time since the store proved that the configuration is the newest; -1 if it never did")
         .set(age ? std::chrono::duration<double>(*age).count() : -1);
+    metrics.gauge("jasminewood_forward_connections", "Open connections of callers")
+        .set(double(frontend_->connectionCount()));
     metrics.gauge("jasminewood_forward_upstreams", "Upstreams that take new work")
         .set(double(upstreams_->pool().size()));
 }
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -131,12 +131,14 @@
     , configuration_(std::make_shared<ConfigurationWatcher>(testProtocolAdapter(sample), keyTrustPeriod))
     , upstreams_(std::make_shared<UpstreamWatcher>(testProtocolAdapter(sample), "local", seed))
     , frontend_(std::make_shared<Frontend>(options, testProtocolAdapter(sample)))
+    , probes_(std::make_shared<ProbeServer>(ProbeServerOptions {.readinessPath_ = "/ready"}))
 {
     registry_.add("environment", environment_);
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, testFeedOptions()));
     registry_.add("front", frontend_);
+    registry_.add("probes", probes_);
     const auto failure = registry_.startAll();
     testkit::check(!failure, failure ? toString(*failure) : "");
     if (sample.version_ > 0) {
@@ -214,6 +216,11 @@
     return *upstreams_;
 }
 
+auto FrontendFixture::probes() -> ProbeServer &
+{
+    return *probes_;
+}
+
 auto FrontendFixture::store() -> testbench::FakeKv &
 {
     return *store_;
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -9,6 +9,7 @@
 
 #include "jasminewood/forward/configuration_watcher.h"
 #include "jasminewood/forward/frontend.h"
+#include "jasminewood/forward/probes.h"
 #include "jasminewood/forward/upstream_watcher.h"
 #include "jasminewood/http/server.h"
 #include "jasminewood/kernel/service_registry.h"
@@ -63,6 +64,7 @@
     auto frontend() -> Frontend &;
     auto configuration() -> ConfigurationWatcher &;
     auto upstreams() -> UpstreamWatcher &;
+    auto probes() -> ProbeServer &;
     auto store() -> testbench::FakeKv &;
     // Returns the metrics in Prometheus's text format.
     auto metrics() const -> std::string;
@@ -74,6 +76,7 @@
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<Frontend> frontend_;
+    std::shared_ptr<ProbeServer> probes_;
     kernel::ServiceRegistry registry_;
     std::vector<std::shared_ptr<http::Server>> servers_;
 };
--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -151,6 +151,9 @@
     // The port on which the server listens.
     auto port() const -> std::uint16_t;
 
+    // Returns the number of open connections. At ServerOptions::maximumConnections_ each new one is closed at once.
+    auto connectionCount() const -> unsigned;
+
     // Makes each later response close its connection. New connections are still accepted.
     auto closeAfterResponses() -> void;
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -96,6 +96,14 @@
         return port_;
     }
 
+    auto connectionCount() -> unsigned
+    {
+        const auto lock = std::scoped_lock(daemonMutex_);
+        const auto *info
+            = daemon_ == nullptr ? nullptr : MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+        return info == nullptr ? 0 : info->num_connections;
+    }
+
     auto closeAfterResponses() -> void
     {
         closeConnections_ = true;
@@ -294,6 +302,11 @@
     return state_->port();
 }
 
+auto Server::connectionCount() const -> unsigned
+{
+    return state_->connectionCount();
+}
+
 auto Server::closeAfterResponses() -> void
 {
     state_->closeAfterResponses();
