Refuse prompt segments that crash each engine, over all routers

Cause: nothing on the platform looked for it. No two of these requests are alike, so the detector of whole requests of the other way in cannot find them; sound requests share their caller and their other segments, so neither of these may be blamed.

A request that is lost before its first token in the crash of an engine is held against all of its shared segments; a first token takes back what was held against them before. A lost connection counts as a crash only if the upstream's port refuses connections then. The caller gets 503 with the time until the trial, which is true: it did not run.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "jasminewood/forward/configuration_watcher.h"
+#include "jasminewood/forward/crashing_prompts.h"
 #include "jasminewood/forward/protocol_adapter.h"
 #include "jasminewood/forward/upstream_watcher.h"
 #include "jasminewood/http/server.h"
@@ -45,7 +46,7 @@
     const Milliseconds streamStallTimeout_ = Milliseconds(60'000);
 };
 
-// Requires the services "environment", "configuration" and "upstreams". Thread-safe.
+// Requires the services "environment", "configuration", "upstreams" and "crashing-prompts". Thread-safe.
 class Frontend
 {
 public:
@@ -88,6 +89,7 @@
     std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
+    std::shared_ptr<CrashingPrompts> crashingPrompts_;
     std::atomic<bool> refusing_ = false;
     std::mutex mutex_;
     std::condition_variable stopCondition_;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -36,6 +36,9 @@
     if (auto failure = services.require("upstreams", upstreams_)) {
         return failure;
     }
+    if (auto failure = services.require("crashing-prompts", crashingPrompts_)) {
+        return failure;
+    }
     retryBudgetOptions_.emplace(
         scaleToRetryBudgetShare(options_.retryBudget_, Clock::now() + options_.retryLearningTime_));
     const auto &metrics = environment_->metrics();
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -9,6 +9,7 @@
 #include "end_to_end_fields.h"
 #include "error_responses.h"
 #include "jasminewood/core/overloaded.h"
+#include "jasminewood/http/listener_probe.h"
 
 namespace jasminewood::forward
 {
@@ -31,6 +32,8 @@
 // How long a request that arrives right after the start of the process waits for the configuration and the upstreams.
 // Reading them takes a few round trips to the store.
 constexpr Milliseconds maximumStartupWait = Milliseconds(500);
+// Hosts on the local network refuse a connection to a port without a listener within this time.
+constexpr Milliseconds crashProbeTimeout = Milliseconds(100);
 // A caller that retries on a new connection reaches another process, so it may retry soon.
 constexpr Milliseconds stoppingRetryAfter = Milliseconds(50);
 
@@ -39,6 +42,15 @@
     return std::chrono::duration_cast<Milliseconds>(time).count();
 }
 
+auto sharedSegments(const std::optional<PromptInfo> &prompt) -> std::vector<std::uint64_t>
+{
+    auto ids = std::vector<std::uint64_t>();
+    for (auto index = std::size_t(0); prompt && index + 1 < prompt->segments_.size(); ++index) {
+        ids.push_back(prompt->segments_[index].id_);
+    }
+    return ids;
+}
+
 } // namespace
 
 RequestRun::RequestRun(Frontend &frontend, const http::Request &request)
@@ -48,6 +60,7 @@
     , arrivedAtBoot_(request.arrival_.boot_)
     , admittedAt_(BootClock::now())
     , requestMetadata_(frontend.protocolAdapter_.parseRequestMetadata_(request))
+    , sharedSegments_(sharedSegments(requestMetadata_.prompt_))
     , routeTable_(frontend.configuration_->awaitCurrent(Clock::now() + maximumStartupWait))
 {
 }
@@ -71,6 +84,12 @@
             .message_ = "the timeout of the request has passed",
             .retryAfter_ = unavailableRetryAfter};
     }
+    if (const auto refusedFor = frontend_.crashingPrompts_->admit(sharedSegments_)) {
+        return Refusal {.status_ = serviceUnavailable,
+            .code_ = "crashing_prompt",
+            .message_ = "a segment of the prompt crashes the engines",
+            .retryAfter_ = *refusedFor};
+    }
     const auto now = BootClock::now();
     if (now - admittedAt_ <= admissionValidity) {
         return std::nullopt;
@@ -163,6 +182,7 @@
         return assignment.failure();
     }
     assignment_.emplace(*assignment);
+    hasFirstToken_ = false;
     lastAssignment_.emplace(*assignment);
     const auto &upstream = assignment->upstream_;
     triedUpstreams_.push_back(upstream.id_);
@@ -194,6 +214,7 @@
 {
     auto failedAttempt = FailedAttempt {.failure_ = failure, .response_ = response};
     recordFailedAttempt(failedAttempt);
+    recordCrash(failure);
     exchange_.reset();
     endAttempt(result);
     return failedAttempt;
@@ -270,6 +291,7 @@
                                .runState_ = RunState::Ran},
             AttemptResult::Responded, response);
     }
+    recordFirstToken();
     exchange_.reset();
     endAttempt(AttemptResult::Responded);
     relayedBytes_ = body->size();
@@ -335,6 +357,9 @@
     }
     if (chunk && *chunk) {
         streamProgress_->record(**chunk, Clock::now());
+        if (streamProgress_->hasEvent() && !hasFirstToken_) {
+            recordFirstToken();
+        }
     }
     return chunk;
 }
@@ -413,6 +438,26 @@
             observe::fieldsOf(failedAttempt.failure_)));
 }
 
+auto RequestRun::recordFirstToken() -> void
+{
+    hasFirstToken_ = true;
+    if (!sharedSegments_.empty()) {
+        frontend_.crashingPrompts_->recordStart(sharedSegments_);
+    }
+}
+
+auto RequestRun::recordCrash(const Failure &failure) -> void
+{
+    const auto wasCutOff = failure.step_ == "receive" || failure.step_ == "send";
+    if (sharedSegments_.empty() || hasFirstToken_ || !wasCutOff) {
+        return;
+    }
+    const auto &upstream = assignment_->upstream_;
+    if (http::probeListener(upstream.address_, crashProbeTimeout) == http::ListenerState::Refused) {
+        frontend_.crashingPrompts_->recordCrash(upstream, sharedSegments_);
+    }
+}
+
 auto RequestRun::tryAcquireRetry(const AdmittedRequest &admitted) -> bool
 {
     const auto decision = decideRetry(*admitted.route_,
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -70,6 +70,10 @@
     // deadline passed (step "wait"), otherwise as Failed.
     auto failAttempt(const Failure &failure) -> FailedAttempt;
     auto recordFailedAttempt(const FailedAttempt &failedAttempt) -> void;
+    // Records the first token of the attempt in flight.
+    auto recordFirstToken() -> void;
+    // Records a crash of the upstream if the failure shows that its process has ended before the first token.
+    auto recordCrash(const Failure &failure) -> void;
     // Decides whether the request is retried. If so, acquires the retry from the budget and returns true.
     auto tryAcquireRetry(const AdmittedRequest &admitted) -> bool;
     auto respondAfterFailure() -> http::Response;
@@ -78,8 +82,8 @@
     auto endAttempt(AttemptResult result) -> void;
     auto refuse(const Refusal &refusal) -> http::Response;
     auto recordOutcome(const std::string &outcome, int status, const observe::Fields &extraFields = {}) -> void;
-    // Returns a refusal if the request may not be sent any more: its timeout has passed, its key or its route was taken
-    // away since it was admitted, or the keys are no longer confirmed.
+    // Returns a refusal if the request may not be sent any more: its timeout has passed, its prompt crashes engines,
+    // its key or its route was taken away since it was admitted, or the keys are no longer confirmed.
     auto readmit() -> std::optional<Refusal>;
     auto remainingTime() const -> Milliseconds;
 
@@ -91,6 +95,8 @@
     // The total time that the request may take.
     Milliseconds timeout_ = Milliseconds(0);
     const RequestMetadata requestMetadata_;
+    // The ids of the segments of the prompt that other requests may share.
+    const std::vector<std::uint64_t> sharedSegments_;
     const std::shared_ptr<const routes::RouteTable> routeTable_;
     TimePoint deadline_;
     std::string service_;
@@ -113,6 +119,8 @@
     std::optional<TimePoint> lastChunkAt_;
     Clock::duration longestChunkGap_ = Clock::duration::zero();
     internal::EventSplitter eventSplitter_;
+    // Whether the attempt in flight has got its first token.
+    bool hasFirstToken_ = false;
     // The progress of the stream of the latest attempt.
     std::optional<internal::StreamProgress> streamProgress_;
     // Body bytes that were passed to the caller.
--- a/packages/forward/src/stream_progress.cpp
+++ b/packages/forward/src/stream_progress.cpp
@@ -46,6 +46,7 @@
     if (lineStart_.empty() || lineStart_ == "\r") {
         if (hasField_) {
             lastEventAt_ = now;
+            hasEvent_ = true;
             bytesSinceEvent_ = 0;
         }
         hasField_ = false;
@@ -60,6 +61,11 @@
     return lastEventAt_ + limits_.stallTimeout_;
 }
 
+auto StreamProgress::hasEvent() const -> bool
+{
+    return hasEvent_;
+}
+
 auto StreamProgress::exceedsEventLimit() const -> bool
 {
     return bytesSinceEvent_ > limits_.maximumEventBytes_;
--- a/packages/forward/src/stream_progress.h
+++ b/packages/forward/src/stream_progress.h
@@ -42,6 +42,9 @@
     // Returns when the stream counts as stalled unless an event is complete before.
     auto stallsAt() const -> TimePoint;
 
+    // Returns whether an event is complete.
+    auto hasEvent() const -> bool;
+
     // Returns whether more data than one event may have arrived without completing one.
     auto exceedsEventLimit() const -> bool;
 
@@ -54,6 +57,7 @@
     // The start of the current line, as far as it is needed to recognise its field.
     std::string lineStart_;
     bool hasField_ = false;
+    bool hasEvent_ = false;
 };
 
 } // namespace jasminewood::forward::internal
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -46,13 +46,28 @@
         .leaving_ = parts[1] == "leaving"};
 }
 
+// Returns the prompt of a request whose field "Prompt" lists the ids of its segments, separated by spaces.
+auto parsePrompt(const http::Request &request) -> std::optional<PromptInfo>
+{
+    const auto text = fieldOrEmpty(request.fields_, "Prompt");
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    auto segments = std::vector<routing::PromptSegment>();
+    for (const auto &id : splitWords(text)) {
+        segments.push_back({.id_ = std::stoull(id), .tokens_ = 100});
+    }
+    return std::optional<PromptInfo>(PromptInfo {.segments_ = segments});
+}
+
 auto parseRequestMetadata(const http::Request &request) -> RequestMetadata
 {
     const auto remainingMs = fieldOrEmpty(request.fields_, "Patience-Ms");
     return {.requestId_ = fieldOrEmpty(request.fields_, "Request-Id"),
         .host_ = fieldOrEmpty(request.fields_, "Host"),
         .apiKey_ = fieldOrEmpty(request.fields_, "Key"),
-        .remainingTime_ = remainingMs.empty() ? std::nullopt : std::optional(Milliseconds(std::stoll(remainingMs)))};
+        .remainingTime_ = remainingMs.empty() ? std::nullopt : std::optional(Milliseconds(std::stoll(remainingMs))),
+        .prompt_ = parsePrompt(request)};
 }
 
 auto makeUpstreamHeaders(const std::vector<http::HeaderField> &fields, const UpstreamRequestMetadata &metadata)
@@ -137,6 +152,7 @@
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, testFeedOptions()));
+    registry_.add("crashing-prompts", std::make_shared<CrashingPrompts>());
     registry_.add("front", frontend_);
     registry_.add("probes", probes_);
     const auto failure = registry_.startAll();
--- a/packages/forward/tests/router_fixture.cpp
+++ b/packages/forward/tests/router_fixture.cpp
@@ -16,12 +16,14 @@
     , upstreams_(std::make_shared<UpstreamWatcher>(testProtocolAdapter(sampleConfiguration()), "local", 1))
     , network_(std::make_shared<PeerNetwork>(
           client_, PeerNetworkOptions {.address_ = "127.0.0.1", .dataCentre_ = "local", .keyPrefix_ = "/routers/"}))
+    , crashingPrompts_(std::make_shared<CrashingPrompts>())
 {
     registry_.add("environment", environment_);
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
     registry_.add("peer-network", network_);
     registry_.add("peers", std::make_shared<PeerLoadExchange>());
+    registry_.add("crashing-prompts", crashingPrompts_);
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, feedOptions));
     const auto failure = registry_.startAll();
     testkit::check(!failure, failure ? toString(*failure) : "");
@@ -57,6 +59,11 @@
     return *network_;
 }
 
+auto RouterFixture::crashingPrompts() -> CrashingPrompts &
+{
+    return *crashingPrompts_;
+}
+
 auto RouterFixture::metrics() const -> std::string
 {
     return environment_->metrics().text();
--- a/packages/forward/tests/router_fixture.h
+++ b/packages/forward/tests/router_fixture.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "frontend_fixture.h"
+#include "jasminewood/forward/crashing_prompts.h"
 #include "jasminewood/forward/peer_load_exchange.h"
 #include "jasminewood/forward/peer_network.h"
 #include "jasminewood/testbench/tcp_relay.h"
@@ -32,6 +33,7 @@
     auto configuration() -> ConfigurationWatcher &;
     auto pool() -> UpstreamPool &;
     auto network() -> PeerNetwork &;
+    auto crashingPrompts() -> CrashingPrompts &;
     // Returns the metrics in Prometheus's text format.
     auto metrics() const -> std::string;
 
@@ -45,6 +47,7 @@
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<PeerNetwork> network_;
+    std::shared_ptr<CrashingPrompts> crashingPrompts_;
     kernel::ServiceRegistry registry_;
 };
 
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -365,6 +365,39 @@
     auto operator<=>(const CrashReports &) const = default;
 };
 
+// A request that was lost, before its first token, in the crash of an engine.
+struct PromptCrash
+{
+    // Identifies the crash, not the request: "UPSTREAM@INCARNATION".
+    const std::string crashId_;
+    // The ids of the shared segments of its prompt, in order.
+    const std::vector<std::uint64_t> segments_;
+    // Time since the crash.
+    const Milliseconds age_ = Milliseconds(0);
+
+    auto operator<=>(const PromptCrash &) const = default;
+};
+
+// A request whose prompt has this segment got its first token.
+struct SegmentStart
+{
+    const std::uint64_t segment_ = 0;
+    // Time since then.
+    const Milliseconds age_ = Milliseconds(0);
+
+    auto operator<=>(const SegmentStart &) const = default;
+};
+
+// Router to router: the evidence from which prompt segments that crash engines are found.
+struct PromptCrashEvidence
+{
+    const NodeId router_;
+    const std::vector<PromptCrash> crashes_;
+    const std::vector<SegmentStart> starts_;
+
+    auto operator<=>(const PromptCrashEvidence &) const = default;
+};
+
 // Router to agent: start to leave.
 struct Drain
 {
@@ -394,6 +427,6 @@
 
 using Message = std::variant<Hello, Heartbeat, Dispatch, Started, Frame, Finished, Failed, Cancel, Attach, Void,
     VoidReply, Leaving, ManifestUpdate, AccountUsageReport, CrashReports, Drain, TimelineQuery, TimelineReply,
-    EngineUsageReport, StoreFollow, StoreChanges, Fragment>;
+    EngineUsageReport, StoreFollow, StoreChanges, Fragment, PromptCrashEvidence>;
 
 } // namespace jasminewood::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -182,6 +182,21 @@
         std::cref(value.messageId_), std::cref(value.index_), std::cref(value.count_), Body {value.data_});
 }
 
+inline auto fieldsOf(const PromptCrash &value)
+{
+    return std::tie(value.crashId_, value.segments_, value.age_);
+}
+
+inline auto fieldsOf(const SegmentStart &value)
+{
+    return std::tie(value.segment_, value.age_);
+}
+
+inline auto fieldsOf(const PromptCrashEvidence &value)
+{
+    return std::tie(value.router_, value.crashes_, value.starts_);
+}
+
 inline auto fieldsOf(const CrashReports &value)
 {
     return std::tie(value.reports_);
@@ -256,5 +271,7 @@
 inline constexpr std::uint32_t typeNumber<StoreChanges> = 21;
 template <>
 inline constexpr std::uint32_t typeNumber<Fragment> = 22;
+template <>
+inline constexpr std::uint32_t typeNumber<PromptCrashEvidence> = 23;
 
 } // namespace jasminewood::wire::internal
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -104,6 +104,20 @@
     return CrashReports {.reports_ = std::move(reports)};
 }
 
+inline auto anyPromptCrashEvidence() -> PromptCrashEvidence
+{
+    auto crashes = std::vector<PromptCrash>();
+    auto starts = std::vector<SegmentStart>();
+    const auto count = *rc::gen::inRange(0, 5);
+    for (auto index = 0; index < count; ++index) {
+        crashes.push_back({.crashId_ = anyName(),
+            .segments_ = {anyNumber<std::uint64_t>(), anyNumber<std::uint64_t>()},
+            .age_ = anyDuration<Milliseconds>()});
+        starts.push_back({.segment_ = anyNumber<std::uint64_t>(), .age_ = anyDuration<Milliseconds>()});
+    }
+    return PromptCrashEvidence {.router_ = anyNodeId(), .crashes_ = std::move(crashes), .starts_ = std::move(starts)};
+}
+
 inline auto anyAccountUsageReport() -> AccountUsageReport
 {
     auto accounts = std::map<std::string, AccountUsage>();
@@ -209,7 +223,8 @@
         Fragment {.messageId_ = anyNumber<std::uint64_t>(),
             .index_ = anyNumber<std::uint32_t>(),
             .count_ = anyNumber<std::uint32_t>(),
-            .data_ = anyBody()}};
+            .data_ = anyBody()},
+        anyPromptCrashEvidence()};
 }
 
 } // namespace jasminewood::wire
