Treat a stream that ends inside an event as broken off

A stream whose upstream ended in the middle of an event then looked complete: the router ended it in order, with the half event.

Change: StreamProgress knows whether the data ends inside an event (a line other than a comment without the blank line behind it). Such a stream is resumed where the route allows it, and otherwise aborted, so that the caller sees a truncated response. Whole responses without a length were passed on before and are now tested.

Evidence: forward_test "an upstream in trouble / whose responses end with their connection / has a stream that ends inside an event aborted" and "/ has it resumed by another upstream if the route allows that" failed before; the two on whole responses passed.

--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -355,6 +355,12 @@
     if (!chunk && chunk.failure().step_ == "wait" && Clock::now() < deadline_) {
         return stallFailure("no event of the stream within the stall timeout");
     }
+    if (chunk && !*chunk && streamProgress_->endsInsideEvent()) {
+        return Failure {.step_ = "receive",
+            .peer_ = assignment_->upstream_.address_,
+            .reason_ = "the stream ended inside an event",
+            .runState_ = RunState::MayHaveRun};
+    }
     if (chunk && *chunk) {
         streamProgress_->record(**chunk, Clock::now());
         if (streamProgress_->hasEvent() && !hasFirstToken_) {
--- a/packages/forward/src/stream_progress.cpp
+++ b/packages/forward/src/stream_progress.cpp
@@ -50,7 +50,9 @@
             bytesSinceEvent_ = 0;
         }
         hasField_ = false;
+        hasLine_ = false;
     } else {
+        hasLine_ = hasLine_ || !lineStart_.starts_with(':');
         hasField_ = hasField_ || lineStart_.starts_with(dataField) || lineStart_.starts_with(idField);
     }
     lineStart_.clear();
@@ -61,6 +63,11 @@
     return lastEventAt_ + limits_.stallTimeout_;
 }
 
+auto StreamProgress::endsInsideEvent() const -> bool
+{
+    return hasLine_ || !lineStart_.empty();
+}
+
 auto StreamProgress::hasEvent() const -> bool
 {
     return hasEvent_;
--- a/packages/forward/src/stream_progress.h
+++ b/packages/forward/src/stream_progress.h
@@ -42,6 +42,10 @@
     // Returns when the stream counts as stalled unless an event is complete before.
     auto stallsAt() const -> TimePoint;
 
+    // Returns whether the data ends inside an event. Such a stream was broken off, even if its connection was closed in
+    // order.
+    auto endsInsideEvent() const -> bool;
+
     // Returns whether an event is complete.
     auto hasEvent() const -> bool;
 
@@ -57,6 +61,8 @@
     // The start of the current line, as far as it is needed to recognise its field.
     std::string lineStart_;
     bool hasField_ = false;
+    // Whether the event that is being received has a line other than a comment.
+    bool hasLine_ = false;
     bool hasEvent_ = false;
 };
 
--- a/packages/forward/tests/hostile_upstream_test.cpp
+++ b/packages/forward/tests/hostile_upstream_test.cpp
@@ -72,8 +72,59 @@
         {.url_ = fixture.url(path), .headers_ = FrontendFixture::requestFields("r1"), .retryable_ = false});
 }
 
+// Registers an upstream whose responses have neither a length nor chunks and end with their connection.
+auto addUnframedUpstream(FrontendFixture &fixture, const std::string &id, const std::string &type,
+    const std::string &body) -> std::unique_ptr<testbench::RawServer>
+{
+    auto server = std::make_unique<testbench::RawServer>([type, body](int socket) {
+        const auto head = testbench::readUntil(socket, "\r\n\r\n");
+        const auto resumes = head.find("Resume-After: 1") != std::string::npos;
+        testbench::sendText(socket,
+            "HTTP/1.1 200 OK\r\nGenuine: 1\r\nRequest-Id: r1\r\nContent-Type: " + type + "\r\n\r\n"
+                + (resumes ? secondEvent : body));
+    });
+    fixture.registerUpstream(id, server->url().substr(std::string("http://").size()), "ready");
+    return server;
+}
+
 const testkit::TestSuite suite = {"an upstream in trouble",
     {
+        section("whose responses end with their connection",
+            {
+                // Guards against a response that is refused because it states no length.
+                test("has whole ones passed on",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        const auto plain = addUnframedUpstream(fixture, "a", "text/plain", "whole");
+                        const auto response = get(fixture, "/once/");
+                        check(response && response->status_ == 200 && response->body_ == "whole");
+                    }),
+                test("has a whole stream passed on",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        const auto events = std::string(firstEvent) + secondEvent;
+                        const auto stream = addUnframedUpstream(fixture, "a", "text/event-stream", events);
+                        const auto response = get(fixture, "/stream/");
+                        check(response && response->body_ == events);
+                    }),
+                // Guards against a stream that appears complete although it was broken off inside an event.
+                test("has a stream that ends inside an event aborted",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        const auto stream = addUnframedUpstream(
+                            fixture, "a", "text/event-stream", std::string(firstEvent) + "id: 2\ndata: b\n");
+                        check(!get(fixture, "/stream/"));
+                    }),
+                test("has it resumed by another upstream if the route allows that",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        const auto cutEvents = std::string(firstEvent) + "id: 2\nda";
+                        const auto first = addUnframedUpstream(fixture, "a", "text/event-stream", cutEvents);
+                        const auto second = addUnframedUpstream(fixture, "b", "text/event-stream", cutEvents);
+                        const auto response = get(fixture, "/resumable/");
+                        check(response && response->body_ == std::string(firstEvent) + secondEvent);
+                    }),
+            }),
         section("whose stream is slow but sound",
             {
                 // Guards against a stream that is cut and computed again although its route allows longer pauses.
