Keep the evidence against prompt segments by segment, not by request

Logs: the segment was refused at 7.80 s and taken again at 7.84 s, until 10.43 s.

Cause: evidence was kept as the requests that were lost, 64 at most. Each engine of that load takes 10 to 30 bystanders with it, so that a few crashes later the oldest records, among them the first crashes of the deadly segment, had been dropped, and too little was left to refuse it.

Change: evidence is a set of crashes for each segment (256 segments, 32 crashes each). Segments with the fewest crashes are dropped first, and of the crashes of one segment the one that came soonest after another. Routers send what is new at once and the 32 most accused segments repeatedly, instead of all of it each time. Crashes within 0.25 s, not 0.5 s, count as one moment: engines that lose power together are seen within milliseconds, and at high rates 0.5 s let all 12 engines crash before the third moment.

Evidence: crashing_prompt_detector_test "during many crashes / keeps what tells most" guards this; its model now loses ten bystanders with each engine.

--- a/packages/forward/include/jasminewood/forward/crashing_prompts.h
+++ b/packages/forward/include/jasminewood/forward/crashing_prompts.h
@@ -20,8 +20,8 @@
 
 // Service "crashing-prompts": which prompt segments crash the engines, as this router and the others have seen it.
 //
-// The routers send each other their evidence, not their decisions: what is new at once, and all of it again and again,
-// since datagrams may be lost. A router that starts gets it from the others as soon as they hear it.
+// The routers send each other their evidence, not their decisions: what is new at once, and the strongest of it again
+// and again, since datagrams may be lost. A router that starts gets it from the others as soon as they hear it.
 
 namespace jasminewood::forward
 {
@@ -48,16 +48,16 @@
 private:
     auto sendLoop() -> void;
     auto handleMessage(const wire::Message &message) -> void;
-    // Sends a router that has started all evidence.
+    // Sends the strongest evidence to a router that has started.
     auto greet(const NodeId &router) -> void;
 
     // Returns how long this router leaves trials of a segment to others, by a ranking that all routers share.
     auto trialTurn(std::uint64_t segment) const -> Milliseconds;
 
     // These require mutex_.
-    auto makeReport(TimePoint now) const -> wire::PromptCrashEvidence;
-    auto applyChange(bool isNew, TimePoint now) -> void;
-    auto nextReportAt() const -> std::optional<TimePoint>;
+    auto makeReport(const routing::CrashEvidence &evidence) const -> wire::PromptCrashEvidence;
+    auto applyChange(TimePoint now) -> void;
+    auto nextRepeatAt() const -> TimePoint;
 
     std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<PeerNetwork> network_;
@@ -65,9 +65,9 @@
     mutable std::mutex mutex_;
     std::condition_variable changedCondition_;
     bool stopping_ = false;
-    bool changed_ = false;
+    // When evidence was last new here, and when the strongest evidence was last sent.
     TimePoint changedAt_;
-    TimePoint reportedAt_;
+    TimePoint repeatedAt_;
     routing::CrashingPromptDetector detector_;
     // The segments that were refused after the last change, for the log.
     std::vector<std::uint64_t> refused_;
--- a/packages/forward/src/crashing_prompts.cpp
+++ b/packages/forward/src/crashing_prompts.cpp
@@ -15,10 +15,12 @@
 
 // The shortest time between two reports.
 constexpr Milliseconds minimumReportInterval = Milliseconds(40);
-// How often all evidence is repeated: often for some time after a change, then rarely.
-constexpr Milliseconds recentReportInterval = Milliseconds(1'000);
+// How often the strongest evidence is repeated: often for some time after a change, then rarely.
+constexpr Milliseconds recentRepeatInterval = Milliseconds(1'000);
 constexpr Milliseconds recentChangeTime = Milliseconds(5'000);
-constexpr Milliseconds idleReportInterval = Milliseconds(10'000);
+constexpr Milliseconds idleRepeatInterval = Milliseconds(30'000);
+// The segments in such a report.
+constexpr std::size_t repeatedSegments = 32;
 
 auto toText(const std::vector<std::uint64_t> &segments) -> std::string
 {
@@ -27,15 +29,18 @@
 
 auto parseEvidence(const wire::PromptCrashEvidence &message) -> routing::CrashEvidence
 {
-    auto crashes = std::vector<routing::PromptCrashReport>();
-    for (const auto &crash : message.crashes_) {
-        crashes.push_back({.crash_ = {.crashId_ = crash.crashId_, .segments_ = crash.segments_}, .age_ = crash.age_});
-    }
-    auto starts = std::vector<routing::SegmentStartReport>();
-    for (const auto &start : message.starts_) {
-        starts.push_back({.segment_ = start.segment_, .age_ = start.age_});
+    auto evidence = routing::CrashEvidence();
+    for (const auto &segment : message.segments_) {
+        auto crashes = std::vector<routing::CrashReportOfSegment>();
+        for (const auto &[crash, age] : segment.crashes_) {
+            crashes.push_back({.crash_ = crash, .age_ = age});
+        }
+        evidence.push_back({.segment_ = segment.segment_,
+            .depth_ = segment.depth_,
+            .crashes_ = crashes,
+            .startAge_ = segment.startAge_});
     }
-    return {.crashes_ = crashes, .starts_ = starts};
+    return evidence;
 }
 
 } // namespace
@@ -82,15 +87,17 @@
         {{"upstream", upstream.id_}, {"crash", crashId}, {"segments", toText(segments)}});
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
-    applyChange(detector_.recordCrash({.crashId_ = crashId, .segments_ = segments}, now), now);
+    detector_.recordCrash(XXH3_64bits(crashId.data(), crashId.size()), segments, now);
+    applyChange(now);
 }
 
 auto CrashingPrompts::recordStart(const std::vector<std::uint64_t> &segments) -> void
 {
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
-    if (detector_.recordStart(segments, now)) {
-        applyChange(true, now);
+    if (!detector_.isEmpty()) {
+        detector_.recordStart(segments, now);
+        applyChange(now);
     }
 }
 
@@ -118,65 +125,57 @@
     return before * routing::segmentTrialTime;
 }
 
-auto CrashingPrompts::applyChange(bool isNew, TimePoint now) -> void
+auto CrashingPrompts::applyChange(TimePoint now) -> void
 {
     auto refused = detector_.refusedSegments(now);
     if (refused != refused_) {
-        environment_->log().warning("the refused prompt segments changed",
-            {{"from", toText(refused_)}, {"to", toText(refused)},
-                {"evidence", std::int64_t(detector_.evidence(now).crashes_.size())}});
+        environment_->log().warning(
+            "the refused prompt segments changed", {{"from", toText(refused_)}, {"to", toText(refused)}});
         refused_ = std::move(refused);
     }
-    if (isNew) {
-        changed_ = true;
+    if (detector_.hasNews()) {
         changedAt_ = now;
         changedCondition_.notify_all();
     }
 }
 
-auto CrashingPrompts::makeReport(TimePoint now) const -> wire::PromptCrashEvidence
+auto CrashingPrompts::makeReport(const routing::CrashEvidence &evidence) const -> wire::PromptCrashEvidence
 {
-    const auto evidence = detector_.evidence(now);
-    auto crashes = std::vector<wire::PromptCrash>();
-    for (const auto &[crash, age] : evidence.crashes_) {
-        crashes.push_back({.crashId_ = crash.crashId_, .segments_ = crash.segments_, .age_ = age});
-    }
-    auto starts = std::vector<wire::SegmentStart>();
-    for (const auto &[segment, age] : evidence.starts_) {
-        starts.push_back({.segment_ = segment, .age_ = age});
+    auto segments = std::vector<wire::SegmentEvidence>();
+    for (const auto &segment : evidence) {
+        auto crashes = std::vector<wire::SegmentCrash>();
+        for (const auto &[crash, age] : segment.crashes_) {
+            crashes.push_back({.crash_ = crash, .age_ = age});
+        }
+        segments.push_back({.segment_ = segment.segment_,
+            .depth_ = segment.depth_,
+            .crashes_ = crashes,
+            .startAge_ = segment.startAge_});
     }
-    return {.router_ = environment_->identity().node_, .crashes_ = crashes, .starts_ = starts};
+    return {.router_ = environment_->identity().node_, .segments_ = segments};
 }
 
-auto CrashingPrompts::nextReportAt() const -> std::optional<TimePoint>
+auto CrashingPrompts::nextRepeatAt() const -> TimePoint
 {
-    if (detector_.isEmpty()) {
-        return std::nullopt;
-    }
-    const auto isRecent = reportedAt_ - changedAt_ < recentChangeTime;
-    return reportedAt_ + (isRecent ? recentReportInterval : idleReportInterval);
+    const auto isRecent = repeatedAt_ - changedAt_ < recentChangeTime;
+    return repeatedAt_ + (isRecent ? recentRepeatInterval : idleRepeatInterval);
 }
 
 auto CrashingPrompts::sendLoop() -> void
 {
-    const auto isDue = [this] {
-        return stopping_ || changed_;
-    };
     auto lock = std::unique_lock(mutex_);
     while (!stopping_) {
-        if (const auto dueAt = nextReportAt()) {
-            changedCondition_.wait_until(lock, *dueAt, isDue);
-        } else {
-            changedCondition_.wait(lock, isDue);
-        }
-        if (stopping_) {
-            return;
-        }
-        changed_ = false;
-        reportedAt_ = Clock::now();
-        const auto report = makeReport(reportedAt_);
+        changedCondition_.wait_until(lock, nextRepeatAt(), [this] {
+            return stopping_ || detector_.hasNews();
+        });
+        const auto now = Clock::now();
+        const auto isRepeat = now >= nextRepeatAt();
+        const auto report = makeReport(isRepeat ? detector_.evidence(repeatedSegments, now) : detector_.takeNews(now));
+        repeatedAt_ = isRepeat ? now : repeatedAt_;
         lock.unlock();
-        network_->broadcast(report);
+        if (!report.segments_.empty()) {
+            network_->broadcast(report);
+        }
         lock.lock();
         changedCondition_.wait_for(lock, minimumReportInterval, [this] {
             return stopping_;
@@ -196,9 +195,8 @@
     }
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
-    // Evidence that was new here is not passed on: its source sends it to all.
-    static_cast<void>(detector_.merge(parseEvidence(*received), now));
-    applyChange(false, now);
+    detector_.merge(parseEvidence(*received), now);
+    applyChange(now);
 }
 
 auto CrashingPrompts::greet(const NodeId &router) -> void
@@ -212,7 +210,7 @@
         }
         incarnation = router.incarnation_;
         if (!detector_.isEmpty()) {
-            report.emplace(makeReport(Clock::now()));
+            report.emplace(makeReport(detector_.evidence(repeatedSegments, Clock::now())));
         }
     }
     if (report) {
--- a/packages/routing/include/jasminewood/routing/crashing_prompt_detector.h
+++ b/packages/routing/include/jasminewood/routing/crashing_prompt_detector.h
@@ -7,14 +7,13 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 #include "jasminewood/core/clock.h"
 
 // Finds the segments of prompts that crash each engine which begins to respond to them, whatever else the prompts hold.
 //
-//     detector.recordCrash({.crashId_ = "engine-3@7", .segments_ = {0x5c, 0x91}}, now);
+//     detector.recordCrash(crash, {0x5c, 0x91}, now);
 //     detector.recordStart({0x5c}, now);
 //     if (const auto wait = detector.admit({0x5c, 0x91}, turnOf, now)) { /* refuse, retry after *wait */ }
 //
@@ -30,7 +29,7 @@
 constexpr std::size_t crashesBeforeSegmentRefusal = 3;
 // Crashes of several engines within this time count once: they have a common cause, such as a power failure, and not
 // one request each.
-constexpr Milliseconds commonCauseTime = Milliseconds(500);
+constexpr Milliseconds commonCauseTime = Milliseconds(250);
 // How long a segment is refused after its last crash. The time doubles with each crash that a later trial causes.
 constexpr Milliseconds minimumSegmentRefusal = Milliseconds(30'000);
 constexpr Milliseconds maximumSegmentRefusal = Milliseconds(600'000);
@@ -38,45 +37,37 @@
 constexpr Milliseconds segmentTrialTime = Milliseconds(10'000);
 // How long evidence is kept. Longer than the longest refusal, so that a trial after it is judged by what came before.
 constexpr Milliseconds crashEvidenceExpiry = Milliseconds(900'000);
-// The maximum number of crashes kept as evidence; the oldest is dropped first.
-constexpr std::size_t maximumPromptCrashes = 64;
+// The maximum numbers of segments, and of crashes of each, that are kept as evidence.
+constexpr std::size_t maximumAccusedSegments = 256;
+constexpr std::size_t maximumCrashesPerSegment = 32;
 
-// A request that was lost, before its first token, in the crash of an engine.
-struct PromptCrash
-{
-    // Identifies the crash; equal for all requests that were lost in it.
-    const std::string crashId_;
-    // The ids of the prompt's segments that other prompts may share, in order.
-    const std::vector<std::uint64_t> segments_;
-
-    auto operator<=>(const PromptCrash &) const = default;
-};
+// Identifies a crash; equal for all requests that were lost in it.
+using CrashId = std::uint64_t;
 
-// Evidence with its age, so that it expires although routers keep passing it on.
-struct PromptCrashReport
+// A crash with its age, so that it expires although routers keep passing it on.
+struct CrashReportOfSegment
 {
-    const PromptCrash crash_;
+    const CrashId crash_ = 0;
     const Milliseconds age_ = Milliseconds(0);
 
-    auto operator<=>(const PromptCrashReport &) const = default;
+    auto operator<=>(const CrashReportOfSegment &) const = default;
 };
 
-// An engine sent the first token of a response to a prompt with this segment.
-struct SegmentStartReport
+// What is known about one segment.
+struct SegmentEvidence
 {
     const std::uint64_t segment_ = 0;
-    const Milliseconds age_ = Milliseconds(0);
-
-    auto operator<=>(const SegmentStartReport &) const = default;
+    // The last position at which it was seen in a prompt.
+    const std::uint32_t depth_ = 0;
+    // Crashes in which requests with it were lost before their first token, since the last first token.
+    const std::vector<CrashReportOfSegment> crashes_;
+    // The age of the last first token of a request with it; empty if none is known.
+    const std::optional<Milliseconds> startAge_;
+
+    auto operator<=>(const SegmentEvidence &) const = default;
 };
 
-struct CrashEvidence
-{
-    const std::vector<PromptCrashReport> crashes_;
-    const std::vector<SegmentStartReport> starts_;
-
-    auto operator<=>(const CrashEvidence &) const = default;
-};
+using CrashEvidence = std::vector<SegmentEvidence>;
 
 // Returns how long after the end of a segment's refusal this router may try it. It differs between the routers, so that
 // one of them tries while the others wait for what it reports.
@@ -87,20 +78,27 @@
 class CrashingPromptDetector
 {
 public:
-    // Returns whether this was not known yet, so that other routers should be told.
-    auto recordCrash(const PromptCrash &crash, TimePoint now) -> bool;
+    // Records that a request was lost, before its first token, in the crash of an engine. The segments are those that
+    // other prompts may share, in order.
+    auto recordCrash(CrashId crash, const std::vector<std::uint64_t> &segments, TimePoint now) -> void;
+
+    // Records the first token of a request.
+    auto recordStart(const std::vector<std::uint64_t> &segments, TimePoint now) -> void;
+
+    // Merges the evidence of another router.
+    auto merge(const CrashEvidence &evidence, TimePoint now) -> void;
 
-    // Records the first token of a request. Returns whether it takes back evidence against a segment.
-    auto recordStart(const std::vector<std::uint64_t> &segments, TimePoint now) -> bool;
+    // Returns and clears the evidence about which this router has recorded something since the last call.
+    auto takeNews(TimePoint now) -> CrashEvidence;
 
-    // Merges the evidence of another router. Returns whether any of it is new.
-    auto merge(const CrashEvidence &evidence, TimePoint now) -> bool;
+    // Returns whether takeNews() would return anything.
+    auto hasNews() const -> bool;
 
     // Returns whether there is no evidence.
     auto isEmpty() const -> bool;
 
-    // Returns all evidence that has not expired.
-    auto evidence(TimePoint now) const -> CrashEvidence;
+    // Returns the evidence about at most this many segments, those with the most crashes first.
+    auto evidence(std::size_t maximumSegments, TimePoint now) const -> CrashEvidence;
 
     // Returns how long requests with these segments are still refused; empty if this one may be sent. It then is the
     // trial of each of its segments whose refusal has ended.
@@ -111,19 +109,32 @@
     auto refusedSegments(TimePoint now) const -> std::vector<std::uint64_t>;
 
 private:
-    auto addCrash(const PromptCrash &crash, TimePoint crashedAt) -> bool;
-    auto addStart(std::uint64_t segment, TimePoint startedAt) -> bool;
-    // Returns whether a first token was seen of a prompt with this segment after the time.
-    auto startedAfter(std::uint64_t segment, TimePoint time) const -> bool;
-    // Returns whether a first token was seen, after the crash, of a prompt with each of its segments.
-    auto isTakenBack(const PromptCrash &crash, TimePoint crashedAt) const -> bool;
-    auto removeUseless(TimePoint now) -> void;
-    auto decide() -> void;
-
-    // By crash; the time is that of the first report.
-    std::map<PromptCrash, TimePoint> crashes_;
-    // The last start of each segment of crashes_.
-    std::map<std::uint64_t, TimePoint> starts_;
+    struct Accusation
+    {
+        std::uint32_t depth_ = 0;
+        // By crash; the time is that of the first report.
+        std::map<CrashId, TimePoint> crashes_;
+        std::optional<TimePoint> startedAt_;
+    };
+
+    using Accusations = std::map<std::uint64_t, Accusation>;
+
+    // Returns whether the crash was not known yet.
+    auto accuse(std::uint64_t segment, std::uint32_t depth, CrashId crash, TimePoint crashedAt) -> bool;
+    // Returns whether there was anything to take back.
+    static auto takeBack(Accusation &accusation, TimePoint startedAt) -> bool;
+    static auto moments(const Accusation &accusation) -> std::vector<TimePoint>;
+    static auto lastTime(const Accusation &accusation) -> TimePoint;
+    static auto dropLeastTellingCrash(Accusation &accusation) -> void;
+    static auto mostAccused(const Accusations &accusations) -> Accusations::const_iterator;
+    static auto findRefused(Accusations accusations) -> std::map<std::uint64_t, TimePoint>;
+    static auto makeEvidence(std::uint64_t segment, const Accusation &accusation, TimePoint now) -> SegmentEvidence;
+    auto removeExpired(TimePoint now) -> void;
+    auto decide(TimePoint now) -> void;
+
+    Accusations accusations_;
+    // The segments about which this router has recorded something since takeNews().
+    std::set<std::uint64_t> news_;
     // The decision: until when each segment is refused.
     std::map<std::uint64_t, TimePoint> refusedUntil_;
     // When the last trial of a refused segment began here.
--- a/packages/routing/src/crashing_prompt_detector.cpp
+++ b/packages/routing/src/crashing_prompt_detector.cpp
@@ -10,45 +10,6 @@
 namespace
 {
 
-// What is held against one segment.
-struct Accusation
-{
-    // The last position of the segment within a prompt.
-    std::size_t depth_ = 0;
-    // The first moment of each crash.
-    std::map<std::string, TimePoint> crashes_;
-};
-
-using Accusations = std::map<std::uint64_t, Accusation>;
-
-// Returns the moments of crashes; those of a common cause count as one.
-auto distinctMoments(const std::map<std::string, TimePoint> &crashes) -> std::vector<TimePoint>
-{
-    auto times = std::vector<TimePoint>();
-    for (const auto &[crashId, time] : crashes) {
-        times.push_back(time);
-    }
-    std::sort(times.begin(), times.end());
-    auto moments = std::vector<TimePoint>();
-    for (const auto time : times) {
-        if (moments.empty() || time - moments.back() >= commonCauseTime) {
-            moments.push_back(time);
-        }
-    }
-    return moments;
-}
-
-// Returns the segment that explains the most crashes; the deepest one if several do, since it is in the fewest prompts.
-auto mostAccused(const Accusations &accusations) -> Accusations::const_iterator
-{
-    const auto rank = [](const auto &entry) {
-        return std::tuple(distinctMoments(entry.second.crashes_).size(), entry.second.depth_, entry.first);
-    };
-    return std::max_element(accusations.begin(), accusations.end(), [&rank](const auto &left, const auto &right) {
-        return rank(left) < rank(right);
-    });
-}
-
 auto refusalTime(std::size_t crashes) -> Milliseconds
 {
     auto time = minimumSegmentRefusal;
@@ -58,92 +19,87 @@
     return std::min(time, maximumSegmentRefusal);
 }
 
-// Takes back the crashes that a segment explains from all other segments.
-auto removeExplained(Accusations &accusations, const std::map<std::string, TimePoint> &explained) -> void
+auto ageOf(TimePoint time, TimePoint now) -> Milliseconds
 {
-    for (auto &[segment, accusation] : accusations) {
-        std::erase_if(accusation.crashes_, [&explained](const auto &crash) {
-            return explained.contains(crash.first);
-        });
-    }
-}
-
-// Returns until when each segment is refused. The most accused one is judged first, and what it explains is not held
-// against the others.
-auto findRefused(Accusations accusations) -> std::map<std::uint64_t, TimePoint>
-{
-    auto refusedUntil = std::map<std::uint64_t, TimePoint>();
-    for (auto accused = mostAccused(accusations); accused != accusations.end(); accused = mostAccused(accusations)) {
-        const auto [segment, accusation] = *accused;
-        const auto moments = distinctMoments(accusation.crashes_);
-        if (moments.size() < crashesBeforeSegmentRefusal) {
-            break;
-        }
-        refusedUntil.emplace(segment, moments.back() + refusalTime(moments.size()));
-        accusations.erase(accused);
-        removeExplained(accusations, accusation.crashes_);
-    }
-    return refusedUntil;
+    return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(now - time));
 }
 
 } // namespace
 
-auto CrashingPromptDetector::recordCrash(const PromptCrash &crash, TimePoint now) -> bool
+auto CrashingPromptDetector::recordCrash(CrashId crash, const std::vector<std::uint64_t> &segments, TimePoint now)
+    -> void
 {
-    const auto isNew = addCrash(crash, now);
-    removeUseless(now);
-    decide();
-    return isNew;
+    for (auto depth = std::size_t(0); depth < segments.size(); ++depth) {
+        if (accuse(segments[depth], std::uint32_t(depth), crash, now)) {
+            news_.insert(segments[depth]);
+        }
+    }
+    decide(now);
 }
 
-auto CrashingPromptDetector::recordStart(const std::vector<std::uint64_t> &segments, TimePoint now) -> bool
+auto CrashingPromptDetector::recordStart(const std::vector<std::uint64_t> &segments, TimePoint now) -> void
 {
     auto takesBack = false;
     for (const auto segment : segments) {
-        takesBack = addStart(segment, now) || takesBack;
+        const auto found = accusations_.find(segment);
+        if (found != accusations_.end() && takeBack(found->second, now)) {
+            news_.insert(segment);
+            takesBack = true;
+        }
     }
     if (takesBack) {
-        removeUseless(now);
-        decide();
+        decide(now);
     }
-    return takesBack;
 }
 
-auto CrashingPromptDetector::merge(const CrashEvidence &evidence, TimePoint now) -> bool
+auto CrashingPromptDetector::merge(const CrashEvidence &evidence, TimePoint now) -> void
 {
-    auto isNew = false;
-    for (const auto &[crash, age] : evidence.crashes_) {
-        if (age < crashEvidenceExpiry) {
-            isNew = addCrash(crash, now - age) || isNew;
+    for (const auto &[segment, depth, crashes, startAge] : evidence) {
+        for (const auto &[crash, age] : crashes) {
+            accuse(segment, depth, crash, now - age);
+        }
+        if (startAge) {
+            takeBack(accusations_[segment], now - *startAge);
         }
     }
-    for (const auto &[segment, age] : evidence.starts_) {
-        isNew = addStart(segment, now - age) || isNew;
+    decide(now);
+}
+
+auto CrashingPromptDetector::takeNews(TimePoint now) -> CrashEvidence
+{
+    auto news = CrashEvidence();
+    for (const auto segment : std::exchange(news_, {})) {
+        if (const auto found = accusations_.find(segment); found != accusations_.end()) {
+            news.push_back(makeEvidence(segment, found->second, now));
+        }
     }
-    removeUseless(now);
-    decide();
-    return isNew;
+    return news;
+}
+
+auto CrashingPromptDetector::hasNews() const -> bool
+{
+    return !news_.empty();
 }
 
 auto CrashingPromptDetector::isEmpty() const -> bool
 {
-    return crashes_.empty();
+    return accusations_.empty();
 }
 
-auto CrashingPromptDetector::evidence(TimePoint now) const -> CrashEvidence
+auto CrashingPromptDetector::evidence(std::size_t maximumSegments, TimePoint now) const -> CrashEvidence
 {
-    const auto ageOf = [now](TimePoint time) {
-        return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(now - time));
-    };
-    auto crashes = std::vector<PromptCrashReport>();
-    for (const auto &[crash, crashedAt] : crashes_) {
-        crashes.push_back({.crash_ = crash, .age_ = ageOf(crashedAt)});
+    auto ranked = std::vector<std::tuple<std::size_t, TimePoint, std::uint64_t>>();
+    for (const auto &[segment, accusation] : accusations_) {
+        ranked.emplace_back(accusation.crashes_.size(), lastTime(accusation), segment);
     }
-    auto starts = std::vector<SegmentStartReport>();
-    for (const auto &[segment, startedAt] : starts_) {
-        starts.push_back({.segment_ = segment, .age_ = ageOf(startedAt)});
+    std::sort(ranked.rbegin(), ranked.rend());
+    auto evidence = CrashEvidence();
+    for (const auto &[crashes, time, segment] : ranked) {
+        if (evidence.size() < maximumSegments) {
+            evidence.push_back(makeEvidence(segment, accusations_.at(segment), now));
+        }
     }
-    return {.crashes_ = crashes, .starts_ = starts};
+    return evidence;
 }
 
 auto CrashingPromptDetector::admit(const std::vector<std::uint64_t> &segments, const TrialTurn &turn, TimePoint now)
@@ -185,79 +141,145 @@
     return segments;
 }
 
-auto CrashingPromptDetector::addCrash(const PromptCrash &crash, TimePoint crashedAt) -> bool
+auto CrashingPromptDetector::accuse(std::uint64_t segment, std::uint32_t depth, CrashId crash, TimePoint crashedAt)
+    -> bool
 {
-    if (crash.segments_.empty()) {
+    auto &accusation = accusations_[segment];
+    if (accusation.startedAt_ && *accusation.startedAt_ >= crashedAt) {
         return false;
     }
-    const auto [position, isNew] = crashes_.try_emplace(crash, crashedAt);
+    accusation.depth_ = std::max(accusation.depth_, depth);
+    const auto [position, isNew] = accusation.crashes_.try_emplace(crash, crashedAt);
     position->second = std::min(position->second, crashedAt);
+    if (accusation.crashes_.size() > maximumCrashesPerSegment) {
+        dropLeastTellingCrash(accusation);
+    }
     return isNew;
 }
 
-auto CrashingPromptDetector::addStart(std::uint64_t segment, TimePoint startedAt) -> bool
+auto CrashingPromptDetector::takeBack(Accusation &accusation, TimePoint startedAt) -> bool
 {
-    const auto takesBack = std::any_of(crashes_.begin(), crashes_.end(), [this, segment, startedAt](const auto &entry) {
-        const auto &segments = entry.first.segments_;
-        return entry.second < startedAt && !startedAfter(segment, entry.second)
-            && std::find(segments.begin(), segments.end(), segment) != segments.end();
+    accusation.startedAt_ = std::max(accusation.startedAt_.value_or(startedAt), startedAt);
+    const auto erased = std::erase_if(accusation.crashes_, [startedAt](const auto &crash) {
+        return crash.second <= startedAt;
     });
-    if (takesBack) {
-        starts_[segment] = startedAt;
-    }
-    return takesBack;
+    return erased > 0;
 }
 
-auto CrashingPromptDetector::startedAfter(std::uint64_t segment, TimePoint time) const -> bool
+// Returns the moments of the crashes; those of a common cause count as one.
+auto CrashingPromptDetector::moments(const Accusation &accusation) -> std::vector<TimePoint>
 {
-    const auto found = starts_.find(segment);
-    return found != starts_.end() && found->second > time;
+    auto times = std::vector<TimePoint>();
+    for (const auto &[crash, time] : accusation.crashes_) {
+        times.push_back(time);
+    }
+    std::sort(times.begin(), times.end());
+    auto moments = std::vector<TimePoint>();
+    for (const auto time : times) {
+        if (moments.empty() || time - moments.back() >= commonCauseTime) {
+            moments.push_back(time);
+        }
+    }
+    return moments;
 }
 
-auto CrashingPromptDetector::isTakenBack(const PromptCrash &crash, TimePoint crashedAt) const -> bool
+auto CrashingPromptDetector::lastTime(const Accusation &accusation) -> TimePoint
 {
-    return std::all_of(crash.segments_.begin(), crash.segments_.end(), [this, crashedAt](std::uint64_t segment) {
-        return startedAfter(segment, crashedAt);
-    });
+    auto last = accusation.startedAt_.value_or(TimePoint());
+    for (const auto &[crash, time] : accusation.crashes_) {
+        last = std::max(last, time);
+    }
+    return last;
 }
 
-auto CrashingPromptDetector::removeUseless(TimePoint now) -> void
+// Drops the crash that came soonest after the one before it.
+auto CrashingPromptDetector::dropLeastTellingCrash(Accusation &accusation) -> void
 {
-    std::erase_if(crashes_, [now](const auto &entry) {
-        return now - entry.second >= crashEvidenceExpiry;
-    });
-    while (crashes_.size() > maximumPromptCrashes) {
-        const auto oldest
-            = std::min_element(crashes_.begin(), crashes_.end(), [this](const auto &left, const auto &right) {
-                  return std::pair(!isTakenBack(left.first, left.second), left.second)
-                      < std::pair(!isTakenBack(right.first, right.second), right.second);
-              });
-        crashes_.erase(oldest);
+    auto byTime = std::vector<std::pair<TimePoint, CrashId>>();
+    for (const auto &[crash, time] : accusation.crashes_) {
+        byTime.emplace_back(time, crash);
     }
-    auto known = std::set<std::uint64_t>();
-    for (const auto &[crash, crashedAt] : crashes_) {
-        known.insert(crash.segments_.begin(), crash.segments_.end());
+    std::sort(byTime.begin(), byTime.end());
+    auto dropped = std::size_t(1);
+    for (auto index = std::size_t(2); index < byTime.size(); ++index) {
+        const auto gap = byTime[index].first - byTime[index - 1].first;
+        dropped = gap < byTime[dropped].first - byTime[dropped - 1].first ? index : dropped;
     }
-    std::erase_if(starts_, [&known](const auto &entry) {
-        return !known.contains(entry.first);
-    });
+    accusation.crashes_.erase(byTime[dropped].second);
 }
 
-auto CrashingPromptDetector::decide() -> void
+// Returns the segment that explains the most crashes; the deepest one if several do, since it is in the fewest prompts.
+auto CrashingPromptDetector::mostAccused(const Accusations &accusations) -> Accusations::const_iterator
 {
-    auto accusations = Accusations();
-    for (const auto &[crash, crashedAt] : crashes_) {
-        for (auto depth = std::size_t(0); depth < crash.segments_.size(); ++depth) {
-            if (startedAfter(crash.segments_[depth], crashedAt)) {
-                continue;
-            }
-            auto &accusation = accusations[crash.segments_[depth]];
-            accusation.depth_ = std::max(accusation.depth_, depth);
-            const auto [position, isNew] = accusation.crashes_.try_emplace(crash.crashId_, crashedAt);
-            position->second = std::min(position->second, crashedAt);
+    auto most = accusations.end();
+    auto mostRank = std::tuple(std::size_t(0), std::uint32_t(0));
+    for (auto entry = accusations.begin(); entry != accusations.end(); ++entry) {
+        const auto rank = std::tuple(moments(entry->second).size(), entry->second.depth_);
+        if (most == accusations.end() || rank > mostRank) {
+            most = entry;
+            mostRank = rank;
         }
     }
-    refusedUntil_ = findRefused(accusations);
+    return most;
+}
+
+// Returns until when each segment is refused. The most accused one is judged first, and what it explains is not held
+// against the others.
+auto CrashingPromptDetector::findRefused(Accusations accusations) -> std::map<std::uint64_t, TimePoint>
+{
+    auto refusedUntil = std::map<std::uint64_t, TimePoint>();
+    for (auto accused = mostAccused(accusations); accused != accusations.end(); accused = mostAccused(accusations)) {
+        const auto [segment, accusation] = *accused;
+        const auto crashMoments = moments(accusation);
+        if (crashMoments.size() < crashesBeforeSegmentRefusal) {
+            break;
+        }
+        refusedUntil.emplace(segment, crashMoments.back() + refusalTime(crashMoments.size()));
+        accusations.erase(accused);
+        for (auto &[other, otherAccusation] : accusations) {
+            std::erase_if(otherAccusation.crashes_, [&explained = accusation.crashes_](const auto &crash) {
+                return explained.contains(crash.first);
+            });
+        }
+    }
+    return refusedUntil;
+}
+
+auto CrashingPromptDetector::makeEvidence(std::uint64_t segment, const Accusation &accusation, TimePoint now)
+    -> SegmentEvidence
+{
+    auto crashes = std::vector<CrashReportOfSegment>();
+    for (const auto &[crash, crashedAt] : accusation.crashes_) {
+        crashes.push_back({.crash_ = crash, .age_ = ageOf(crashedAt, now)});
+    }
+    const auto startAge
+        = accusation.startedAt_ ? std::optional(ageOf(*accusation.startedAt_, now)) : std::optional<Milliseconds>();
+    return {.segment_ = segment, .depth_ = accusation.depth_, .crashes_ = crashes, .startAge_ = startAge};
+}
+
+auto CrashingPromptDetector::removeExpired(TimePoint now) -> void
+{
+    for (auto &[segment, accusation] : accusations_) {
+        std::erase_if(accusation.crashes_, [now](const auto &crash) {
+            return now - crash.second >= crashEvidenceExpiry;
+        });
+    }
+    std::erase_if(accusations_, [now](const auto &entry) {
+        return entry.second.crashes_.empty() && now - lastTime(entry.second) >= crashEvidenceExpiry;
+    });
+    while (accusations_.size() > maximumAccusedSegments) {
+        accusations_.erase(
+            std::min_element(accusations_.begin(), accusations_.end(), [](const auto &left, const auto &right) {
+                return std::pair(left.second.crashes_.size(), lastTime(left.second))
+                    < std::pair(right.second.crashes_.size(), lastTime(right.second));
+            }));
+    }
+}
+
+auto CrashingPromptDetector::decide(TimePoint now) -> void
+{
+    removeExpired(now);
+    refusedUntil_ = findRefused(accusations_);
     std::erase_if(trials_, [this](const auto &entry) {
         return !refusedUntil_.contains(entry.first);
     });
--- a/packages/routing/tests/crashing_prompt_detector_test.cpp
+++ b/packages/routing/tests/crashing_prompt_detector_test.cpp
@@ -26,6 +26,7 @@
 constexpr std::uint64_t deadly = 66;
 constexpr std::uint64_t otherDeadly = 77;
 constexpr std::size_t routerCount = 4;
+constexpr std::size_t reportedSegments = 32;
 // The operators' bound: how many requests with a deadly segment may be sent later than this after the fifth crash.
 constexpr int maximumLateRequests = 3;
 constexpr auto reactionTime = Milliseconds(3'000);
@@ -45,8 +46,8 @@
 auto crash(CrashingPromptDetector &detector, const Segments &segments, std::size_t count, TimePoint from) -> TimePoint
 {
     for (auto index = std::size_t(0); index < count; ++index) {
-        const auto engine = "engine-" + std::to_string((from - start).count()) + "-" + std::to_string(index);
-        detector.recordCrash({.crashId_ = engine, .segments_ = segments}, from + index * 1s);
+        const auto crashedAt = from + index * 1s;
+        detector.recordCrash(CrashId(crashedAt.time_since_epoch().count()), segments, crashedAt);
     }
     return from + count * 1s;
 }
@@ -140,21 +141,25 @@
         }
         soundSent_ += crashes ? 0 : 1;
         if (!crashes) {
-            report(router, routers_[router].recordStart(segments, now_));
+            routers_[router].recordStart(segments, now_);
+            reportNews(router);
             return;
         }
         crashesBy_[segments.back()].push_back(now_);
         crashEngine(router, segments);
     }
 
-    // One more request of the same engine is lost with the one that caused the crash.
+    // Sound requests of the same engine are lost with the one that caused the crash.
     auto crashEngine(std::size_t router, const Segments &segments) -> void
     {
-        const auto crashId = "engine@" + std::to_string(++crashCount_);
-        report(router, routers_[router].recordCrash({.crashId_ = crashId, .segments_ = segments}, now_));
-        const auto other = randomBelow(std::uint32_t(routers_.size()));
-        const auto bystander = Segments {sharedByAll + randomBelow(4), 100 + randomBelow(80)};
-        report(other, routers_[other].recordCrash({.crashId_ = crashId, .segments_ = bystander}, now_));
+        const auto crash = CrashId(++crashCount_);
+        routers_[router].recordCrash(crash, segments, now_);
+        reportNews(router);
+        for (auto bystander = 0; bystander < 10; ++bystander) {
+            const auto other = randomBelow(std::uint32_t(routers_.size()));
+            routers_[other].recordCrash(crash, {sharedByAll + randomBelow(4), 100 + randomBelow(80)}, now_);
+            reportNews(other);
+        }
     }
 
     auto crashSeveralEngines() -> void
@@ -164,23 +169,27 @@
         }
     }
 
-    auto report(std::size_t router, bool isNew) -> void
+    auto reportNews(std::size_t router) -> void
     {
-        if (!isNew) {
-            return;
-        }
-        for (auto other = std::size_t(0); other < routers_.size(); ++other) {
-            const auto isLost = randomBelow(4) == 0;
-            if (other != router && !isLost) {
-                delayed_.push_back({now_ + Milliseconds(randomBelow(500)), other, routers_[router].evidence(now_)});
-            }
+        if (routers_[router].hasNews()) {
+            report(router, routers_[router].takeNews(now_));
         }
     }
 
     auto reportAll() -> void
     {
         for (auto router = std::size_t(0); router < routers_.size(); ++router) {
-            report(router, true);
+            report(router, routers_[router].evidence(reportedSegments, now_));
+        }
+    }
+
+    auto report(std::size_t router, const CrashEvidence &evidence) -> void
+    {
+        for (auto other = std::size_t(0); other < routers_.size(); ++other) {
+            const auto isLost = randomBelow(4) == 0;
+            if (other != router && !isLost) {
+                delayed_.push_back({now_ + Milliseconds(randomBelow(500)), other, evidence});
+            }
         }
     }
 
@@ -198,7 +207,7 @@
     auto restartRouter() -> void
     {
         routers_.front() = CrashingPromptDetector();
-        routers_.front().merge(routers_.back().evidence(now_), now_);
+        routers_.front().merge(routers_.back().evidence(reportedSegments, now_), now_);
     }
 
     std::mt19937 random_;
@@ -253,8 +262,7 @@
                     [] {
                         auto detector = CrashingPromptDetector();
                         for (auto engine = 0; engine < 12; ++engine) {
-                            detector.recordCrash({.crashId_ = std::to_string(engine), .segments_ = {sharedByAll, 100}},
-                                start + engine * 10ms);
+                            detector.recordCrash(CrashId(engine), {sharedByAll, 100}, start + engine * 10ms);
                         }
                         check(!isRefused(detector, {sharedByAll, 100}, start + 1s));
                     }),
@@ -263,8 +271,11 @@
                     [] {
                         auto detector = CrashingPromptDetector();
                         auto now = crash(detector, {100}, 2, start);
-                        check(detector.recordStart({100}, now));
-                        check(!detector.recordStart({100}, now + 1s), "the second start says nothing new");
+                        check(!detector.takeNews(now).empty());
+                        detector.recordStart({100}, now);
+                        check(!detector.takeNews(now).empty());
+                        detector.recordStart({100}, now + 1s);
+                        check(!detector.hasNews(), "the second start says nothing new");
                         now = crash(detector, {100}, 2, now + 2s);
                         check(!isRefused(detector, {100}, now));
                     }),
@@ -311,10 +322,40 @@
                         auto detector = CrashingPromptDetector();
                         const auto now = crash(detector, {deadly}, 3, start);
                         auto restarted = CrashingPromptDetector();
-                        check(restarted.merge(detector.evidence(now), now + 50ms));
-                        check(!restarted.merge(detector.evidence(now), now + 90ms), "the second report is not new");
+                        restarted.merge(detector.evidence(reportedSegments, now), now + 50ms);
                         check(isRefused(restarted, {deadly}, now + 100ms));
                     }),
+                // Guards against a first token that is forgotten because its report comes before that of the crash.
+                test("accepts reports in any order",
+                    [] {
+                        auto first = CrashingPromptDetector();
+                        auto second = CrashingPromptDetector();
+                        const auto now = crash(first, {100}, 3, start);
+                        const auto crashes = first.evidence(reportedSegments, now);
+                        first.recordStart({100}, now);
+                        second.merge(first.evidence(reportedSegments, now), now);
+                        second.merge(crashes, now + 100ms);
+                        check(!isRefused(second, {100}, now + 100ms));
+                    }),
+            }),
+        section("during many crashes",
+            {
+                // Guards against a deadly segment that is forgotten because of the many requests that were lost with
+                // it.
+                test("keeps what tells most",
+                    [] {
+                        auto detector = CrashingPromptDetector();
+                        auto now = start;
+                        for (auto index = std::uint64_t(0); index < 100; ++index) {
+                            now += 100ms;
+                            detector.recordCrash(index, {sharedByAll, deadly}, now);
+                            for (auto other = std::uint64_t(0); other < 10; ++other) {
+                                detector.recordCrash(index, {sharedByAll, 1'000 + 10 * index + other}, now);
+                            }
+                        }
+                        check(detector.refusedSegments(now) == Segments {deadly});
+                        check(detector.evidence(1, now).front().crashes_.size() <= maximumCrashesPerSegment);
+                    }),
             }),
         section("of several routers",
             {
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -365,35 +365,35 @@
     auto operator<=>(const CrashReports &) const = default;
 };
 
-// A request that was lost, before its first token, in the crash of an engine.
-struct PromptCrash
+// A crash in which a request was lost before its first token.
+struct SegmentCrash
 {
-    // Identifies the crash, not the request: "UPSTREAM@INCARNATION".
-    const std::string crashId_;
-    // The ids of the shared segments of its prompt, in order.
-    const std::vector<std::uint64_t> segments_;
+    // Identifies the crash, not the request: a hash of the upstream's id and incarnation.
+    const std::uint64_t crash_ = 0;
     // Time since the crash.
     const Milliseconds age_ = Milliseconds(0);
 
-    auto operator<=>(const PromptCrash &) const = default;
+    auto operator<=>(const SegmentCrash &) const = default;
 };
 
-// A request whose prompt has this segment got its first token.
-struct SegmentStart
+// What is held against a prompt segment.
+struct SegmentEvidence
 {
     const std::uint64_t segment_ = 0;
-    // Time since then.
-    const Milliseconds age_ = Milliseconds(0);
+    // Its position in a prompt.
+    const std::uint32_t depth_ = 0;
+    const std::vector<SegmentCrash> crashes_;
+    // Time since the last first token of a request with the segment, if one is known.
+    const std::optional<Milliseconds> startAge_;
 
-    auto operator<=>(const SegmentStart &) const = default;
+    auto operator<=>(const SegmentEvidence &) const = default;
 };
 
 // Router to router: the evidence from which prompt segments that crash engines are found.
 struct PromptCrashEvidence
 {
     const NodeId router_;
-    const std::vector<PromptCrash> crashes_;
-    const std::vector<SegmentStart> starts_;
+    const std::vector<SegmentEvidence> segments_;
 
     auto operator<=>(const PromptCrashEvidence &) const = default;
 };
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -182,19 +182,19 @@
         std::cref(value.messageId_), std::cref(value.index_), std::cref(value.count_), Body {value.data_});
 }
 
-inline auto fieldsOf(const PromptCrash &value)
+inline auto fieldsOf(const SegmentCrash &value)
 {
-    return std::tie(value.crashId_, value.segments_, value.age_);
+    return std::tie(value.crash_, value.age_);
 }
 
-inline auto fieldsOf(const SegmentStart &value)
+inline auto fieldsOf(const SegmentEvidence &value)
 {
-    return std::tie(value.segment_, value.age_);
+    return std::tie(value.segment_, value.depth_, value.crashes_, value.startAge_);
 }
 
 inline auto fieldsOf(const PromptCrashEvidence &value)
 {
-    return std::tie(value.router_, value.crashes_, value.starts_);
+    return std::tie(value.router_, value.segments_);
 }
 
 inline auto fieldsOf(const CrashReports &value)
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -106,16 +106,16 @@
 
 inline auto anyPromptCrashEvidence() -> PromptCrashEvidence
 {
-    auto crashes = std::vector<PromptCrash>();
-    auto starts = std::vector<SegmentStart>();
+    auto segments = std::vector<SegmentEvidence>();
     const auto count = *rc::gen::inRange(0, 5);
     for (auto index = 0; index < count; ++index) {
-        crashes.push_back({.crashId_ = anyName(),
-            .segments_ = {anyNumber<std::uint64_t>(), anyNumber<std::uint64_t>()},
-            .age_ = anyDuration<Milliseconds>()});
-        starts.push_back({.segment_ = anyNumber<std::uint64_t>(), .age_ = anyDuration<Milliseconds>()});
+        const auto startAge = anyNumber<bool>() ? std::optional(anyDuration<Milliseconds>()) : std::nullopt;
+        segments.push_back({.segment_ = anyNumber<std::uint64_t>(),
+            .depth_ = anyNumber<std::uint32_t>(),
+            .crashes_ = {{.crash_ = anyNumber<std::uint64_t>(), .age_ = anyDuration<Milliseconds>()}},
+            .startAge_ = startAge});
     }
-    return PromptCrashEvidence {.router_ = anyNodeId(), .crashes_ = std::move(crashes), .starts_ = std::move(starts)};
+    return PromptCrashEvidence {.router_ = anyNodeId(), .segments_ = std::move(segments)};
 }
 
 inline auto anyAccountUsageReport() -> AccountUsageReport
