Move the relay of streams to a file of its own

The wait for the first configuration and the first upstreams is counted from when the request is handled, once for both, as before the arrival of a request was introduced: two waits in a row could take a second.

--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -24,7 +24,6 @@
 
 // Upstreams are on the local network. One that does not accept a connection within this time is considered down.
 constexpr Milliseconds connectTimeout = Milliseconds(400);
-constexpr int okStatus = 200;
 // A connection on which neither data nor a keep-alive probe is acknowledged for this time is considered dead.
 constexpr Milliseconds deadPeerTimeout = Milliseconds(2'000);
 // Retry delay sent if there is no configuration or no upstream, or if no upstream ran the request.
@@ -58,10 +57,11 @@
     , request_(request)
     , arrivedAt_(request.arrival_.steady_)
     , arrivedAtBoot_(request.arrival_.boot_)
+    , handledAt_(Clock::now())
     , admittedAt_(BootClock::now())
     , requestMetadata_(frontend.protocolAdapter_.parseRequestMetadata_(request))
     , sharedSegments_(sharedSegments(requestMetadata_.prompt_))
-    , routeTable_(frontend.configuration_->awaitCurrent(Clock::now() + maximumStartupWait))
+    , routeTable_(frontend.configuration_->awaitCurrent(handledAt_ + maximumStartupWait))
 {
 }
 
@@ -111,7 +111,7 @@
             .message_ = "this process stops",
             .retryAfter_ = stoppingRetryAfter});
     }
-    frontend_.upstreams_->awaitLoaded(Clock::now() + maximumStartupWait);
+    frontend_.upstreams_->awaitLoaded(handledAt_ + maximumStartupWait);
     if (!routeTable_) {
         return refuse({.status_ = serviceUnavailable,
             .code_ = "no_configuration",
@@ -320,118 +320,6 @@
     }
 }
 
-auto RequestRun::relayStream(const StartedResponse &started, const AdmittedRequest &admitted) -> http::Response
-{
-    const auto self = shared_from_this();
-    streamProgress_.emplace(streamLimits(admitted), Clock::now());
-    return http::StreamResponse {.status_ = started.head_.status_,
-        .headers_ = internal::endToEndFields(started.head_.fields_),
-        .nextEvent_ = [self, admitted] {
-            return self->nextStreamEvent(admitted);
-        }};
-}
-
-auto RequestRun::streamLimits(const AdmittedRequest &admitted) const -> internal::StreamLimits
-{
-    const auto &options = frontend_.options_;
-    const auto resumable = allowsRerun(*admitted.route_);
-    return {.stallTimeout_ = resumable ? internal::resumeTimeout(*admitted.route_) : options.streamStallTimeout_,
-        .maximumEventBytes_ = options.maximumEventBytes_};
-}
-
-auto RequestRun::awaitChunk() -> Result<std::optional<std::string>>
-{
-    const auto stallFailure = [this](const std::string &reason) {
-        return Failure {.step_ = "stall",
-            .peer_ = assignment_->upstream_.address_,
-            .reason_ = reason,
-            .runState_ = RunState::MayHaveRun};
-    };
-    // Data of the last call may have held complete events, which were passed on first.
-    if (streamProgress_->exceedsEventLimit()) {
-        return stallFailure("an event of the stream exceeds the limit");
-    }
-    auto chunk = exchange_->next(std::min(deadline_, streamProgress_->stallsAt()));
-    if (!chunk && chunk.failure().step_ == "wait" && Clock::now() < deadline_) {
-        return stallFailure("no event of the stream within the stall timeout");
-    }
-    if (chunk && !*chunk && streamProgress_->endsInsideEvent()) {
-        return Failure {.step_ = "receive",
-            .peer_ = assignment_->upstream_.address_,
-            .reason_ = "the stream ended inside an event",
-            .runState_ = RunState::MayHaveRun};
-    }
-    if (chunk && *chunk) {
-        streamProgress_->record(**chunk, Clock::now());
-        if (streamProgress_->hasEvent() && !hasFirstToken_) {
-            recordFirstToken();
-        }
-    }
-    return chunk;
-}
-
-auto RequestRun::nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent
-{
-    while (true) {
-        const auto chunk = awaitChunk();
-        if (!chunk) {
-            static_cast<void>(failAttempt(chunk.failure()));
-            if (!resumeStream(admitted)) {
-                recordOutcome("broken off", http::closeWithoutResponse, observe::fieldsOf(lastFailure_->failure_));
-                return http::AbortStream {};
-            }
-            continue;
-        }
-        if (!*chunk) {
-            break;
-        }
-        const auto now = Clock::now();
-        longestChunkGap_ = std::max(longestChunkGap_, now - lastChunkAt_.value_or(now));
-        lastChunkAt_ = now;
-        const auto output = allowsRerun(*admitted.route_) ? eventSplitter_.split(**chunk) : **chunk;
-        relayedBytes_ += output.size();
-        if (!output.empty()) {
-            return http::Chunk {.data_ = output};
-        }
-    }
-    if (const auto partialEvent = eventSplitter_.takePartial(); !partialEvent.empty()) {
-        return http::Chunk {.data_ = partialEvent};
-    }
-    endAttempt(AttemptResult::Responded);
-    recordOutcome("answered", okStatus);
-    return http::EndOfStream {};
-}
-
-auto RequestRun::resumeStream(const AdmittedRequest &admitted) -> bool
-{
-    eventSplitter_.discardPartial();
-    // A stream that has already sent data can be resumed only after an event with an id.
-    while ((relayedBytes_ == 0 || !eventSplitter_.lastEventId().empty()) && tryAcquireRetry(admitted)) {
-        if (readmit() || startAttempt(admitted)) {
-            return false;
-        }
-        const auto head
-            = exchange_->head(std::min(deadline_, Clock::now() + internal::resumeTimeout(*admitted.route_)));
-        const auto checked = head ? checkResponseHead(*head)
-                                  : std::variant<StartedResponse, FailedAttempt>(failAttempt(head.failure()));
-        const auto *started = std::get_if<StartedResponse>(&checked);
-        if (started != nullptr && started->metadata_.isEventStream_ && started->head_.status_ == okStatus) {
-            streamProgress_.emplace(streamLimits(admitted), Clock::now());
-            frontend_.environment_->log().info("resumed a stream",
-                {{"request", requestMetadata_.requestId_}, {"upstream", assignment_->upstream_.id_},
-                    {"after", eventSplitter_.lastEventId()}});
-            return true;
-        }
-        if (started != nullptr) {
-            static_cast<void>(failAttempt({.step_ = "resume",
-                .peer_ = assignment_->upstream_.address_,
-                .reason_ = fmt::format("status {}", started->head_.status_),
-                .runState_ = RunState::MayHaveRun}));
-        }
-    }
-    return false;
-}
-
 auto RequestRun::recordFailedAttempt(const FailedAttempt &failedAttempt) -> void
 {
     ++failedAttempts_;
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -91,6 +91,7 @@
     const http::Request request_;
     const TimePoint arrivedAt_;
     const BootTime arrivedAtBoot_;
+    const TimePoint handledAt_;
     BootTime admittedAt_;
     // The total time that the request may take.
     Milliseconds timeout_ = Milliseconds(0);
