--- a/packages/routing/tests/crashing_prompt_detector_test.cpp
+++ b/packages/routing/tests/crashing_prompt_detector_test.cpp
@@ -356,6 +356,17 @@
                         check(detector.refusedSegments(now) == Segments {deadly});
                         check(detector.evidence(1, now).front().crashes_.size() <= maximumCrashesPerSegment);
                     }),
+                // Guards against earlier crashes that are forgotten because many engines crash at once.
+                test("keeps crashes at other moments",
+                    [] {
+                        auto detector = CrashingPromptDetector();
+                        auto now = crash(detector, {deadly}, 2, start);
+                        for (auto index = std::uint64_t(0); index < 2 * maximumCrashesPerSegment; ++index) {
+                            now += 1ms;
+                            detector.recordCrash(index, {deadly}, now);
+                        }
+                        check(isRefused(detector, {deadly}, now));
+                    }),
             }),
         section("of several routers",
             {
