Decide at which software version of a service a stream is resumed

No caller is affected yet: nothing calls the module.

routing::StreamVersions decides where a stream began, from the versions that the routers agree on in the store and from records of single streams, without clock or I/O. Its tests cover a second version that comes, one that leaves, a router that starts late, failed writes and a store that came back from an older copy. They could not fail before, the interface is new.

--- /dev/null
+++ b/packages/routing/include/jasminewood/routing/stream_versions.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jasminewood/core/clock.h"
+
+// Decides at which software version of a service a stream may be resumed.
+//
+// Upstreams of several versions may serve side by side. What two versions write does not fit together, so a stream is
+// resumed only at the version that began it. Any router may be asked to resume any stream, also after all routers were
+// killed. So the routers agree, in the store, on the versions at which they begin streams (AgreedVersions), and a
+// router begins a stream at another version only after that version was added. While one version is agreed on, each
+// stream without a record began there, and nothing is recorded. While there are several, each router records the
+// version of each stream that it begins. A stream whose version is not known is not resumed.
+//
+//     versions.setAgreed("chat", {.era_ = 1, .versions_ = {"v1", "v2"}}, now);
+//     versions.recordBegin({.stream_ = 7, .origin_ = {.service_ = "chat", .version_ = "v1"}}, now);
+//     const auto decision = versions.originOf(7, "chat", now);
+
+namespace jasminewood::routing
+{
+
+// Identifies a stream: a hash of the id of the request that brought its first event.
+using StreamId = std::uint64_t;
+
+// Stands for streams without a record that may have begun at any version. Among the agreed versions it has the effect
+// that a stream without a record is not resumed.
+constexpr auto unrecordedVersion = "";
+
+// Where a stream began.
+struct StreamOrigin
+{
+    const std::string service_;
+    const std::string version_;
+
+    auto operator<=>(const StreamOrigin &) const = default;
+};
+
+// It is not known where the stream began.
+struct UnknownOrigin
+{
+    auto operator<=>(const UnknownOrigin &) const = default;
+};
+
+using OriginDecision = std::variant<StreamOrigin, UnknownOrigin>;
+
+struct StreamRecord
+{
+    const StreamId stream_ = 0;
+    const StreamOrigin origin_;
+
+    auto operator<=>(const StreamRecord &) const = default;
+};
+
+// The versions of one service at which routers begin streams, as the store has them.
+struct AgreedVersions
+{
+    // The era of the store in which they were written. After the store came back from an older copy they may lack
+    // versions, so they count as incomplete until a router writes them again.
+    const std::uint64_t era_ = 0;
+    // May include unrecordedVersion.
+    const std::set<std::string> versions_;
+
+    auto operator<=>(const AgreedVersions &) const = default;
+};
+
+using VersionsByService = std::map<std::string, std::set<std::string>>;
+
+struct StreamVersionsOptions
+{
+    // Whether the whole system starts for the first time, so that no stream can have begun before.
+    const bool isFirstStart_ = false;
+    // How long a stream may be resumed after it began.
+    const Milliseconds memory_ = Milliseconds(30'000);
+    // The maximum number of streams that are remembered; the oldest are forgotten first.
+    const std::size_t maximumStreams_ = 65'536;
+};
+
+// Not thread-safe. Precondition: now does not go backwards.
+class StreamVersions
+{
+public:
+    explicit StreamVersions(const StreamVersionsOptions &options = {});
+
+    // Sets how long a stream may be resumed after it began.
+    auto setMemory(Milliseconds memory) -> void;
+
+    // Sets the era of the store. In a new era all records have to be written again.
+    auto setEra(std::uint64_t era) -> void;
+
+    // Sets what the store has about one service.
+    auto setAgreed(const std::string &service, const AgreedVersions &agreed, TimePoint now) -> void;
+
+    // Sets the versions of all registered upstreams, including those that are leaving.
+    auto setRegistered(const VersionsByService &registered, TimePoint now) -> void;
+
+    // Records a stream that this router began.
+    auto recordBegin(const StreamRecord &record, TimePoint now) -> void;
+
+    // Records a stream of which the store tells.
+    auto recordReported(const StreamRecord &record, TimePoint now) -> void;
+
+    // Returns where a stream began that a caller wants to resume on a route to this service.
+    auto originOf(StreamId stream, const std::string &service, TimePoint now) const -> OriginDecision;
+
+    // Returns the versions at which new streams may begin; empty if nothing is agreed on.
+    auto admittedVersions(const std::string &service) const -> std::set<std::string>;
+
+    // Returns what should replace the agreed versions of the service; empty if they need no change.
+    auto proposal(const std::string &service, TimePoint now) const -> std::optional<AgreedVersions>;
+
+    // Returns the streams that this router began and that have to be written to the store, and counts them as written.
+    auto takeUnwritten(TimePoint now) -> std::vector<StreamRecord>;
+
+    // Counts the streams as not written, because the write failed.
+    auto putBack(const std::vector<StreamRecord> &records) -> void;
+
+    // Returns whether takeUnwritten() would return anything.
+    auto hasUnwritten() const -> bool;
+
+private:
+    struct Stream
+    {
+        const StreamOrigin origin_;
+        const TimePoint recordedAt_;
+        // Whether this router began it.
+        const bool isOwn_ = false;
+    };
+
+    struct Service
+    {
+        std::optional<AgreedVersions> agreed_;
+        std::set<std::string> registered_;
+        // When each agreed version was last registered, or else first seen among the agreed ones.
+        std::map<std::string, TimePoint> lastRegisteredAt_;
+    };
+
+    auto findService(const std::string &service) const -> const Service *;
+    // Returns whether the agreed versions are complete: none can have been lost with an era of the store.
+    auto isComplete(const Service &service) const -> bool;
+    // Returns the only version at which a stream without a record can have begun.
+    auto onlyVersion(const Service &service) const -> std::optional<std::string>;
+    auto needsRecord(const StreamOrigin &origin) const -> bool;
+    auto record(const StreamRecord &record, TimePoint now, bool isOwn) -> void;
+    auto forgetOldStreams(TimePoint now) -> void;
+
+    const StreamVersionsOptions options_;
+    Milliseconds memory_;
+    std::optional<std::uint64_t> era_;
+    bool eraChanged_ = false;
+    std::map<std::string, Service> services_;
+    std::map<StreamId, Stream> streams_;
+    // The streams that this router began and whose records are not in the store.
+    std::set<StreamId> unwritten_;
+    // The streams by the time at which they were recorded.
+    std::multimap<TimePoint, StreamId> streamsByAge_;
+};
+
+} // namespace jasminewood::routing
--- /dev/null
+++ b/packages/routing/src/stream_versions.cpp
@@ -0,0 +1,200 @@
+#include "jasminewood/routing/stream_versions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminewood::routing
+{
+
+StreamVersions::StreamVersions(const StreamVersionsOptions &options)
+    : options_(options)
+    , memory_(options.memory_)
+{
+}
+
+auto StreamVersions::setMemory(Milliseconds memory) -> void
+{
+    memory_ = memory;
+}
+
+auto StreamVersions::setEra(std::uint64_t era) -> void
+{
+    if (era_ && *era_ != era) {
+        eraChanged_ = true;
+        for (const auto &[id, stream] : streams_) {
+            if (stream.isOwn_) {
+                unwritten_.insert(id);
+            }
+        }
+    }
+    era_ = era;
+}
+
+auto StreamVersions::setAgreed(const std::string &service, const AgreedVersions &agreed, TimePoint now) -> void
+{
+    auto &known = services_[service];
+    known.agreed_.emplace(agreed);
+    for (const auto &version : agreed.versions_) {
+        known.lastRegisteredAt_.try_emplace(version, now);
+    }
+    std::erase_if(known.lastRegisteredAt_, [&agreed, &known](const auto &entry) {
+        return !agreed.versions_.contains(entry.first) && !known.registered_.contains(entry.first);
+    });
+}
+
+auto StreamVersions::setRegistered(const VersionsByService &registered, TimePoint now) -> void
+{
+    for (auto &[name, service] : services_) {
+        for (const auto &version : service.registered_) {
+            service.lastRegisteredAt_[version] = now;
+        }
+        service.registered_.clear();
+    }
+    for (const auto &[name, versions] : registered) {
+        auto &service = services_[name];
+        service.registered_ = versions;
+        for (const auto &version : versions) {
+            service.lastRegisteredAt_[version] = now;
+        }
+    }
+}
+
+auto StreamVersions::findService(const std::string &service) const -> const Service *
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+auto StreamVersions::isComplete(const Service &service) const -> bool
+{
+    return service.agreed_ && era_ && service.agreed_->era_ == *era_;
+}
+
+auto StreamVersions::onlyVersion(const Service &service) const -> std::optional<std::string>
+{
+    if (!isComplete(service) || service.agreed_->versions_.size() != 1) {
+        return std::nullopt;
+    }
+    const auto &version = *service.agreed_->versions_.begin();
+    return version == unrecordedVersion ? std::nullopt : std::optional(version);
+}
+
+auto StreamVersions::needsRecord(const StreamOrigin &origin) const -> bool
+{
+    const auto *service = findService(origin.service_);
+    return service == nullptr || onlyVersion(*service) != origin.version_;
+}
+
+auto StreamVersions::recordBegin(const StreamRecord &record, TimePoint now) -> void
+{
+    this->record(record, now, true);
+}
+
+auto StreamVersions::recordReported(const StreamRecord &record, TimePoint now) -> void
+{
+    this->record(record, now, false);
+}
+
+auto StreamVersions::record(const StreamRecord &record, TimePoint now, bool isOwn) -> void
+{
+    forgetOldStreams(now);
+    const auto added
+        = streams_.try_emplace(record.stream_, Stream {.origin_ = record.origin_, .recordedAt_ = now, .isOwn_ = isOwn});
+    if (!added.second) {
+        return;
+    }
+    streamsByAge_.emplace(now, record.stream_);
+    if (isOwn) {
+        unwritten_.insert(record.stream_);
+    }
+}
+
+auto StreamVersions::forgetOldStreams(TimePoint now) -> void
+{
+    const auto isOld = [this, now](const auto &entry) {
+        return now - entry.first > memory_ || streams_.size() >= options_.maximumStreams_;
+    };
+    while (!streamsByAge_.empty() && isOld(*streamsByAge_.begin())) {
+        unwritten_.erase(streamsByAge_.begin()->second);
+        streams_.erase(streamsByAge_.begin()->second);
+        streamsByAge_.erase(streamsByAge_.begin());
+    }
+}
+
+auto StreamVersions::originOf(StreamId stream, const std::string &service, TimePoint now) const -> OriginDecision
+{
+    const auto found = streams_.find(stream);
+    if (found != streams_.end() && now - found->second.recordedAt_ <= memory_) {
+        return found->second.origin_;
+    }
+    const auto *known = findService(service);
+    const auto version = known == nullptr ? std::nullopt : onlyVersion(*known);
+    return version ? OriginDecision(StreamOrigin {.service_ = service, .version_ = *version})
+                   : OriginDecision(UnknownOrigin {});
+}
+
+auto StreamVersions::admittedVersions(const std::string &service) const -> std::set<std::string>
+{
+    const auto *known = findService(service);
+    auto versions = known != nullptr && known->agreed_ ? known->agreed_->versions_ : std::set<std::string>();
+    versions.erase(unrecordedVersion);
+    return versions;
+}
+
+auto StreamVersions::proposal(const std::string &service, TimePoint now) const -> std::optional<AgreedVersions>
+{
+    const auto *known = findService(service);
+    if (known == nullptr || !era_) {
+        return std::nullopt;
+    }
+    auto versions = known->registered_;
+    const auto complete = isComplete(*known);
+    if (known->agreed_) {
+        for (const auto &version : known->agreed_->versions_) {
+            if (!complete || now - known->lastRegisteredAt_.at(version) <= memory_) {
+                versions.insert(version);
+            }
+        }
+    }
+    const auto firstAgreement = !known->agreed_ && options_.isFirstStart_ && !eraChanged_;
+    if (versions.empty() || (complete && versions == known->agreed_->versions_)) {
+        return std::nullopt;
+    }
+    if (!complete && !firstAgreement) {
+        versions.insert(unrecordedVersion);
+    }
+    return AgreedVersions {.era_ = *era_, .versions_ = versions};
+}
+
+auto StreamVersions::takeUnwritten(TimePoint now) -> std::vector<StreamRecord>
+{
+    forgetOldStreams(now);
+    auto records = std::vector<StreamRecord>();
+    for (const auto id : unwritten_) {
+        if (const auto &origin = streams_.at(id).origin_; needsRecord(origin)) {
+            records.push_back({.stream_ = id, .origin_ = origin});
+        }
+    }
+    for (const auto &record : records) {
+        unwritten_.erase(record.stream_);
+    }
+    return records;
+}
+
+auto StreamVersions::putBack(const std::vector<StreamRecord> &records) -> void
+{
+    for (const auto &record : records) {
+        if (streams_.contains(record.stream_)) {
+            unwritten_.insert(record.stream_);
+        }
+    }
+}
+
+auto StreamVersions::hasUnwritten() const -> bool
+{
+    return std::any_of(unwritten_.begin(), unwritten_.end(), [this](StreamId id) {
+        return needsRecord(streams_.at(id).origin_);
+    });
+}
+
+} // namespace jasminewood::routing
--- /dev/null
+++ b/packages/routing/tests/stream_versions_test.cpp
@@ -0,0 +1,205 @@
+#include "jasminewood/routing/stream_versions.h"
+
+#include "jasminewood/testkit/test_suite.h"
+
+using namespace jasminewood;
+using namespace jasminewood::routing;
+using namespace std::chrono_literals;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+constexpr auto chat = "chat";
+constexpr auto memory = Milliseconds(30'000);
+const auto start = TimePoint(100s);
+
+auto streamAt(StreamId stream, const std::string &version) -> StreamRecord
+{
+    return {.stream_ = stream, .origin_ = {.service_ = chat, .version_ = version}};
+}
+
+auto beganAt(const std::string &version) -> OriginDecision
+{
+    return StreamOrigin {.service_ = chat, .version_ = version};
+}
+
+auto agreed(const std::set<std::string> &versions, std::uint64_t era = 1) -> AgreedVersions
+{
+    return {.era_ = era, .versions_ = versions};
+}
+
+// A router that has read the agreed versions in era 1, while they are registered.
+auto routerThatAgreesOn(const std::set<std::string> &versions) -> StreamVersions
+{
+    auto router = StreamVersions({.memory_ = memory});
+    router.setEra(1);
+    router.setAgreed(chat, agreed(versions), start);
+    router.setRegistered({{chat, versions}}, start);
+    return router;
+}
+
+const testkit::TestSuite resumption = {"a stream that is resumed",
+    {
+        section("while routers agree on one version",
+            {
+                // Guards against writes to the store for each stream on days without a second version.
+                test("began at that version, without a record",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        router.recordBegin(streamAt(1, "v1"), start);
+                        check(!router.hasUnwritten() && router.takeUnwritten(start).empty());
+                        check(router.originOf(2, chat, start) == beganAt("v1"));
+                    }),
+                // Guards against a router that starts when only upstreams of a newer version are left.
+                test("began there although only another version is registered now",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        router.setRegistered({{chat, {"v2"}}}, start);
+                        check(router.originOf(2, chat, start) == beganAt("v1"));
+                        check(router.admittedVersions(chat) == std::set<std::string> {"v1"});
+                    }),
+                // Guards against a stream that began at a version before it was agreed on, for lack of another.
+                test("is recorded if it began at another one",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        router.recordBegin(streamAt(3, "v2"), start);
+                        check(router.takeUnwritten(start) == std::vector {streamAt(3, "v2")});
+                        check(router.originOf(3, chat, start) == beganAt("v2"));
+                    }),
+            }),
+        section("while routers agree on several versions",
+            {
+                // Guards against text joined from two versions.
+                test("goes on where it began if that is recorded, and nowhere otherwise",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1", "v2"});
+                        router.recordBegin(streamAt(1, "v1"), start);
+                        router.recordReported(streamAt(2, "v2"), start);
+                        check(router.originOf(1, chat, start) == beganAt("v1"));
+                        check(router.originOf(2, chat, start) == beganAt("v2"));
+                        check(router.originOf(3, chat, start) == OriginDecision(UnknownOrigin {}));
+                    }),
+                // Guards against streams of which only the killed router knew.
+                test("is written once, also if it began before the second version came",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        router.recordBegin(streamAt(1, "v1"), start);
+                        router.setAgreed(chat, agreed({"v1", "v2"}), start + 1s);
+                        check(router.hasUnwritten());
+                        check(router.takeUnwritten(start + 1s) == std::vector {streamAt(1, "v1")});
+                        check(router.takeUnwritten(start + 1s).empty());
+                    }),
+                // Guards against records that are lost with a call to the store.
+                test("is written again if the write failed, or was lost with an era of the store",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1", "v2"});
+                        router.recordBegin(streamAt(1, "v1"), start);
+                        router.recordReported(streamAt(2, "v2"), start);
+                        router.putBack(router.takeUnwritten(start));
+                        check(router.takeUnwritten(start) == std::vector {streamAt(1, "v1")});
+                        router.setEra(2);
+                        check(router.takeUnwritten(start) == std::vector {streamAt(1, "v1")});
+                    }),
+                // Guards against a table that grows without bound.
+                test("is forgotten after the memory, or when too many came after it",
+                    [] {
+                        auto router = StreamVersions({.memory_ = memory, .maximumStreams_ = 2});
+                        router.setEra(1);
+                        router.setAgreed(chat, agreed({"v1", "v2"}), start);
+                        router.recordBegin(streamAt(1, "v1"), start);
+                        router.recordBegin(streamAt(2, "v1"), start + 1s);
+                        router.recordBegin(streamAt(3, "v1"), start + 2s);
+                        check(router.originOf(1, chat, start + 2s) == OriginDecision(UnknownOrigin {}));
+                        check(router.originOf(3, chat, start + 2s + memory) == beganAt("v1"));
+                        check(router.originOf(3, chat, start + 3s + memory) == OriginDecision(UnknownOrigin {}));
+                        check(router.takeUnwritten(start + 3s + memory).empty());
+                    }),
+            }),
+        section("at a router that has read nothing from the store",
+            {
+                test("goes on nowhere",
+                    [] {
+                        const auto router = StreamVersions();
+                        check(router.originOf(1, chat, start) == OriginDecision(UnknownOrigin {}));
+                        check(router.admittedVersions(chat).empty() && !router.proposal(chat, start));
+                    }),
+            }),
+    }};
+
+const testkit::TestSuite agreement = {"the versions that routers agree on",
+    {
+        section("begin",
+            {
+                test("with those that are registered when the system starts for the first time",
+                    [] {
+                        auto router = StreamVersions({.isFirstStart_ = true});
+                        router.setRegistered({{chat, {"v1"}}}, start);
+                        check(!router.proposal(chat, start));
+                        router.setEra(1);
+                        check(router.proposal(chat, start) == agreed({"v1"}));
+                    }),
+                // Guards against a router that takes the only version it sees for the only one there was.
+                test("with streams of unknown versions at any other start",
+                    [] {
+                        auto router = StreamVersions();
+                        router.setEra(1);
+                        router.setRegistered({{chat, {"v1"}}}, start);
+                        check(router.proposal(chat, start) == agreed({"v1", unrecordedVersion}));
+                    }),
+            }),
+        section("grow",
+            {
+                test("by a version that is registered",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        check(!router.proposal(chat, start));
+                        router.setRegistered({{chat, {"v1", "v2"}}}, start);
+                        check(router.proposal(chat, start) == agreed({"v1", "v2"}));
+                    }),
+            }),
+        section("shrink",
+            {
+                // Guards against a stream of the old version that is taken for one of the new version.
+                test("only when no stream of the version that left can be resumed any more",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1", "v2"});
+                        router.setRegistered({{chat, {"v2"}}}, start + 5s);
+                        check(!router.proposal(chat, start + 5s + memory));
+                        check(router.proposal(chat, start + 6s + memory) == agreed({"v2"}));
+                        router.setRegistered({}, start + 7s + memory);
+                        check(!router.proposal(chat, start + 8s + memory + memory));
+                    }),
+                // Guards against a router that starts after the old version has left.
+                test("after the memory also if this router never saw the version registered",
+                    [] {
+                        auto router = StreamVersions({.memory_ = memory});
+                        router.setEra(1);
+                        router.setRegistered({{chat, {"v2"}}}, start);
+                        router.setAgreed(chat, agreed({"v1", "v2", unrecordedVersion}), start + 1s);
+                        check(!router.proposal(chat, start + 1s + memory));
+                        check(router.proposal(chat, start + 2s + memory) == agreed({"v2"}));
+                    }),
+            }),
+        section("after the store came back from an older copy",
+            {
+                // Guards against a version whose addition was lost with the era.
+                test("are incomplete until they are written again",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        router.recordBegin(streamAt(1, "v1"), start);
+                        router.setEra(2);
+                        check(router.originOf(2, chat, start) == OriginDecision(UnknownOrigin {}));
+                        check(router.originOf(1, chat, start) == beganAt("v1"));
+                        check(router.proposal(chat, start) == agreed({"v1", unrecordedVersion}, 2));
+                        router.setAgreed(chat, agreed({"v1", unrecordedVersion}, 2), start);
+                        check(router.originOf(2, chat, start) == OriginDecision(UnknownOrigin {}));
+                        check(router.admittedVersions(chat) == std::set<std::string> {"v1"});
+                        check(router.proposal(chat, start + 1s + memory) == agreed({"v1"}, 2));
+                    }),
+            }),
+    }};
+
+} // namespace
