Read an upstream's software version, and let a choice ask for versions

No caller is affected yet: all requests still accept any version. Both parts of the fix, within an answer and over a caller's tries, need it and the new VersionCriterion of the choice.

--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -6,7 +6,9 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "jasminewood/core/clock.h"
@@ -49,6 +51,30 @@
 constexpr Milliseconds minimumEjectionTime = Milliseconds(500);
 constexpr Milliseconds maximumEjectionTime = Milliseconds(4'000);
 
+// Upstreams of any software version may be chosen.
+struct AnyVersion
+{
+    auto operator<=>(const AnyVersion &) const = default;
+};
+
+// Upstreams of these versions are chosen, or others if none of these is eligible.
+struct PreferredVersions
+{
+    const std::set<std::string> versions_;
+
+    auto operator<=>(const PreferredVersions &) const = default;
+};
+
+// Only upstreams of this version may be chosen, because it began the stream that is resumed.
+struct RequiredVersion
+{
+    const std::string version_;
+
+    auto operator<=>(const RequiredVersion &) const = default;
+};
+
+using VersionCriterion = std::variant<AnyVersion, PreferredVersions, RequiredVersion>;
+
 // The properties of a request by which its upstream is chosen.
 struct SelectionCriteria
 {
@@ -62,6 +88,8 @@
     const std::optional<Milliseconds> timeUntilDue_ = std::nullopt;
     // Ids of upstreams that were already tried for this request.
     const std::vector<std::string> excludedUpstreams_;
+    // The software versions of the upstreams that may be chosen.
+    const VersionCriterion versions_ = AnyVersion {};
 };
 
 constexpr Milliseconds noLoadReport = Milliseconds(-1);
@@ -210,7 +238,8 @@
     // Returns whether the upstream could be chosen if it took requests.
     static auto isRoutable(const Upstream &upstream, TimePoint now) -> bool;
     auto availability(const Upstream &upstream, TimePoint now) const -> routing::AvailabilityState;
-    // Returns the upstreams of the service that may be chosen. Ejected ones are returned only if all are ejected.
+    // Returns the upstreams of the service that may be chosen. Ejected ones are returned only if all are ejected, and
+    // ones of other than the preferred versions only if there are no others.
     auto eligibleUpstreams(const SelectionCriteria &criteria, TimePoint now) const -> std::vector<const Upstream *>;
     auto chooseUpstream(const std::vector<const Upstream *> &eligible, TimePoint now) -> Result<std::string>;
     auto chooseEngine(const SelectionCriteria &criteria, const std::vector<const Upstream *> &eligible, TimePoint now)
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <numeric>
 #include <set>
 #include <utility>
 
+#include "jasminewood/core/overloaded.h"
+
 namespace jasminewood::forward
 {
 
@@ -50,6 +53,29 @@
     return Microseconds(std::int64_t(double(time.count()) * baseTokens / (baseTokens + tokens)));
 }
 
+// Returns whether an upstream of this version meets the criterion.
+auto matches(const VersionCriterion &criterion, const std::string &version) -> bool
+{
+    return std::visit(Overloaded {[](const AnyVersion &) {
+                                      return true;
+                                  },
+                          [&version](const PreferredVersions &preferred) {
+                              return preferred.versions_.contains(version);
+                          },
+                          [&version](const RequiredVersion &required) {
+                              return required.version_ == version;
+                          }},
+        criterion);
+}
+
+template <typename Element, typename Predicate>
+auto filter(const std::vector<Element> &elements, Predicate predicate) -> std::vector<Element>
+{
+    auto matching = std::vector<Element>();
+    std::copy_if(elements.begin(), elements.end(), std::back_inserter(matching), predicate);
+    return matching;
+}
+
 } // namespace
 
 UpstreamPool::UpstreamPool(std::uint64_t seed, const std::string &dataCentre)
@@ -138,19 +164,27 @@
 auto UpstreamPool::eligibleUpstreams(const SelectionCriteria &criteria, TimePoint now) const
     -> std::vector<const Upstream *>
 {
-    auto available = std::vector<const Upstream *>();
-    auto ejected = std::vector<const Upstream *>();
+    auto eligible = std::vector<const Upstream *>();
     for (const auto &[id, upstream] : upstreams_) {
         const auto alreadyTried = std::find(criteria.excludedUpstreams_.begin(), criteria.excludedUpstreams_.end(), id)
             != criteria.excludedUpstreams_.end();
         const auto mayBeChosen
             = isRoutable(upstream, now) && std::holds_alternative<routing::Available>(availability(upstream, now));
         if (upstream.record_->service_ == criteria.service_ && mayBeChosen && !alreadyTried) {
-            const auto isEjected = upstream.ejectedUntil_ && now < *upstream.ejectedUntil_;
-            (isEjected ? ejected : available).push_back(&upstream);
+            eligible.push_back(&upstream);
         }
     }
-    return available.empty() ? ejected : available;
+    const auto hasVersion = [&criteria](const Upstream *upstream) {
+        return matches(criteria.versions_, upstream->record_->version_);
+    };
+    const auto isAvailable = [now](const Upstream *upstream) {
+        return !upstream->ejectedUntil_ || now >= *upstream->ejectedUntil_;
+    };
+    const auto ofVersion = filter(eligible, hasVersion);
+    const auto versionIsRequired = std::holds_alternative<RequiredVersion>(criteria.versions_);
+    const auto &candidates = ofVersion.empty() && !versionIsRequired ? eligible : ofVersion;
+    const auto available = filter(candidates, isAvailable);
+    return available.empty() ? candidates : available;
 }
 
 auto UpstreamPool::chooseUpstream(const std::vector<const Upstream *> &eligible, TimePoint now) -> Result<std::string>
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -39,15 +39,16 @@
 {
     const auto &key = entry.key_;
     const auto parts = splitWords(entry.value_);
-    if (parts.size() != 2 && parts.size() != 3) {
-        return Failure {.step_ = "decode", .peer_ = key, .reason_ = "not two or three words"};
+    if (parts.size() < 2 || parts.size() > 4) {
+        return Failure {.step_ = "decode", .peer_ = key, .reason_ = "not two to four words"};
     }
     return membership::UpstreamRecord {.id_ = key.substr(std::string(upstreamPrefix).size()),
         .service_ = "pool",
         .address_ = parts[0],
         .slots_ = 4,
         .leaving_ = parts[1] == "leaving",
-        .incarnation_ = parts.size() == 3 ? std::stoll(parts[2]) : 0};
+        .incarnation_ = parts.size() > 2 ? std::stoll(parts[2]) : 0,
+        .version_ = parts.size() > 3 ? parts[3] : ""};
 }
 
 // Returns the prompt of a request whose field "Prompt" lists the ids of its segments, separated by spaces.
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -50,8 +50,8 @@
 
     // Starts an upstream of service "pool" and waits until it is in the pool.
     auto addUpstream(const std::string &id, http::Handler handler) -> void;
-    // Registers an address as an upstream. Waits until it is in the pool if the state is "ready", which a number, the
-    // incarnation, may follow; otherwise until it is not.
+    // Registers an address as an upstream. Waits until it is in the pool if the state is "ready", which the
+    // incarnation, a number, and the version of the software may follow; otherwise until it is not.
     auto registerUpstream(const std::string &id, const std::string &address, const std::string &state) -> void;
     auto publish(std::int64_t version) -> void;
     auto publishWithoutRoutes(std::int64_t version) -> void;
--- a/packages/membership/include/jasminewood/membership/upstream_directory.h
+++ b/packages/membership/include/jasminewood/membership/upstream_directory.h
@@ -39,6 +39,8 @@
     const std::int64_t registeredAt_ = 0;
     // Orders what the upstream wrote in this incarnation; empty if unknown.
     const std::optional<std::uint64_t> sequence_ = {};
+    // The version of the upstream's software; empty if unknown.
+    const std::string version_ = {};
 
     auto operator<=>(const UpstreamRecord &) const = default;
 };
