Reject JSON documents that are nested too deeply before they are parsed

Callers saw routers end again and again: other operators report that a very deeply nested entry in the store ended the machines that read it. The JSON library parses such a text without recursion, but copies a document recursively. Copies are made where a list is read with a default (the configuration's traffic split), in the VM list and in etcd's answers.

Other writers' entries of upstreams did not end it, because nothing of them was copied.

Change: package jsontext counts the levels in the text first and rejects more than 64, then parses. Its failures quote 200 bytes of the text at most, since the library quotes a number of many MB in full.

Why it works: no value of more than 64 levels exists after it, so no copy or serialisation can recurse further.

--- a/packages/platform/src/key_value.cpp
+++ b/packages/platform/src/key_value.cpp
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include "jasminewood/jsontext/parse.h"
 #include "key_value_codec.h"
 #include "peer.h"
 
@@ -44,11 +45,8 @@
     if (!response) {
         return response.failure();
     }
-    try {
-        return decoder(json::parse(response->body_));
-    } catch (const json::exception &parseError) {
-        return malformedResponse(options, operation, parseError.what());
-    }
+    auto decoded = jsontext::decode(response->body_, decoder);
+    return decoded ? decoded : malformedResponse(options, operation, decoded.failure().reason_);
 }
 
 auto statusFailure(const KeyValueOptions &options, const std::string &operation, int status, const std::string &body)
@@ -92,17 +90,17 @@
     auto onData(std::string_view data) -> bool
     {
         pending_.append(data);
-        try {
-            for (auto end = pending_.find('\n'); end != std::string::npos; end = pending_.find('\n')) {
-                const auto message = json::parse(pending_.substr(0, end));
-                pending_.erase(0, end + 1);
-                if (!onMessage(message)) {
-                    return false;
-                }
+        for (auto end = pending_.find('\n'); end != std::string::npos; end = pending_.find('\n')) {
+            const auto goesOn = jsontext::decode(pending_.substr(0, end), [this](const json &message) {
+                return onMessage(message);
+            });
+            pending_.erase(0, end + 1);
+            if (!goesOn) {
+                failure_ = {"kv watch", "malformed event: " + goesOn.failure().reason_};
+            }
+            if (!goesOn || !*goesOn) {
+                return false;
             }
-        } catch (const json::exception &parseError) {
-            failure_ = {"kv watch", std::string("malformed event: ") + parseError.what()};
-            return false;
         }
         return true;
     }
--- a/packages/platform/src/key_value_codec.cpp
+++ b/packages/platform/src/key_value_codec.cpp
@@ -1,7 +1,9 @@
 #include "key_value_codec.h"
 
+#include <limits>
 #include <type_traits>
 
+#include "jasminewood/jsontext/parse.h"
 #include "jasminewood/platform/base64.h"
 
 namespace jasminewood::platform::internal
@@ -135,8 +137,13 @@
     if (found == object.end()) {
         return 0;
     }
-    return found->is_string() ? std::strtoll(found->get_ref<const std::string &>().c_str(), nullptr, 10)
-                              : found->get<std::int64_t>();
+    if (found->is_string()) {
+        return std::strtoll(found->get_ref<const std::string &>().c_str(), nullptr, 10);
+    }
+    constexpr auto limits = std::numeric_limits<std::int64_t>();
+    // A number out of range counts as one of the wrong type.
+    const auto number = jsontext::wholeNumber(*found, limits.min(), limits.max());
+    return number ? *number : json(name).get<std::int64_t>();
 }
 
 auto revisionOf(const json &response) -> Revision
--- a/packages/platform/src/vm_list.cpp
+++ b/packages/platform/src/vm_list.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "jasminewood/http/client.h"
+#include "jasminewood/jsontext/parse.h"
 #include "peer.h"
 
 namespace jasminewood::platform
@@ -26,10 +27,10 @@
         .state_ = leaving ? VmState::Leaving : VmState::Live};
 }
 
-auto decode(const std::string &body) -> std::vector<VmEntry>
+auto decode(const json &groups) -> std::vector<VmEntry>
 {
     auto entries = std::vector<VmEntry>();
-    for (const auto &group : json::parse(body).get<std::vector<json>>()) {
+    for (const auto &group : groups.get_ref<const json::array_t &>()) {
         for (const auto &target : group.at("targets")) {
             entries.push_back(entryOf(target.get<std::string>(), group.value("labels", json::object())));
         }
@@ -61,11 +62,8 @@
     if (response->status_ != 200) {
         return failure(fmt::format("status {}", response->status_));
     }
-    try {
-        return decode(response->body_);
-    } catch (const json::exception &parseError) {
-        return failure(std::string("malformed list: ") + parseError.what());
-    }
+    auto entries = jsontext::decode(response->body_, &decode);
+    return entries ? entries : failure("malformed list: " + entries.failure().reason_);
 }
 
 } // namespace jasminewood::platform
--- a/packages/router/src/claim_codec.cpp
+++ b/packages/router/src/claim_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "jasminewood/jsontext/parse.h"
 #include "jasminewood/platform/base64.h"
 
 namespace jasminewood::router::internal
@@ -62,17 +63,18 @@
 
 auto decodeClaim(std::string_view text) -> Result<claims::ClaimRecord>
 {
-    try {
-        const auto json = Json::parse(text);
+    const auto record = jsontext::decode(text, [](const Json &json) {
         return claims::ClaimRecord {.attempt_ = AttemptId {.requestId_ = json.at("request").get<std::string>(),
                                         .number_ = json.at("attempt").get<std::uint32_t>()},
             .router_ = nodeFromJson(json.at("router")),
             .agent_ = nodeFromJson(json.at("agent")),
             .state_ = stateFromString(json.at("state").get<std::string>()),
             .response_ = responseFromJson(json)};
-    } catch (const Json::exception &error) {
-        return Failure {.step_ = "read claim", .reason_ = error.what(), .runState_ = RunState::MayHaveRun};
+    });
+    if (!record) {
+        return Failure {.step_ = "read claim", .reason_ = record.failure().reason_, .runState_ = RunState::MayHaveRun};
     }
+    return record;
 }
 
 } // namespace jasminewood::router::internal
--- a/packages/testkit/include/jasminewood/testkit/test_suite.h
+++ b/packages/testkit/include/jasminewood/testkit/test_suite.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <variant>
@@ -53,4 +54,7 @@
 auto check(bool condition, const std::string &message = "condition does not hold", const char *file = __builtin_FILE(),
     int line = __builtin_LINE()) -> void;
 
+// Runs the function on a thread with a stack of this size and waits for it. Passes on an exception.
+auto runWithStack(std::size_t bytes, const std::function<auto()->void> &body) -> void;
+
 } // namespace jasminewood::testkit
--- a/packages/testkit/src/test_suite.cpp
+++ b/packages/testkit/src/test_suite.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -17,6 +18,7 @@
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
 #include <cppunit/TestSuite.h>
+#include <pthread.h>
 
 namespace jasminewood::testkit
 {
@@ -134,6 +136,24 @@
     int failures_ = 0;
 };
 
+struct ContainedRun
+{
+    const std::function<auto()->void> &body_;
+    std::exception_ptr failure_;
+};
+
+// The start routine of a thread; the argument is a ContainedRun.
+auto runContained(void *argument) -> void *
+{
+    auto &run = *static_cast<ContainedRun *>(argument);
+    try {
+        run.body_();
+    } catch (...) {
+        run.failure_ = std::current_exception();
+    }
+    return nullptr;
+}
+
 } // namespace
 
 auto test(const std::string &name, std::function<auto()->void> body) -> TestSuiteEntry
@@ -156,6 +176,22 @@
     CppUnit::Asserter::failIf(!condition, message, CppUnit::SourceLine(file, line));
 }
 
+auto runWithStack(std::size_t bytes, const std::function<auto()->void> &body) -> void
+{
+    auto run = ContainedRun {.body_ = body, .failure_ = nullptr};
+    auto attributes = pthread_attr_t {};
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, bytes);
+    auto thread = pthread_t {};
+    const auto error = pthread_create(&thread, &attributes, &runContained, &run);
+    pthread_attr_destroy(&attributes);
+    check(error == 0, "the thread did not start");
+    pthread_join(thread, nullptr);
+    if (run.failure_) {
+        std::rethrow_exception(run.failure_);
+    }
+}
+
 } // namespace jasminewood::testkit
 
 auto main(int argc, char **argv) -> int
