--- a/packages/http/src/listener_probe.cpp
+++ b/packages/http/src/listener_probe.cpp
@@ -1,37 +1,19 @@
 #include "jasminewood/http/listener_probe.h"
 
 #include <cerrno>
-#include <charconv>
-#include <optional>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "jasminewood/http/socket_address.h"
+
 namespace jasminewood::http
 {
 
 namespace
 {
 
-auto parseAddress(const std::string &text) -> std::optional<sockaddr_in>
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    auto port = std::uint16_t(0);
-    const auto [end, error] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    auto address = sockaddr_in {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    const auto isValid = error == std::errc() && end == text.data() + text.size()
-        && inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
-    return isValid ? std::optional(address) : std::nullopt;
-}
-
 // Returns 0 once the connection is open, or the error with which it failed.
 auto connectWithin(int socket, const sockaddr_in &address, Milliseconds timeout) -> int
 {
@@ -55,7 +37,7 @@
 
 auto probeListener(const std::string &address, Milliseconds timeout) -> ListenerState
 {
-    const auto parsed = parseAddress(address);
+    const auto parsed = parseSocketAddress(address);
     const auto socket = parsed ? ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) : -1;
     if (socket < 0) {
         return ListenerState::Unknown;
