Apply a configuration in spite of an odd route, service or account

Callers saw a revoked key or a removed route in force, and no change at all, while one element of the newest configuration had a member of another type: the whole configuration was ignored.

Change: lenient where it serves callers, strict where the rest would mean something else. A route without host or prefix, and a service or account without a name, is left out, counted and logged.

--- a/packages/forward/src/configuration_watcher.cpp
+++ b/packages/forward/src/configuration_watcher.cpp
@@ -109,6 +109,10 @@
     current_ = std::move(table);
     versions_.recordOwn(version);
     loadedCondition_.notify_all();
+    if (configuration->unreadableElements_ > 0) {
+        environment_->log().warning("a configuration has elements that cannot be read",
+            {{"version", version}, {"elements", std::int64_t(configuration->unreadableElements_)}});
+    }
     environment_->log().info("applied a configuration",
         {{"version", version}, {"previous", currentVersion}, {"bytes", std::int64_t(value.size())},
             {"routes", std::int64_t(configuration->routes_.size())},
--- a/packages/routes/include/jasminewood/routes/configuration.h
+++ b/packages/routes/include/jasminewood/routes/configuration.h
@@ -121,6 +121,8 @@
     // If empty, requests need no API key.
     const std::vector<Account> accounts_;
     const CallerLimits callerLimits_;
+    // The number of routes, services and accounts that are left out because they could not be read.
+    const std::uint32_t unreadableElements_ = 0;
 
     auto operator<=>(const Configuration &) const = default;
 };
