Stop using an upstream at once when its entry can no longer be read

Callers saw requests go to a replica for up to two seconds after another writer had replaced its entry: within two seconds of an outage of the store a removed entry still counts, because it may have expired only in the outage.

Cause: a malformed entry was handled like a removed one.

Change: UpstreamDirectory::invalidate, without the grace periods, and not counted as expired in the outage. Once the upstream writes again it is used again. The log line "read all upstream entries" also counts the malformed ones.

--- a/packages/forward/src/upstream_watcher.cpp
+++ b/packages/forward/src/upstream_watcher.cpp
@@ -123,9 +123,12 @@
 auto UpstreamWatcher::applySnapshot(const platform::Snapshot &snapshot) -> void
 {
     auto records = std::vector<membership::UpstreamRecord>();
+    auto malformedIds = std::vector<std::string>();
     for (const auto &entry : snapshot.entries_) {
         if (const auto record = parseEntry(entry)) {
             records.push_back(*record);
+        } else {
+            malformedIds.push_back(upstreamIdOf(entry.key_));
         }
     }
     const auto lock = std::scoped_lock(mutex_);
@@ -135,6 +138,9 @@
     } else {
         directory_.replaceAll(records, Clock::now());
     }
+    for (const auto &id : malformedIds) {
+        directory_.invalidate(id, Clock::now());
+    }
     era_ = snapshot.position_.era_;
     loaded_ = true;
     updatePool();
@@ -144,7 +150,7 @@
     }
     environment_->log().info("read all upstream entries",
         {{"era", snapshot.position_.era_}, {"revision", snapshot.position_.revision_},
-            {"entries", std::int64_t(records.size())}});
+            {"entries", std::int64_t(records.size())}, {"malformed", std::int64_t(malformedIds.size())}});
 }
 
 auto UpstreamWatcher::applyEvent(const platform::WatchEvent &event) -> void
@@ -154,10 +160,12 @@
     const auto lock = std::scoped_lock(mutex_);
     if (record) {
         directory_.put(*record, Clock::now());
+    } else if (put != nullptr) {
+        directory_.invalidate(upstreamIdOf(put->entry_.key_), Clock::now());
     } else {
-        const auto key = put == nullptr ? std::get<platform::KeyDeleted>(event).key_ : put->entry_.key_;
-        directory_.remove(upstreamIdOf(key), Clock::now());
-        environment_->log().info("an upstream entry was removed", {{"upstream", upstreamIdOf(key)}});
+        const auto id = upstreamIdOf(std::get<platform::KeyDeleted>(event).key_);
+        directory_.remove(id, Clock::now());
+        environment_->log().info("an upstream entry was removed", {{"upstream", id}});
     }
     updatePool();
 }
--- a/packages/membership/include/jasminewood/membership/upstream_directory.h
+++ b/packages/membership/include/jasminewood/membership/upstream_directory.h
@@ -76,11 +76,15 @@
     // Adds the entry of an upstream or replaces the one with the same id.
     auto put(const UpstreamRecord &record, TimePoint now) -> void;
 
-    // Handles an entry that was removed or can no longer be read. Within lapsedEntryGracePeriod after an outage the
+    // Handles an entry that was removed. Within lapsedEntryGracePeriod after an outage the
     // upstream stays routable for a grace period, because its entry may have expired only because it could not be
     // renewed. During an outage it does so until onStoreAvailable() decides.
     auto remove(const std::string &id, TimePoint now) -> void;
 
+    // Handles an entry that can no longer be read: it names no upstream to use, whatever it said before. Unlike a
+    // removed entry it has not expired, so no grace period applies.
+    auto invalidate(const std::string &id, TimePoint now) -> void;
+
     // Replaces all entries by the result of a complete read.
     auto replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now) -> void;
 
--- a/packages/membership/src/upstream_directory.cpp
+++ b/packages/membership/src/upstream_directory.cpp
@@ -49,6 +49,19 @@
     }
 }
 
+auto UpstreamDirectory::invalidate(const std::string &id, TimePoint now) -> void
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    auto &entry = found->second;
+    entry.outdated_.reset();
+    entry.routableUntil_ = std::min(now, entry.routableUntil_.value_or(now));
+    entry.removedInOutage_ = false;
+    forgetRemoved(now);
+}
+
 auto UpstreamDirectory::removeEntry(Entry &entry, TimePoint now) -> void
 {
     entry.outdated_.reset();
--- a/packages/membership/tests/upstream_directory_test.cpp
+++ b/packages/membership/tests/upstream_directory_test.cpp
@@ -76,6 +76,26 @@
                             && !routable.front().routableUntil_);
                     }),
             }),
+        section("one of whose entries can no longer be read",
+            {
+                // Guards against requests to an upstream whose entry names none, for as long as an expired one counts.
+                test("drops the upstream also during an outage and after it, until it writes again",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.replaceAll({record("a"), record("b"), record("c")}, now);
+                        directory.onStoreFailed(now);
+                        directory.invalidate("a", now);
+                        check(routableIds(directory, now) == "bc");
+                        directory.remove("a", now);
+                        directory.onStoreAvailable(now + 1s);
+                        directory.invalidate("b", now + 1s);
+                        directory.invalidate("unknown", now + 1s);
+                        check(routableIds(directory, now + 1s) == "c");
+                        directory.put(record("a"), now + 2s);
+                        check(routableIds(directory, now + 2s) == "ac");
+                    }),
+            }),
         section("after an outage in which most upstreams kept their entries",
             {
                 // Guards against new work for an upstream that left while only this router had no way to the store: its
