Ignore entries of routers whose address is none

Operators would see routers that do not exist: "127.0.0.1:9x/z" and "0.0.0.0:9/z" counted as routers, which are asked for the changes of the store and are reported to. A port beyond the range of int was undefined behaviour (atoi).

Evidence: with the code of before the test "of upstreams and of routers" fails: a router that does not exist counts.

Change: the entry is parsed by http::parseSocketAddress, with a limit of its length; a malformed one is logged and counts like one that has ended, so that a router that is still heard stays.

--- a/packages/forward/src/peer_network.cpp
+++ b/packages/forward/src/peer_network.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstdlib>
 #include <cstring>
 #include <optional>
 #include <utility>
@@ -14,6 +13,7 @@
 #include <unistd.h>
 
 #include "fragments.h"
+#include "jasminewood/http/socket_address.h"
 #include "jasminewood/membership/backoff.h"
 #include "jasminewood/wire/codec.h"
 
@@ -31,6 +31,7 @@
 constexpr Milliseconds maximumReregistrationDelay = Milliseconds(500);
 // The pause before another attempt to register or to receive after a failure.
 constexpr Milliseconds retryInterval = Milliseconds(1'000);
+constexpr std::size_t maximumEntryBytes = 1'024;
 // A router without an entry is still a peer if it was heard within this time: the store may turn it away.
 constexpr Milliseconds silenceLimit = Milliseconds(3'000);
 
@@ -45,11 +46,27 @@
     return address;
 }
 
-auto parseAddress(const std::string &text) -> std::optional<sockaddr_in>
+// What a router's entry says.
+struct PeerEntry
 {
-    const auto colon = text.rfind(':');
-    const auto port = colon == std::string::npos ? 0 : std::atoi(text.c_str() + colon + 1);
-    return port > 0 && port <= UINT16_MAX ? socketAddress(text.substr(0, colon), std::uint16_t(port)) : std::nullopt;
+    // "IP:PORT"
+    const std::string address_;
+    const sockaddr_in socketAddress_ = {};
+    const std::string dataCentre_;
+};
+
+// Parses "IP:PORT/DATA_CENTRE". Returns nothing for another text, which another writer may have left.
+auto parseEntry(const std::string &value) -> std::optional<PeerEntry>
+{
+    const auto slash = std::min(value.find('/'), value.size());
+    const auto address = value.substr(0, slash);
+    const auto socketAddress = http::parseSocketAddress(address);
+    if (!socketAddress || value.size() > maximumEntryBytes) {
+        return std::nullopt;
+    }
+    const auto dataCentre = slash == value.size() ? "" : value.substr(slash + 1);
+    return std::optional<PeerEntry>(
+        PeerEntry {.address_ = address, .socketAddress_ = *socketAddress, .dataCentre_ = dataCentre});
 }
 
 auto isSameAddress(const sockaddr_in &left, const sockaddr_in &right) -> bool
@@ -196,22 +213,25 @@
 auto PeerNetwork::addPeer(const std::string &key, const std::string &value) -> void
 {
     const auto name = key.substr(std::min(key.size(), options_.keyPrefix_.size()));
-    const auto slash = value.find('/');
-    const auto text = value.substr(0, slash);
-    const auto address = parseAddress(text);
-    if (name == environment_->identity().node_.name_ || !address) {
+    if (name == environment_->identity().node_.name_) {
+        return;
+    }
+    const auto entry = parseEntry(value);
+    if (!entry || name.empty() || name.size() > wire::maximumNameBytes) {
+        environment_->log().warning("ignored a malformed entry of a router", {{"router", name}});
+        removePeer(key);
         return;
     }
     const auto lock = std::scoped_lock(mutex_);
     auto &peer = peers_[name];
-    const auto changed = peer.address_ != text;
-    peer.address_ = text;
-    peer.dataCentre_ = slash == std::string::npos ? "" : value.substr(slash + 1);
-    peer.socketAddress_ = *address;
+    const auto changed = peer.address_ != entry->address_;
+    peer.address_ = entry->address_;
+    peer.dataCentre_ = entry->dataCentre_;
+    peer.socketAddress_ = entry->socketAddress_;
     peer.registered_ = true;
     if (changed) {
         environment_->log().info("the set of routers changed",
-            {{"router", name}, {"address", text}, {"routers", std::int64_t(peers_.size() + 1)}});
+            {{"router", name}, {"address", entry->address_}, {"routers", std::int64_t(peers_.size() + 1)}});
     }
 }
 
