Keep an unexpected exception in one step of a thread

Callers would lose every request of a router whose process ends: an exception that left a callback of the store feed, of a datagram or of a sending thread ended the process, and after each restart the same entry ended it again.

Cause: the threads of package forward caught nothing; only the HTTP server did.

Why it works: the state is changed under scoped locks by each listener alone, so one that fails affects no other.

--- a/packages/forward/include/jasminewood/forward/crashing_prompts.h
+++ b/packages/forward/include/jasminewood/forward/crashing_prompts.h
@@ -47,6 +47,8 @@
 
 private:
     auto sendLoop() -> void;
+    // Sends the news, or the strongest evidence if a repeated report is due.
+    auto sendReport(TimePoint now) -> void;
     auto handleMessage(const wire::Message &message) -> void;
     // Sends the strongest evidence to a router that has started.
     auto greet(const NodeId &router) -> void;
--- a/packages/forward/include/jasminewood/forward/peer_load_exchange.h
+++ b/packages/forward/include/jasminewood/forward/peer_load_exchange.h
@@ -32,6 +32,8 @@
 
 private:
     auto sendLoop() -> void;
+    // Sends what has changed since the last report, or a full report if one is due.
+    auto reportLoads(TimePoint now) -> void;
     // Sends the loads, the routed prompts and the prompt statistics of this router to all other routers.
     auto sendReport(bool isFullReport, const routing::EngineLoads &loads, const std::vector<RoutedPrompt> &prompts)
         -> void;
@@ -46,6 +48,9 @@
     std::condition_variable stateChanged_;
     bool stopping_ = false;
     bool loadChanged_ = false;
+    // Used by the sender thread only.
+    routing::EngineLoads sentLoads_;
+    TimePoint nextFullReportAt_;
     std::thread senderThread_;
 };
 
--- a/packages/forward/src/crashing_prompts.cpp
+++ b/packages/forward/src/crashing_prompts.cpp
@@ -168,14 +168,10 @@
         changedCondition_.wait_until(lock, nextRepeatAt(), [this] {
             return stopping_ || detector_.hasNews();
         });
-        const auto now = Clock::now();
-        const auto isRepeat = now >= nextRepeatAt();
-        const auto report = makeReport(isRepeat ? detector_.evidence(repeatedSegments, now) : detector_.takeNews(now));
-        repeatedAt_ = isRepeat ? now : repeatedAt_;
         lock.unlock();
-        if (!report.segments_.empty()) {
-            network_->broadcast(report);
-        }
+        environment_->contain("report crashing prompts to the other routers", [this] {
+            sendReport(Clock::now());
+        });
         lock.lock();
         changedCondition_.wait_for(lock, minimumReportInterval, [this] {
             return stopping_;
@@ -183,6 +179,20 @@
     }
 }
 
+auto CrashingPrompts::sendReport(TimePoint now) -> void
+{
+    auto report = std::optional<wire::PromptCrashEvidence>();
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto isRepeat = now >= nextRepeatAt();
+        repeatedAt_ = isRepeat ? now : repeatedAt_;
+        report.emplace(makeReport(isRepeat ? detector_.evidence(repeatedSegments, now) : detector_.takeNews(now)));
+    }
+    if (!report->segments_.empty()) {
+        network_->broadcast(*report);
+    }
+}
+
 auto CrashingPrompts::handleMessage(const wire::Message &message) -> void
 {
     if (const auto *usage = std::get_if<wire::EngineUsageReport>(&message)) {
--- a/packages/forward/src/peer_load_exchange.cpp
+++ b/packages/forward/src/peer_load_exchange.cpp
@@ -111,29 +111,33 @@
 
 auto PeerLoadExchange::sendLoop() -> void
 {
-    auto sentLoads = routing::EngineLoads();
-    auto nextFullReportAt = Clock::now();
     while (waitUnlessStopped(
         std::max<Milliseconds>(minimumReportInterval, reportIntervalPerPeer * std::int64_t(network_->peerCount())))) {
         {
             auto lock = std::unique_lock(mutex_);
-            stateChanged_.wait_until(lock, nextFullReportAt, [this] {
+            stateChanged_.wait_until(lock, nextFullReportAt_, [this] {
                 return stopping_ || loadChanged_;
             });
             loadChanged_ = false;
         }
-        const auto now = Clock::now();
-        const auto isFullReport = now >= nextFullReportAt;
-        auto loads = upstreams_->pool().localEngineLoads();
-        const auto updates = isFullReport ? loads : routing::diffLoads(sentLoads, loads);
-        if (isFullReport) {
-            nextFullReportAt = now + fullReportInterval;
-        }
-        sentLoads.swap(loads);
-        const auto prompts = upstreams_->pool().takeRoutedPrompts();
-        if (isFullReport || !updates.empty() || !prompts.empty()) {
-            sendReport(isFullReport, updates, prompts);
-        }
+        environment_->contain("report loads to the other routers", [this] {
+            reportLoads(Clock::now());
+        });
+    }
+}
+
+auto PeerLoadExchange::reportLoads(TimePoint now) -> void
+{
+    const auto isFullReport = now >= nextFullReportAt_;
+    auto loads = upstreams_->pool().localEngineLoads();
+    const auto updates = isFullReport ? loads : routing::diffLoads(sentLoads_, loads);
+    if (isFullReport) {
+        nextFullReportAt_ = now + fullReportInterval;
+    }
+    sentLoads_.swap(loads);
+    const auto prompts = upstreams_->pool().takeRoutedPrompts();
+    if (isFullReport || !updates.empty() || !prompts.empty()) {
+        sendReport(isFullReport, updates, prompts);
     }
 }
 
--- a/packages/forward/src/peer_network.cpp
+++ b/packages/forward/src/peer_network.cpp
@@ -281,12 +281,16 @@
     auto jitter = membership::Backoff(
         environment_->identity().node_.incarnation_, maximumReregistrationDelay, maximumReregistrationDelay);
     for (auto delay = Milliseconds(0); waitUnlessStopped(delay);) {
-        const auto failure = renewRegistration();
-        if (failure) {
-            environment_->log().debug("this router could not be registered", observe::fieldsOf(*failure));
-        }
-        delay = failure ? retryInterval : Milliseconds(0);
-        if (!failure && waitForRenewal(leaseRenewalInterval)) {
+        auto registered = false;
+        environment_->contain("register this router", [this, &registered] {
+            const auto failure = renewRegistration();
+            if (failure) {
+                environment_->log().debug("this router could not be registered", observe::fieldsOf(*failure));
+            }
+            registered = !failure;
+        });
+        delay = registered ? Milliseconds(0) : retryInterval;
+        if (registered && waitForRenewal(leaseRenewalInterval)) {
             // All routers learn of a new era of the store at about the same time.
             delay = jitter.nextDelay();
         }
@@ -417,7 +421,10 @@
                 return;
             }
         }
-        receiveDatagram(std::string_view(buffer.data(), std::size_t(std::max<ssize_t>(size, 0))), sender, assembler);
+        const auto datagram = std::string_view(buffer.data(), std::size_t(std::max<ssize_t>(size, 0)));
+        environment_->contain("receive a datagram", [this, datagram, &sender, &assembler] {
+            receiveDatagram(datagram, sender, assembler);
+        });
     }
 }
 
@@ -450,7 +457,9 @@
         handlers = handlers_;
     }
     for (const auto &handler : handlers) {
-        handler(message);
+        environment_->contain("handle a message of a router", [&handler, &message] {
+            handler(message);
+        });
     }
 }
 
--- a/packages/forward/src/store_feed.cpp
+++ b/packages/forward/src/store_feed.cpp
@@ -101,10 +101,15 @@
 auto StoreFeed::run() -> void
 {
     while (!stopping()) {
-        if (const auto source = chooseSource()) {
-            follow(*source);
-        } else {
-            readForAll();
+        const auto completed = environment_->contain("follow the store", [this] {
+            if (const auto source = chooseSource()) {
+                follow(*source);
+            } else {
+                readForAll();
+            }
+        });
+        if (!completed) {
+            waitFor(maximumBackoff);
         }
     }
 }
@@ -203,7 +208,9 @@
                 entries.push_back(entry);
             }
         }
-        listener.onSnapshot_({.position_ = snapshot->position_, .entries_ = entries});
+        environment_->contain("apply a snapshot of the store", [&listener, &snapshot, &entries] {
+            listener.onSnapshot_({.position_ = snapshot->position_, .entries_ = entries});
+        });
     }
     state_->applySnapshot(snapshot->position_, requestedAt);
     notifyProgress();
@@ -315,7 +322,9 @@
     const auto &key = put == nullptr ? std::get<platform::KeyDeleted>(event).key_ : put->entry_.key_;
     for (const auto &listener : listeners_) {
         if (key.starts_with(listener.keyPrefix_)) {
-            listener.onEvent_(event);
+            environment_->contain("apply a change of the store", [&listener, &event] {
+                listener.onEvent_(event);
+            });
         }
     }
 }
--- a/packages/node/include/jasminewood/node/environment.h
+++ b/packages/node/include/jasminewood/node/environment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "jasminewood/core/ids.h"
@@ -51,6 +52,10 @@
     auto timeline() -> observe::Timeline &;
     auto metrics() const -> const observe::Metrics &;
 
+    // Calls a function on a thread whose other code handles no exception. An exception is logged with the step and
+    // counted, and ends only this call. Returns whether the function completed.
+    auto contain(const std::string &step, const std::function<auto()->void> &function) const -> bool;
+
     // Records an event of an attempt in the time line, and in the log at level debug.
     auto recordEvent(const AttemptId &attempt, const std::string &step, const std::string &peer = {},
         const std::string &detail = {}) -> void;
--- a/packages/node/src/environment.cpp
+++ b/packages/node/src/environment.cpp
@@ -1,6 +1,7 @@
 #include "jasminewood/node/environment.h"
 
 #include <chrono>
+#include <exception>
 
 namespace jasminewood::node
 {
@@ -59,6 +60,24 @@
     return metrics_;
 }
 
+auto Environment::contain(const std::string &step, const std::function<auto()->void> &function) const -> bool
+{
+    auto reason = std::string("unknown exception");
+    try {
+        function();
+        return true;
+    } catch (const std::exception &exception) {
+        reason = exception.what();
+    } catch (...) { // NOLINT: reported below like the others
+    }
+    metrics_
+        .counter(
+            "jasminewood_unexpected_exceptions_total", "Exceptions that ended one step of a thread", {{"step", step}})
+        .add();
+    log_.error("an unexpected exception ended a step", {{"step", step}, {"reason", reason}});
+    return false;
+}
+
 auto Environment::recordEvent(
     const AttemptId &attempt, const std::string &step, const std::string &peer, const std::string &detail) -> void
 {
