Answer requests that are in flight at the end of a planned stop, and take none that may not run again

What callers saw: a request that reached a router late in the notice of a planned stop was passed on with its full timeout; if it lasted until the end of the grace period, its connection was closed without an answer, also if the request may run once only. So were requests in flight at SIGTERM.

Cause: the decision to take a request looked at the notice only, not at the time that the process still has; and at the end the server stopped under its handlers, which took that for a caller that had left and closed in silence.

Change: forward::refusalWhileStopping decides from the route, the remaining time and the schedule of the stop. A request that may run once only and whose timeout ends after the process is refused as not run (503, Retry-After 0.050: another router runs it). The end of the notice is read from the clock by each request, no longer from a flag that the main thread sets when it gets the processor.

Why it works: what the process cannot end is not begun if it could not be begun again, and the end of the rest is decided by the process while it can still write.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -12,6 +12,7 @@
 #include "jasminewood/forward/configuration_watcher.h"
 #include "jasminewood/forward/crashing_prompts.h"
 #include "jasminewood/forward/protocol_adapter.h"
+#include "jasminewood/forward/stop_schedule.h"
 #include "jasminewood/forward/upstream_watcher.h"
 #include "jasminewood/http/server.h"
 #include "jasminewood/kernel/service_registry.h"
@@ -60,12 +61,14 @@
     auto stop() -> void;
 
     // Shuts down gracefully. During the notice period requests on open and on new connections are still served, so that
-    // the load balancer can detect that this process stops. After it no new connections are accepted, requests on open
-    // ones are refused as not run, and the requests in flight may complete. Returns whether all of them completed
-    // before the timeout, which counts from the call. stop() ends the notice period early.
-    auto drain(Milliseconds noticePeriod, Milliseconds timeout) -> bool;
-
-    // Returns whether requests are refused because the process stops.
+    // the load balancer can detect that this process stops; those that may run once only are refused as not run if
+    // their timeout ends after the process (see refusalWhileStopping()). After the notice period no new connections are
+    // accepted, requests on open ones are refused, and the requests in flight may complete. Shortly before the end of
+    // the grace period those that are left end: with status 504 if they may have run, and as aborted if they are
+    // streams. Returns whether all requests completed by themselves. stop() ends the notice period early.
+    auto drain(const StopPeriods &periods) -> bool;
+
+    // Returns whether all requests are refused because the process stops.
     auto refusesRequests() const -> bool;
 
     // Returns whether a new connection of a caller would be served rather than closed for lack of room.
@@ -81,6 +84,10 @@
     friend class RequestRun;
 
     auto handleRequest(const http::Request &request) -> http::Response;
+    // Returns the schedule of the planned stop, if one has begun.
+    auto stopSchedule() const -> std::optional<StopSchedule>;
+    // Returns whether the requests that are still in flight end because the process does.
+    auto endsRequests() const -> bool;
     auto countOutcome(const std::string &outcome, int status) const -> void;
     // Counts and logs a request that the server ended without a complete response.
     auto recordUnserved(const http::UnservedRequest &request) const -> void;
@@ -96,10 +103,13 @@
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<CrashingPrompts> crashingPrompts_;
-    std::atomic<bool> refusing_ = false;
-    std::mutex mutex_;
+    std::atomic<bool> requestsEnded_ = false;
+    mutable std::mutex mutex_;
     std::condition_variable stopCondition_;
+    // Guarded by mutex_.
     bool stopped_ = false;
+    // Guarded by mutex_.
+    std::optional<StopSchedule> stopSchedule_;
     // Retry budgets by service. Guarded by mutex_.
     std::map<std::string, routing::RetryBudget> retryBudgets_;
     std::optional<observe::Counter> requestCounter_;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -96,31 +96,45 @@
     }
 }
 
-auto Frontend::drain(Milliseconds noticePeriod, Milliseconds timeout) -> bool
+auto Frontend::drain(const StopPeriods &periods) -> bool
 {
-    const auto deadline = Clock::now() + timeout;
+    const auto schedule = makeStopSchedule(Clock::now(), periods);
+    const auto remaining = [](TimePoint until) {
+        return std::chrono::ceil<Milliseconds>(until - Clock::now());
+    };
     server_->closeAfterResponses();
     {
         auto lock = std::unique_lock(mutex_);
-        stopCondition_.wait_for(lock, noticePeriod, [this] {
+        stopSchedule_.emplace(schedule);
+        stopCondition_.wait_until(lock, schedule.refuseFrom_, [this] {
             return stopped_;
         });
     }
-    refusing_ = true;
     server_->stopAccepting();
-    const auto remaining = [deadline] {
-        return std::chrono::ceil<Milliseconds>(deadline - Clock::now());
-    };
-    if (!server_->waitUntilIdle(remaining())) {
-        return false;
-    }
-    // A request may have been read since; it is refused, and stop() would close its connection before the response.
-    return server_->closeConnections(remaining());
+    const auto allCompleted = server_->waitUntilIdle(remaining(schedule.requestsEndAt_));
+    requestsEnded_ = !allCompleted;
+    // To a request in flight its caller now appears disconnected, which ends its wait; see
+    // RequestRun::closeForLeftCaller(). One that has been read since is refused. stop() would close their connections
+    // before the responses.
+    const auto allClosed = server_->closeConnections(remaining(schedule.processEndsAt_));
+    return allCompleted && allClosed;
 }
 
 auto Frontend::refusesRequests() const -> bool
 {
-    return refusing_;
+    const auto schedule = stopSchedule();
+    return schedule && Clock::now() >= schedule->refuseFrom_;
+}
+
+auto Frontend::endsRequests() const -> bool
+{
+    return requestsEnded_;
+}
+
+auto Frontend::stopSchedule() const -> std::optional<StopSchedule>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return stopSchedule_;
 }
 
 auto Frontend::hasRoom() const -> bool
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -37,8 +37,6 @@
 constexpr Milliseconds maximumStartupWait = Milliseconds(500);
 // Hosts on the local network refuse a connection to a port without a listener within this time.
 constexpr Milliseconds crashProbeTimeout = Milliseconds(100);
-// A caller that retries on a new connection reaches another process, so it may retry soon.
-constexpr Milliseconds stoppingRetryAfter = Milliseconds(50);
 
 auto milliseconds(Clock::duration time) -> std::int64_t
 {
@@ -124,10 +122,7 @@
 auto RequestRun::handle() -> http::Response
 {
     if (frontend_.refusesRequests()) {
-        return refuse({.status_ = serviceUnavailable,
-            .code_ = "stopping",
-            .message_ = "this process stops",
-            .retryAfter_ = stoppingRetryAfter});
+        return refuse(stoppingRefusal("this process stops"));
     }
     frontend_.upstreams_->awaitLoaded(handledAt_ + maximumStartupWait);
     if (!routeTable_) {
@@ -149,6 +144,9 @@
     timeout_ = admitted.timeout_ - frontend_.options_.deadlineMargin_;
     deadline_ = arrivedAt_ + timeout_;
     route_ = admitted.route_->name_;
+    if (const auto refusal = refusalDuringStop(*admitted.route_)) {
+        return refuse(*refusal);
+    }
     enginePriority_ = admitted.enginePriority_;
     service_ = routes::chooseService(
         *admitted.route_, XXH3_64bits(requestMetadata_.requestId_.data(), requestMetadata_.requestId_.size()));
@@ -178,6 +176,12 @@
     return respondAfterFailure();
 }
 
+auto RequestRun::refusalDuringStop(const routes::Route &route) const -> std::optional<Refusal>
+{
+    const auto schedule = frontend_.stopSchedule();
+    return schedule ? refusalWhileStopping(*schedule, route, remainingTime(), Clock::now()) : std::nullopt;
+}
+
 auto RequestRun::selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria
 {
     const auto *service = routeTable_->findService(service_);
@@ -390,11 +394,25 @@
 
 auto RequestRun::closeForLeftCaller() -> http::Response
 {
+    if (frontend_.endsRequests()) {
+        return respondAtProcessEnd();
+    }
     recordOutcome(
         "caller left", http::closeWithoutResponse, {{"reason", "the caller closed its connection before a response"}});
     return http::BufferedResponse {.status_ = http::closeWithoutResponse};
 }
 
+auto RequestRun::respondAtProcessEnd() -> http::Response
+{
+    const auto *message = "this process ends before the response of the upstream";
+    if (possiblyRunAttempts_ == 0) {
+        return refuse(stoppingRefusal(message));
+    }
+    const auto failure = Failure {.step_ = "stop", .reason_ = message, .runState_ = RunState::MayHaveRun};
+    recordOutcome("failed", gatewayTimeout, observe::fieldsOf(failure));
+    return internal::failureResponse(gatewayTimeout, failure, requestMetadata_.requestId_);
+}
+
 auto RequestRun::respondAfterFailure() -> http::Response
 {
     const auto &failure = lastFailure_->failure_;
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -64,6 +64,8 @@
 
 private:
     auto forward(const AdmittedRequest &admitted) -> http::Response;
+    // Returns the refusal of a request that arrives during a planned stop; empty if it is forwarded.
+    auto refusalDuringStop(const routes::Route &route) const -> std::optional<Refusal>;
     auto selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria;
     // Chooses an upstream and sends the request to it; sets attempt_. Fails if there is no upstream.
     auto startAttempt(const AdmittedRequest &admitted) -> Status;
@@ -108,8 +110,10 @@
     // Decides whether the request is retried. If so, acquires the retry from the budget and returns true.
     auto tryAcquireRetry(const AdmittedRequest &admitted) -> bool;
     auto respondAfterFailure() -> http::Response;
-    // Ends a request whose caller closed its connection.
+    // Ends a request whose caller closed its connection, or appears to have closed it because this process ends.
     auto closeForLeftCaller() -> http::Response;
+    // Responds to a request that is still in flight when this process ends.
+    auto respondAtProcessEnd() -> http::Response;
     // Returns the retry delay of a request that no upstream has run. It is longer than usual if all upstreams of the
     // service want no requests for a time.
     auto retryAfterWithoutUpstream() const -> Milliseconds;
--- a/packages/forward/tests/frontend_test.cpp
+++ b/packages/forward/tests/frontend_test.cpp
@@ -10,6 +10,7 @@
 
 using namespace jasminewood;
 using namespace jasminewood::forward;
+using namespace std::chrono_literals;
 using jasminewood::testkit::check;
 using jasminewood::testkit::section;
 using jasminewood::testkit::test;
@@ -290,7 +291,7 @@
                     [] {
                         auto fixture = FrontendFixture();
                         auto drained = std::async(std::launch::async, [&fixture] {
-                            return fixture.frontend().drain(Milliseconds(600'000), Milliseconds(600'000));
+                            return fixture.frontend().drain({.notice_ = 600s, .grace_ = 600s});
                         });
                         fixture.frontend().stop();
                         check(drained.get());
@@ -314,7 +315,7 @@
                         check(sendRequest(fixture, "POST", "/once/1", FrontendFixture::requestFields("r1")).status_
                             == 200);
                         auto drained = std::async(std::launch::async, [&fixture] {
-                            return fixture.frontend().drain(Milliseconds(0), Milliseconds(30'000));
+                            return fixture.frontend().drain({.grace_ = 30s});
                         });
                         waitUntil(
                             [&fixture] {
