--- a/packages/platform/include/jasminewood/platform/key_value.h
+++ b/packages/platform/include/jasminewood/platform/key_value.h
@@ -76,7 +76,8 @@
     auto createIfAbsent(const std::string &key, const std::string &value, LeaseId lease = noLease)
         -> Result<WriteOutcome>;
 
-    // Writes the key if its mod revision is the expected one.
+    // Writes the key if its mod revision is the expected one, or if it does not exist and 0 is expected. With
+    // PagedProtocol the outcome does not include the current entry.
     auto compareAndSwap(const std::string &key, Revision expectedModRevision, const std::string &value)
         -> Result<WriteOutcome>;
 
@@ -147,6 +148,8 @@
         const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<StorePosition>;
     auto watchByLongPoll(const PagedProtocol &protocol, const WatchRequest &request, WatchCall &call,
         const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<StorePosition>;
+    auto compareAndSwapCall(const PagedProtocol &protocol, const PutKey &write, Revision expectedModRevision)
+        -> Result<WriteOutcome>;
     auto conditionalWrite(const Condition &condition, const PutKey &write) -> Result<WriteOutcome>;
 
     const KeyValueOptions options_;
--- a/packages/platform/include/jasminewood/platform/key_value_protocol.h
+++ b/packages/platform/include/jasminewood/platform/key_value_protocol.h
@@ -49,9 +49,9 @@
     const Revision revision_ = 0;
 };
 
-// A service whose calls the user of the client defines and which has no conditional operations. It lists keys in pages,
-// which may differ in revision. Its watch is a long poll: the response comes as soon as there are events or the timeout
-// is over, with status 410 if the history has been compacted. Parsers fail with step "decode".
+// A service whose calls the user of the client defines and whose only conditional operation is a write. It lists keys
+// in pages, which may differ in revision. Its watch is a long poll: the response comes as soon as there are events or
+// the timeout is over, with status 410 if the history has been compacted. Parsers fail with step "decode".
 struct PagedProtocol
 {
     // Encodes the call for the page of a prefix that begins after a key; the key is empty for the first page.
@@ -61,6 +61,9 @@
     const std::function<auto(const std::string &body)->Result<WatchPage>> parseWatch_;
     const std::function<auto(const PutKey &put)->HttpCall> encodePut_;
     const std::function<auto(const std::string &body)->Result<Revision>> parsePut_;
+    // Encodes a write on the condition that the key has the revision, or does not exist if that is 0. The response has
+    // status 412 if the condition does not hold, otherwise it is that of a put.
+    const std::function<auto(const PutKey &put, Revision expectedRevision)->HttpCall> encodeCompareAndSwap_;
     const std::function<auto(Milliseconds timeToLive)->HttpCall> encodeGrantLease_;
     const std::function<auto(const std::string &body)->Result<LeaseId>> parseLease_;
     // The response has status 404 if the lease has expired.
--- a/packages/platform/src/key_value.cpp
+++ b/packages/platform/src/key_value.cpp
@@ -22,6 +22,7 @@
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusGone = 410;
+constexpr int statusPreconditionFailed = 412;
 // How often a snapshot is read if new eras begin between its pages.
 constexpr int maximumSnapshotReads = 3;
 
@@ -344,8 +345,29 @@
 auto KeyValueClient::compareAndSwap(const std::string &key, Revision expectedModRevision, const std::string &value)
     -> Result<WriteOutcome>
 {
-    return conditionalWrite(
-        ModRevisionIs {.key_ = key, .revision_ = expectedModRevision}, PutKey {.key_ = key, .value_ = value});
+    const auto write = PutKey {.key_ = key, .value_ = value};
+    if (const auto *protocol = std::get_if<PagedProtocol>(&options_.protocol_)) {
+        return compareAndSwapCall(*protocol, write, expectedModRevision);
+    }
+    return conditionalWrite(ModRevisionIs {.key_ = key, .revision_ = expectedModRevision}, write);
+}
+
+auto KeyValueClient::compareAndSwapCall(
+    const PagedProtocol &protocol, const PutKey &write, Revision expectedModRevision) -> Result<WriteOutcome>
+{
+    const auto response = performCall("txn", protocol.encodeCompareAndSwap_(write, expectedModRevision), callLimits());
+    if (!response) {
+        return response.failure();
+    }
+    if (response->status_ == statusPreconditionFailed) {
+        return WriteOutcome {};
+    }
+    if (response->status_ != statusOk) {
+        return statusFailure(options_, "txn", response->status_, response->body_);
+    }
+    const auto revision = parseBody("txn", response, protocol.parsePut_);
+    return revision ? WriteOutcome {.written_ = true, .revision_ = *revision}
+                    : Result<WriteOutcome>(revision.failure());
 }
 
 auto KeyValueClient::conditionalWrite(const Condition &condition, const PutKey &write) -> Result<WriteOutcome>
