--- a/packages/routing/include/jasminewood/routing/stream_versions.h
+++ b/packages/routing/include/jasminewood/routing/stream_versions.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,7 +24,7 @@
 //
 //     versions.setAgreed("chat", {.era_ = 1, .versions_ = {"v1", "v2"}}, now);
 //     versions.recordBegin({.stream_ = 7, .origin_ = {.service_ = "chat", .version_ = "v1"}}, now);
-//     const auto decision = versions.originOf(7, "chat", now);
+//     const auto decision = versions.originOf(7, "chat", ageOfStoreState, now);
 
 namespace jasminewood::routing
 {
@@ -72,6 +73,13 @@
     auto operator<=>(const AgreedVersions &) const = default;
 };
 
+// Whether a state of the store followed the last known one directly, or states between them may not have been heard of.
+enum class HeardChanges : std::uint8_t
+{
+    All,
+    Some,
+};
+
 using VersionsByService = std::map<std::string, std::set<std::string>>;
 
 struct StreamVersionsOptions
@@ -80,6 +88,9 @@
     const bool isFirstStart_ = false;
     // How long a stream may be resumed after it began.
     const Milliseconds memory_ = Milliseconds(30'000);
+    // How long after it learned of a version a router begins to prefer it, and for how long what the store said holds.
+    // A router that learns of a version later than that does not believe that there is no other one.
+    const Milliseconds propagationTime_ = Milliseconds(2'000);
     // The maximum number of streams that are remembered; the oldest are forgotten first.
     const std::size_t maximumStreams_ = 65'536;
 };
@@ -96,29 +107,37 @@
     // Sets the era of the store. In a new era all records have to be written again.
     auto setEra(std::uint64_t era) -> void;
 
-    // Sets what the store has about one service.
-    auto setAgreed(const std::string &service, const AgreedVersions &agreed, TimePoint now) -> void;
+    // Sets what the store has about one service. Must be called for what the store has at the start before the first
+    // call of setRegistered().
+    auto setAgreed(const std::string &service, const AgreedVersions &agreed, TimePoint now,
+        HeardChanges heard = HeardChanges::All) -> void;
 
     // Sets the versions of all registered upstreams, including those that are leaving.
     auto setRegistered(const VersionsByService &registered, TimePoint now) -> void;
 
-    // Records a stream that this router began.
-    auto recordBegin(const StreamRecord &record, TimePoint now) -> void;
+    // Records a stream that this router began. Returns whether the record has to be written to the store now.
+    auto recordBegin(const StreamRecord &record, TimePoint now) -> bool;
 
     // Records a stream of which the store tells.
     auto recordReported(const StreamRecord &record, TimePoint now) -> void;
 
-    // Returns where a stream began that a caller wants to resume on a route to this service.
-    auto originOf(StreamId stream, const std::string &service, TimePoint now) const -> OriginDecision;
+    // Returns where a stream began that a caller wants to resume on a route to this service. storeAge is the time since
+    // all that the store had then was passed to this object.
+    auto originOf(StreamId stream, const std::string &service, Milliseconds storeAge, TimePoint now) const
+        -> OriginDecision;
+
+    // Returns the agreed versions of which all routers know that read the store; empty if there are none.
+    auto admittedVersions(const std::string &service, TimePoint now) const -> std::set<std::string>;
 
-    // Returns the versions at which new streams may begin; empty if nothing is agreed on.
-    auto admittedVersions(const std::string &service) const -> std::set<std::string>;
+    // Returns the agreed versions without unrecordedVersion.
+    auto agreedVersions(const std::string &service) const -> std::set<std::string>;
 
     // Returns what should replace the agreed versions of the service; empty if they need no change.
     auto proposal(const std::string &service, TimePoint now) const -> std::optional<AgreedVersions>;
 
-    // Returns the streams that this router began and that have to be written to the store, and counts them as written.
-    auto takeUnwritten(TimePoint now) -> std::vector<StreamRecord>;
+    // Returns streams that this router began and that have to be written to the store, and counts them as written.
+    auto takeUnwritten(TimePoint now, std::size_t maximumCount = std::numeric_limits<std::size_t>::max())
+        -> std::vector<StreamRecord>;
 
     // Counts the streams as not written, because the write failed.
     auto putBack(const std::vector<StreamRecord> &records) -> void;
@@ -139,6 +158,8 @@
     {
         std::optional<AgreedVersions> agreed_;
         std::set<std::string> registered_;
+        // When each agreed version may be admitted.
+        std::map<std::string, TimePoint> admittedAt_;
         // When each agreed version was last registered, or else first seen among the agreed ones.
         std::map<std::string, TimePoint> lastRegisteredAt_;
     };
@@ -156,6 +177,8 @@
     Milliseconds memory_;
     std::optional<std::uint64_t> era_;
     bool eraChanged_ = false;
+    // When setRegistered() was last called.
+    std::optional<TimePoint> registeredAt_;
     std::map<std::string, Service> services_;
     std::map<StreamId, Stream> streams_;
     // The streams that this router began and whose records are not in the store.
--- a/packages/routing/src/stream_versions.cpp
+++ b/packages/routing/src/stream_versions.cpp
@@ -30,10 +30,23 @@
     era_ = era;
 }
 
-auto StreamVersions::setAgreed(const std::string &service, const AgreedVersions &agreed, TimePoint now) -> void
+auto StreamVersions::setAgreed(
+    const std::string &service, const AgreedVersions &agreed, TimePoint now, HeardChanges heard) -> void
 {
     auto &known = services_[service];
+    // A router that starts takes the versions that it finds for ones that all know.
+    const auto admittedAt = registeredAt_ ? now + options_.propagationTime_ : now;
+    if (heard == HeardChanges::Some) {
+        // A version may have been dropped and added again.
+        known.admittedAt_.clear();
+    }
     known.agreed_.emplace(agreed);
+    for (const auto &version : agreed.versions_) {
+        known.admittedAt_.try_emplace(version, admittedAt);
+    }
+    std::erase_if(known.admittedAt_, [&agreed](const auto &entry) {
+        return !agreed.versions_.contains(entry.first);
+    });
     for (const auto &version : agreed.versions_) {
         known.lastRegisteredAt_.try_emplace(version, now);
     }
@@ -44,8 +57,12 @@
 
 auto StreamVersions::setRegistered(const VersionsByService &registered, TimePoint now) -> void
 {
+    // After a pause any of the agreed versions may have been registered again and left since.
+    const auto paused = registeredAt_ && now - *registeredAt_ > options_.propagationTime_;
+    registeredAt_ = now;
     for (auto &[name, service] : services_) {
-        for (const auto &version : service.registered_) {
+        const auto &until = paused && service.agreed_ ? service.agreed_->versions_ : service.registered_;
+        for (const auto &version : until) {
             service.lastRegisteredAt_[version] = now;
         }
         service.registered_.clear();
@@ -85,9 +102,10 @@
     return service == nullptr || onlyVersion(*service) != origin.version_;
 }
 
-auto StreamVersions::recordBegin(const StreamRecord &record, TimePoint now) -> void
+auto StreamVersions::recordBegin(const StreamRecord &record, TimePoint now) -> bool
 {
     this->record(record, now, true);
+    return unwritten_.contains(record.stream_) && needsRecord(record.origin_);
 }
 
 auto StreamVersions::recordReported(const StreamRecord &record, TimePoint now) -> void
@@ -121,19 +139,30 @@
     }
 }
 
-auto StreamVersions::originOf(StreamId stream, const std::string &service, TimePoint now) const -> OriginDecision
+auto StreamVersions::originOf(StreamId stream, const std::string &service, Milliseconds storeAge, TimePoint now) const
+    -> OriginDecision
 {
     const auto found = streams_.find(stream);
     if (found != streams_.end() && now - found->second.recordedAt_ <= memory_) {
         return found->second.origin_;
     }
     const auto *known = findService(service);
-    const auto version = known == nullptr ? std::nullopt : onlyVersion(*known);
+    const auto isCurrent = storeAge <= options_.propagationTime_;
+    const auto version = known != nullptr && isCurrent ? onlyVersion(*known) : std::nullopt;
     return version ? OriginDecision(StreamOrigin {.service_ = service, .version_ = *version})
                    : OriginDecision(UnknownOrigin {});
 }
 
-auto StreamVersions::admittedVersions(const std::string &service) const -> std::set<std::string>
+auto StreamVersions::admittedVersions(const std::string &service, TimePoint now) const -> std::set<std::string>
+{
+    auto versions = agreedVersions(service);
+    std::erase_if(versions, [this, &service, now](const auto &version) {
+        return now < services_.at(service).admittedAt_.at(version);
+    });
+    return versions;
+}
+
+auto StreamVersions::agreedVersions(const std::string &service) const -> std::set<std::string>
 {
     const auto *known = findService(service);
     auto versions = known != nullptr && known->agreed_ ? known->agreed_->versions_ : std::set<std::string>();
@@ -166,11 +195,14 @@
     return AgreedVersions {.era_ = *era_, .versions_ = versions};
 }
 
-auto StreamVersions::takeUnwritten(TimePoint now) -> std::vector<StreamRecord>
+auto StreamVersions::takeUnwritten(TimePoint now, std::size_t maximumCount) -> std::vector<StreamRecord>
 {
     forgetOldStreams(now);
     auto records = std::vector<StreamRecord>();
     for (const auto id : unwritten_) {
+        if (records.size() >= maximumCount) {
+            break;
+        }
         if (const auto &origin = streams_.at(id).origin_; needsRecord(origin)) {
             records.push_back({.stream_ = id, .origin_ = origin});
         }
--- a/packages/routing/tests/stream_versions_test.cpp
+++ b/packages/routing/tests/stream_versions_test.cpp
@@ -15,6 +15,8 @@
 constexpr auto chat = "chat";
 constexpr auto memory = Milliseconds(30'000);
 const auto start = TimePoint(100s);
+// The age of what the store said at a router that hears all of it at once.
+constexpr auto upToDate = Milliseconds(0);
 
 auto streamAt(StreamId stream, const std::string &version) -> StreamRecord
 {
@@ -51,15 +53,15 @@
                         auto router = routerThatAgreesOn({"v1"});
                         router.recordBegin(streamAt(1, "v1"), start);
                         check(!router.hasUnwritten() && router.takeUnwritten(start).empty());
-                        check(router.originOf(2, chat, start) == beganAt("v1"));
+                        check(router.originOf(2, chat, upToDate, start) == beganAt("v1"));
                     }),
                 // Guards against a router that starts when only upstreams of a newer version are left.
                 test("began there although only another version is registered now",
                     [] {
                         auto router = routerThatAgreesOn({"v1"});
                         router.setRegistered({{chat, {"v2"}}}, start);
-                        check(router.originOf(2, chat, start) == beganAt("v1"));
-                        check(router.admittedVersions(chat) == std::set<std::string> {"v1"});
+                        check(router.originOf(2, chat, upToDate, start) == beganAt("v1"));
+                        check(router.admittedVersions(chat, start) == std::set<std::string> {"v1"});
                     }),
                 // Guards against a stream that began at a version before it was agreed on, for lack of another.
                 test("is recorded if it began at another one",
@@ -67,7 +69,20 @@
                         auto router = routerThatAgreesOn({"v1"});
                         router.recordBegin(streamAt(3, "v2"), start);
                         check(router.takeUnwritten(start) == std::vector {streamAt(3, "v2")});
-                        check(router.originOf(3, chat, start) == beganAt("v2"));
+                        check(router.originOf(3, chat, upToDate, start) == beganAt("v2"));
+                    }),
+            }),
+        section("at a router that has not heard of the store for some time",
+            {
+                // Guards against a router that is cut off and takes a stream of a version that it never heard of for
+                // one of the version that it knows.
+                test("goes on only if it is recorded",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        router.recordBegin(streamAt(1, "v1"), start);
+                        check(router.originOf(1, chat, 2'001ms, start) == beganAt("v1"));
+                        check(router.originOf(2, chat, 2'000ms, start) == beganAt("v1"));
+                        check(router.originOf(2, chat, 2'001ms, start) == OriginDecision(UnknownOrigin {}));
                     }),
             }),
         section("while routers agree on several versions",
@@ -78,9 +93,9 @@
                         auto router = routerThatAgreesOn({"v1", "v2"});
                         router.recordBegin(streamAt(1, "v1"), start);
                         router.recordReported(streamAt(2, "v2"), start);
-                        check(router.originOf(1, chat, start) == beganAt("v1"));
-                        check(router.originOf(2, chat, start) == beganAt("v2"));
-                        check(router.originOf(3, chat, start) == OriginDecision(UnknownOrigin {}));
+                        check(router.originOf(1, chat, upToDate, start) == beganAt("v1"));
+                        check(router.originOf(2, chat, upToDate, start) == beganAt("v2"));
+                        check(router.originOf(3, chat, upToDate, start) == OriginDecision(UnknownOrigin {}));
                     }),
                 // Guards against streams of which only the killed router knew.
                 test("is written once, also if it began before the second version came",
@@ -112,9 +127,10 @@
                         router.recordBegin(streamAt(1, "v1"), start);
                         router.recordBegin(streamAt(2, "v1"), start + 1s);
                         router.recordBegin(streamAt(3, "v1"), start + 2s);
-                        check(router.originOf(1, chat, start + 2s) == OriginDecision(UnknownOrigin {}));
-                        check(router.originOf(3, chat, start + 2s + memory) == beganAt("v1"));
-                        check(router.originOf(3, chat, start + 3s + memory) == OriginDecision(UnknownOrigin {}));
+                        check(router.originOf(1, chat, upToDate, start + 2s) == OriginDecision(UnknownOrigin {}));
+                        check(router.originOf(3, chat, upToDate, start + 2s + memory) == beganAt("v1"));
+                        check(router.originOf(3, chat, upToDate, start + 3s + memory)
+                            == OriginDecision(UnknownOrigin {}));
                         check(router.takeUnwritten(start + 3s + memory).empty());
                     }),
             }),
@@ -123,8 +139,8 @@
                 test("goes on nowhere",
                     [] {
                         const auto router = StreamVersions();
-                        check(router.originOf(1, chat, start) == OriginDecision(UnknownOrigin {}));
-                        check(router.admittedVersions(chat).empty() && !router.proposal(chat, start));
+                        check(router.originOf(1, chat, upToDate, start) == OriginDecision(UnknownOrigin {}));
+                        check(router.admittedVersions(chat, start).empty() && !router.proposal(chat, start));
                     }),
             }),
     }};
@@ -159,6 +175,14 @@
                         router.setRegistered({{chat, {"v1", "v2"}}}, start);
                         check(router.proposal(chat, start) == agreed({"v1", "v2"}));
                     }),
+                // Guards against a stream of the new version that is resumed at a router that has not heard of it yet.
+                test("but streams begin at the added version only when all routers know it that read the store",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        router.setAgreed(chat, agreed({"v1", "v2"}), start);
+                        check(router.admittedVersions(chat, start + 1'999ms) == std::set<std::string> {"v1"});
+                        check(router.admittedVersions(chat, start + 2s) == std::set<std::string> {"v1", "v2"});
+                    }),
             }),
         section("shrink",
             {
@@ -172,6 +196,16 @@
                         router.setRegistered({}, start + 7s + memory);
                         check(!router.proposal(chat, start + 8s + memory + memory));
                     }),
+                // Guards against a router that was cut off while a version came back for a while.
+                test("after the memory since a pause in which this router did not hear what was registered",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1", "v2"});
+                        router.setRegistered({{chat, {"v2"}}}, start + 1s);
+                        router.setRegistered({{chat, {"v2"}}}, start + 6s);
+                        router.setRegistered({{chat, {"v2"}}}, start + 7s);
+                        check(!router.proposal(chat, start + 6s + memory));
+                        check(router.proposal(chat, start + 7s + memory) == agreed({"v2"}));
+                    }),
                 // Guards against a router that starts after the old version has left.
                 test("after the memory also if this router never saw the version registered",
                     [] {
@@ -191,12 +225,12 @@
                         auto router = routerThatAgreesOn({"v1"});
                         router.recordBegin(streamAt(1, "v1"), start);
                         router.setEra(2);
-                        check(router.originOf(2, chat, start) == OriginDecision(UnknownOrigin {}));
-                        check(router.originOf(1, chat, start) == beganAt("v1"));
+                        check(router.originOf(2, chat, upToDate, start) == OriginDecision(UnknownOrigin {}));
+                        check(router.originOf(1, chat, upToDate, start) == beganAt("v1"));
                         check(router.proposal(chat, start) == agreed({"v1", unrecordedVersion}, 2));
                         router.setAgreed(chat, agreed({"v1", unrecordedVersion}, 2), start);
-                        check(router.originOf(2, chat, start) == OriginDecision(UnknownOrigin {}));
-                        check(router.admittedVersions(chat) == std::set<std::string> {"v1"});
+                        check(router.originOf(2, chat, upToDate, start) == OriginDecision(UnknownOrigin {}));
+                        check(router.admittedVersions(chat, start) == std::set<std::string> {"v1"});
                         check(router.proposal(chat, start + 1s + memory) == agreed({"v1"}, 2));
                     }),
             }),
