Keep the versions at which streams began in the platform's store

No caller is affected yet, no request asks for them. Service stream-origins reads and writes the agreed versions and the records of routing::StreamVersions, as docs/platform.md describes. It learns of changes from the store feed, the registered versions from the upstreams' entries, and which services matter from the configuration.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -12,6 +12,7 @@
 #include "jasminewood/forward/configuration_watcher.h"
 #include "jasminewood/forward/crashing_prompts.h"
 #include "jasminewood/forward/protocol_adapter.h"
+#include "jasminewood/forward/stream_origins.h"
 #include "jasminewood/forward/upstream_watcher.h"
 #include "jasminewood/http/server.h"
 #include "jasminewood/kernel/service_registry.h"
@@ -50,7 +51,8 @@
 auto connectionLimits(const routes::CallerLimits &limits, const http::ServerOptions &settings)
     -> http::ConnectionLimits;
 
-// Requires the services "environment", "configuration", "upstreams" and "crashing-prompts". Thread-safe.
+// Requires the services "environment", "configuration", "upstreams", "crashing-prompts" and "stream-origins".
+// Thread-safe.
 class Frontend
 {
 public:
@@ -85,6 +87,8 @@
     // Counts and logs a request that the server ended without a complete response.
     auto recordUnserved(const http::UnservedRequest &request) const -> void;
     auto countRequest(const std::string &service) -> void;
+    // Counts a request that resumes a stream.
+    auto countResumption(bool originKnown) const -> void;
     // Takes one attempt from the retry budget of the service; returns false if the budget is exhausted.
     auto tryAcquireRetry(const std::string &service) -> bool;
 
@@ -96,6 +100,7 @@
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<CrashingPrompts> crashingPrompts_;
+    std::shared_ptr<StreamOrigins> streamOrigins_;
     std::atomic<bool> refusing_ = false;
     std::mutex mutex_;
     std::condition_variable stopCondition_;
--- a/packages/forward/include/jasminewood/forward/protocol_adapter.h
+++ b/packages/forward/include/jasminewood/forward/protocol_adapter.h
@@ -49,6 +49,10 @@
     // The time until the caller's timeout; empty if the caller does not state it.
     const std::optional<Milliseconds> remainingTime_;
     const std::optional<PromptInfo> prompt_;
+    // The id of the last event that the caller received of the stream that it resumes; empty for a new stream.
+    const std::string lastEventId_ = {};
+    // The id of the request that brought the first event of that stream; empty if the caller does not name it.
+    const std::string resumedRequestId_ = {};
 
     auto operator<=>(const RequestMetadata &) const = default;
 };
--- a/packages/forward/include/jasminewood/forward/retry_decision.h
+++ b/packages/forward/include/jasminewood/forward/retry_decision.h
@@ -45,6 +45,9 @@
 // The history includes the attempt that has just failed.
 auto decideRetry(const routes::Route &route, const AttemptHistory &history) -> RetryDecision;
 
+// Returns whether the route's responses are streams that may be resumed at another upstream.
+auto isResumable(const routes::Route &route) -> bool;
+
 // Returns whether a request of the route may run more than once.
 auto allowsRerun(const routes::Route &route) -> bool;
 
--- a/packages/forward/include/jasminewood/forward/upstream_watcher.h
+++ b/packages/forward/include/jasminewood/forward/upstream_watcher.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <condition_variable>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
+#include <string>
 
 #include "jasminewood/forward/protocol_adapter.h"
 #include "jasminewood/forward/store_feed.h"
@@ -27,6 +30,9 @@
 
     auto pool() -> UpstreamPool &;
 
+    // Returns the software versions of each service's registered upstreams, including those that are leaving.
+    auto registeredVersions() const -> std::map<std::string, std::set<std::string>>;
+
     // Records what a response says about whether its upstream takes new requests. Ignores a response of another
     // upstream and one that is not of the service. Precondition: the response does not belong to another request.
     auto recordAvailability(const Assignment &assignment, const ResponseMetadata &metadata) -> void;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -54,6 +54,9 @@
     if (auto failure = services.require("crashing-prompts", crashingPrompts_)) {
         return failure;
     }
+    if (auto failure = services.require("stream-origins", streamOrigins_)) {
+        return failure;
+    }
     retryBudgetOptions_.emplace(
         scaleToRetryBudgetShare(options_.retryBudget_, Clock::now() + options_.retryLearningTime_));
     const auto &metrics = environment_->metrics();
@@ -167,6 +170,14 @@
     retryBudgets_.try_emplace(service, *retryBudgetOptions_).first->second.recordRequest(Clock::now());
 }
 
+auto Frontend::countResumption(bool originKnown) const -> void
+{
+    environment_->metrics()
+        .counter("jasminewood_forward_resumed_requests_total", "Requests that resume a stream",
+            {{"origin", originKnown ? "known" : "unknown"}})
+        .add();
+}
+
 auto Frontend::tryAcquireRetry(const std::string &service) -> bool
 {
     const auto now = Clock::now();
--- a/packages/forward/src/retry_decision.cpp
+++ b/packages/forward/src/retry_decision.cpp
@@ -3,10 +3,14 @@
 namespace jasminewood::forward
 {
 
+auto isResumable(const routes::Route &route) -> bool
+{
+    return route.retrySafety_ == routes::RetrySafety::Stream && route.resumable_;
+}
+
 auto allowsRerun(const routes::Route &route) -> bool
 {
-    return route.retrySafety_ == routes::RetrySafety::Idempotent
-        || (route.retrySafety_ == routes::RetrySafety::Stream && route.resumable_);
+    return route.retrySafety_ == routes::RetrySafety::Idempotent || isResumable(route);
 }
 
 auto decideRetry(const routes::Route &route, const AttemptHistory &history) -> RetryDecision
--- /dev/null
+++ b/packages/forward/src/stream_origins.cpp
@@ -0,0 +1,489 @@
+#include "jasminewood/forward/stream_origins.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <xxhash.h>
+
+#include "jasminewood/forward/peer_network.h"
+#include "jasminewood/forward/retry_decision.h"
+#include "stream_origin_codec.h"
+
+namespace jasminewood::forward
+{
+
+namespace
+{
+
+// The era of a store that never came back from an older copy.
+constexpr platform::Era firstEra = 1;
+// Stands for agreed versions that are missing in the store. No store has this era.
+constexpr auto noEra = std::numeric_limits<std::uint64_t>::max();
+// A stream may be resumed as long as its caller waits, and its route's timeout counts anew for each request.
+constexpr int memoryTimeouts = 2;
+// How long a router waits for the first agreed versions before it writes records, which then are seldom needed.
+constexpr Milliseconds firstAgreementTime = Milliseconds(2'000);
+// The streams in one key: those of about this time.
+constexpr Milliseconds batchTime = Milliseconds(2'000);
+// Each router has its share of the writes of all.
+constexpr Milliseconds recordIntervalOfRouter = Milliseconds(10);
+// Beyond the memory, for the time between the grant of a lease and the write.
+constexpr Milliseconds leaseMargin = Milliseconds(5'000);
+constexpr Milliseconds maximumLeaseTime = Milliseconds(600'000);
+
+auto streamIdOf(const std::string &requestId) -> routing::StreamId
+{
+    return XXH3_64bits(requestId.data(), requestId.size());
+}
+
+auto isKnown(const routing::OriginDecision &decision) -> bool
+{
+    const auto *origin = std::get_if<routing::StreamOrigin>(&decision);
+    return origin != nullptr && origin->version_ != routing::unrecordedVersion;
+}
+
+// Returns the versions as a text for the log.
+auto toText(const std::set<std::string> &versions) -> std::string
+{
+    return fmt::format("{}", fmt::join(versions, ","));
+}
+
+} // namespace
+
+StreamOrigins::StreamOrigins(std::shared_ptr<platform::KeyValueClient> store, const StreamOriginsOptions &options)
+    : store_(std::move(store))
+    , options_(options)
+    , versionsPrefix_(options.keyPrefix_ + "versions/")
+    , streamsPrefix_(options.keyPrefix_ + "streams/")
+    , proposalDelay_(options.seed_, options.maximumProposalDelay_, options.maximumProposalDelay_)
+{
+}
+
+auto StreamOrigins::start(const kernel::ServiceRegistry &services) -> Status
+{
+    if (auto failure = services.require("environment", environment_)) {
+        return failure;
+    }
+    if (auto failure = services.require("configuration", configuration_)) {
+        return failure;
+    }
+    if (auto failure = services.require("upstreams", upstreams_)) {
+        return failure;
+    }
+    auto feed = std::shared_ptr<StoreFeed>();
+    if (auto failure = services.require("store-feed", feed)) {
+        return failure;
+    }
+    if (const auto network = services.find<PeerNetwork>("peer-network")) {
+        network_ = *network;
+    }
+    writtenCounter_.emplace(environment_->metrics().counter(
+        "jasminewood_forward_stream_record_writes_total", "Writes of the versions of streams to the store"));
+    subscribe(*feed);
+    thread_ = std::thread([this] {
+        run();
+    });
+    return std::nullopt;
+}
+
+auto StreamOrigins::stop() -> void
+{
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        stopping_ = true;
+    }
+    workCondition_.notify_all();
+    originCondition_.notify_all();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+auto StreamOrigins::subscribe(StoreFeed &feed) -> void
+{
+    feed.addListener({.keyPrefix_ = options_.keyPrefix_,
+        .onSnapshot_ =
+            [this](const platform::Snapshot &snapshot) {
+                applySnapshot(snapshot);
+            },
+        .onEvent_ =
+            [this](const platform::WatchEvent &event) {
+                applyEvent(event);
+            },
+        .onProgress_ =
+            [this](BootTime upToDateAt) {
+                applyProgress(upToDateAt);
+            }});
+}
+
+auto StreamOrigins::admittedVersions(const std::string &service) const -> std::set<std::string>
+{
+    const auto now = Clock::now();
+    const auto lock = std::scoped_lock(mutex_);
+    return versions_ ? versions_->admittedVersions(service, now) : std::set<std::string>();
+}
+
+auto StreamOrigins::recordBegin(const std::string &requestId, const routing::StreamOrigin &origin) -> void
+{
+    if (requestId.empty()) {
+        return;
+    }
+    const auto now = Clock::now();
+    const auto lock = std::scoped_lock(mutex_);
+    if (versions_ && versions_->recordBegin({.stream_ = streamIdOf(requestId), .origin_ = origin}, now)) {
+        scheduleRecords(now);
+    }
+}
+
+auto StreamOrigins::awaitOrigin(const std::string &requestId, const std::string &service, TimePoint deadline)
+    -> routing::OriginDecision
+{
+    const auto stream = streamIdOf(requestId);
+    auto lock = std::unique_lock(mutex_);
+    while (true) {
+        const auto now = Clock::now();
+        const auto decision = versions_ ? versions_->originOf(stream, service, storeAge(), now)
+                                        : routing::OriginDecision(routing::UnknownOrigin {});
+        if (isKnown(decision)) {
+            return decision;
+        }
+        if (stopping_ || now >= deadline) {
+            return routing::UnknownOrigin {};
+        }
+        originCondition_.wait_until(lock, deadline);
+    }
+}
+
+auto StreamOrigins::storeAge() const -> Milliseconds
+{
+    return upToDateAt_ ? std::chrono::ceil<Milliseconds>(BootClock::now() - *upToDateAt_) : Milliseconds::max();
+}
+
+auto StreamOrigins::versionsKey(const std::string &service) const -> std::string
+{
+    return versionsPrefix_ + internal::keyPart(service);
+}
+
+auto StreamOrigins::applySnapshot(const platform::Snapshot &snapshot) -> void
+{
+    const auto now = Clock::now();
+    const auto lock = std::scoped_lock(mutex_);
+    if (!versions_) {
+        const auto hasEntries
+            = std::any_of(snapshot.entries_.begin(), snapshot.entries_.end(), [this](const auto &entry) {
+                  return entry.key_.starts_with(versionsPrefix_) || entry.key_.starts_with(streamsPrefix_);
+              });
+        versions_.emplace(
+            routing::StreamVersionsOptions {.isFirstStart_ = !hasEntries && snapshot.position_.era_ <= firstEra});
+        nextRecordsAt_ = hasEntries ? now : now + firstAgreementTime;
+    }
+    if (snapshot.position_.era_ != era_) {
+        batch_.reset();
+    }
+    era_ = snapshot.position_.era_;
+    versions_->setEra(std::uint64_t(era_));
+    auto missing = std::exchange(revisions_, {});
+    for (const auto &entry : snapshot.entries_) {
+        missing.erase(entry.key_);
+        applyEntry(entry, routing::HeardChanges::Some, now);
+    }
+    for (const auto &[key, revision] : missing) {
+        applyLostVersions(key, now);
+    }
+    originCondition_.notify_all();
+}
+
+auto StreamOrigins::applyEvent(const platform::WatchEvent &event) -> void
+{
+    const auto now = Clock::now();
+    const auto lock = std::scoped_lock(mutex_);
+    if (const auto *put = std::get_if<platform::KeyPut>(&event)) {
+        applyEntry(put->entry_, routing::HeardChanges::All, now);
+    } else {
+        applyDeletion(std::get<platform::KeyDeleted>(event), now);
+    }
+    originCondition_.notify_all();
+}
+
+auto StreamOrigins::applyEntry(const platform::KeyValue &entry, routing::HeardChanges heard, TimePoint now) -> void
+{
+    if (entry.key_.starts_with(versionsPrefix_)) {
+        applyVersions(entry, heard, now);
+        return;
+    }
+    if (!entry.key_.starts_with(streamsPrefix_)) {
+        return;
+    }
+    const auto records = internal::parseStreams(entry.value_);
+    if (!records) {
+        logIgnored(entry, records.failure());
+        return;
+    }
+    for (const auto &record : *records) {
+        versions_->recordReported(record, now);
+    }
+}
+
+auto StreamOrigins::applyDeletion(const platform::KeyDeleted &deletion, TimePoint now) -> void
+{
+    const auto known = revisions_.find(deletion.key_);
+    if (known != revisions_.end() && deletion.revision_ > known->second) {
+        revisions_.erase(known);
+        applyLostVersions(deletion.key_, now);
+    }
+}
+
+auto StreamOrigins::applyVersions(const platform::KeyValue &entry, routing::HeardChanges heard, TimePoint now) -> void
+{
+    auto &revision = revisions_[entry.key_];
+    if (entry.modRevision_ <= revision) {
+        // The feed repeats changes that the snapshot included.
+        return;
+    }
+    revision = entry.modRevision_;
+    const auto parsed = internal::parseVersions(entry.value_);
+    if (!parsed || versionsKey(parsed->service_) != entry.key_) {
+        logIgnored(
+            entry, parsed ? Failure {.step_ = "decode", .reason_ = "the key is of another service"} : parsed.failure());
+        applyLostVersions(entry.key_, now);
+        return;
+    }
+    versions_->setAgreed(parsed->service_, parsed->agreed_, now, heard);
+    environment_->log().info("read the agreed versions of a service",
+        {{"service", parsed->service_}, {"versions", toText(parsed->agreed_.versions_)},
+            {"agreed_era", std::int64_t(parsed->agreed_.era_)}, {"era", era_}, {"revision", entry.modRevision_}});
+}
+
+auto StreamOrigins::applyLostVersions(const std::string &key, TimePoint now) -> void
+{
+    for (const auto &service : services_) {
+        if (versionsKey(service) == key) {
+            versions_->setAgreed(service, {.era_ = noEra, .versions_ = versions_->agreedVersions(service)}, now);
+        }
+    }
+}
+
+auto StreamOrigins::logIgnored(const platform::KeyValue &entry, const Failure &failure) const -> void
+{
+    environment_->log().warning("ignored a malformed entry about versions of streams",
+        {{"key", entry.key_}, {"revision", entry.modRevision_}, {"reason", failure.reason_}});
+}
+
+auto StreamOrigins::applyProgress(BootTime upToDateAt) -> void
+{
+    const auto registered = upstreams_->registeredVersions();
+    const auto table = configuration_->current();
+    const auto now = Clock::now();
+    const auto lock = std::scoped_lock(mutex_);
+    if (!versions_) {
+        return;
+    }
+    if (table != table_) {
+        applyConfiguration(table);
+    }
+    auto known = routing::VersionsByService();
+    for (const auto &[service, versions] : registered) {
+        if (services_.contains(service)) {
+            auto &ofService = known[service];
+            ofService = versions;
+            ofService.erase(routing::unrecordedVersion);
+        }
+    }
+    versions_->setRegistered(known, now);
+    upToDateAt_ = std::max(upToDateAt_.value_or(upToDateAt), upToDateAt);
+    originCondition_.notify_all();
+    scheduleProposals(now);
+    if (versions_->hasUnwritten()) {
+        scheduleRecords(now);
+    }
+}
+
+auto StreamOrigins::applyConfiguration(const std::shared_ptr<const routes::RouteTable> &table) -> void
+{
+    table_ = table;
+    services_.clear();
+    for (const auto &route : table_->configuration().routes_) {
+        if (!isResumable(route)) {
+            continue;
+        }
+        // Streams that began under an earlier configuration may still be resumed, so the memory never shrinks.
+        memory_ = std::max(memory_, memoryTimeouts * route.timeout_);
+        for (const auto &service : route.weightedServices_) {
+            services_.insert(service.service_);
+        }
+    }
+    if (memory_.count() > 0) {
+        versions_->setMemory(memory_);
+    }
+}
+
+auto StreamOrigins::proposals(TimePoint now) const -> std::vector<Proposal>
+{
+    auto proposals = std::vector<Proposal>();
+    for (const auto &service : services_) {
+        if (const auto agreed = versions_->proposal(service, now)) {
+            const auto known = revisions_.find(versionsKey(service));
+            proposals.push_back({.service_ = service,
+                .agreed_ = *agreed,
+                .expectedRevision_ = known == revisions_.end() ? 0 : known->second});
+        }
+    }
+    return proposals;
+}
+
+auto StreamOrigins::scheduleProposals(TimePoint now) -> void
+{
+    if (proposalsDueAt_ || now < nextProposalAt_ || proposals(now).empty()) {
+        return;
+    }
+    proposalsDueAt_ = now + proposalDelay_.nextDelay();
+    workCondition_.notify_all();
+}
+
+auto StreamOrigins::scheduleRecords(TimePoint now) -> void
+{
+    if (!recordsDueAt_) {
+        recordsDueAt_ = std::max(now, nextRecordsAt_);
+        workCondition_.notify_all();
+    }
+}
+
+auto StreamOrigins::recordInterval() const -> Milliseconds
+{
+    const auto routers = network_ ? std::int64_t(network_->peerCount()) + 1 : 1;
+    return std::max(options_.recordInterval_, routers * recordIntervalOfRouter);
+}
+
+auto StreamOrigins::nextDueAt() const -> std::optional<TimePoint>
+{
+    if (proposalsDueAt_ && recordsDueAt_) {
+        return std::min(*proposalsDueAt_, *recordsDueAt_);
+    }
+    return proposalsDueAt_ ? proposalsDueAt_ : recordsDueAt_;
+}
+
+auto StreamOrigins::run() -> void
+{
+    auto lock = std::unique_lock(mutex_);
+    while (!stopping_) {
+        const auto dueAt = nextDueAt();
+        if (!dueAt) {
+            workCondition_.wait(lock);
+        } else if (Clock::now() < *dueAt) {
+            workCondition_.wait_until(lock, *dueAt);
+        } else if (dueAt == proposalsDueAt_) {
+            writeProposals(lock);
+        } else {
+            writeRecords(lock);
+        }
+    }
+}
+
+auto StreamOrigins::writeProposals(std::unique_lock<std::mutex> &lock) -> void
+{
+    // Another router may have written them during the delay.
+    const auto due = proposals(Clock::now());
+    proposalsDueAt_.reset();
+    lock.unlock();
+    for (const auto &proposal : due) {
+        writeProposal(proposal);
+    }
+    lock.lock();
+    // The feed reports what was written; whatever was not is due again after the pause.
+    nextProposalAt_ = Clock::now() + options_.retryInterval_;
+}
+
+auto StreamOrigins::writeProposal(const Proposal &proposal) -> void
+{
+    const auto written = store_->compareAndSwap(versionsKey(proposal.service_), proposal.expectedRevision_,
+        internal::formatVersions({.service_ = proposal.service_, .agreed_ = proposal.agreed_}));
+    const auto fields = observe::Fields {{"service", proposal.service_},
+        {"versions", toText(proposal.agreed_.versions_)}, {"expected_revision", proposal.expectedRevision_}};
+    if (!written) {
+        environment_->log().warning("the agreed versions of a service could not be written",
+            observe::concatenate(fields, observe::fieldsOf(written.failure())));
+    } else {
+        environment_->log().info(written->written_ ? "wrote the agreed versions of a service"
+                                                   : "another router wrote the agreed versions of a service",
+            fields);
+    }
+}
+
+auto StreamOrigins::extendBatch(const std::vector<routing::StreamRecord> &records, TimePoint now) -> void
+{
+    const auto isFull = !batch_ || now - batch_->begunAt_ > batchTime
+        || batch_->records_.size() + records.size() > internal::maximumStreamsOfEntry;
+    if (isFull) {
+        const auto &self = environment_->identity().node_;
+        batch_.emplace(Batch {.key_ = fmt::format("{}{}/{:x}-{}", streamsPrefix_, internal::keyPart(self.name_),
+                                  self.incarnation_, ++batchCount_),
+            .begunAt_ = now});
+    }
+    for (const auto &record : records) {
+        batch_->records_.push_back(record);
+    }
+}
+
+auto StreamOrigins::writeRecords(std::unique_lock<std::mutex> &lock) -> void
+{
+    const auto now = Clock::now();
+    recordsDueAt_.reset();
+    const auto records = versions_->takeUnwritten(now, internal::maximumStreamsOfEntry);
+    if (records.empty()) {
+        return;
+    }
+    extendBatch(records, now);
+    const auto batch = *batch_;
+    const auto memory = memory_;
+    lock.unlock();
+    const auto failure = writeBatch(batch, memory);
+    lock.lock();
+    nextRecordsAt_ = Clock::now() + (failure ? options_.retryInterval_ : recordInterval());
+    if (failure) {
+        // The lost write may still be performed. Its key is not written again, since it could undo that.
+        batch_.reset();
+        versions_->putBack(records);
+        environment_->log().warning("the versions of streams could not be written",
+            observe::concatenate({{"streams", std::int64_t(records.size())}}, observe::fieldsOf(*failure)));
+    }
+    if (versions_->hasUnwritten()) {
+        scheduleRecords(Clock::now());
+    }
+}
+
+auto StreamOrigins::writeBatch(const Batch &batch, Milliseconds memory) -> Status
+{
+    if (auto failure = renewLease(memory)) {
+        return failure;
+    }
+    const auto lease = lease_->lease_;
+    const auto written = store_->put(batch.key_, internal::formatStreams(batch.records_), lease.id_);
+    if (!written || written->era_ != lease.era_) {
+        lease_.reset();
+        return written ? Failure {.step_ = "write", .reason_ = "the store came back from an older copy"}
+                       : written.failure();
+    }
+    writtenCounter_->add();
+    return std::nullopt;
+}
+
+auto StreamOrigins::renewLease(Milliseconds memory) -> Status
+{
+    const auto now = Clock::now();
+    if (lease_ && lease_->lease_.era_ == store_->era() && now < lease_->usableUntil_) {
+        return std::nullopt;
+    }
+    lease_.reset();
+    const auto timeToLive = std::min(2 * memory + leaseMargin, maximumLeaseTime);
+    const auto lease = store_->grantLease(std::chrono::ceil<std::chrono::seconds>(timeToLive));
+    if (!lease) {
+        return lease.failure();
+    }
+    lease_.emplace(WriterLease {.lease_ = *lease, .usableUntil_ = now + (timeToLive - leaseMargin) / 2});
+    return std::nullopt;
+}
+
+} // namespace jasminewood::forward
--- a/packages/forward/src/upstream_watcher.cpp
+++ b/packages/forward/src/upstream_watcher.cpp
@@ -63,6 +63,12 @@
     return pool_;
 }
 
+auto UpstreamWatcher::registeredVersions() const -> std::map<std::string, std::set<std::string>>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return directory_.versionsByService(Clock::now());
+}
+
 auto UpstreamWatcher::recordAvailability(const Assignment &assignment, const ResponseMetadata &metadata) -> void
 {
     const auto isFromService = metadata.notRun_ || metadata.hasSignature_ || !metadata.requestId_.empty();
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -72,7 +72,9 @@
         .host_ = fieldOrEmpty(request.fields_, "Host"),
         .apiKey_ = fieldOrEmpty(request.fields_, "Key"),
         .remainingTime_ = remainingMs.empty() ? std::nullopt : std::optional(Milliseconds(std::stoll(remainingMs))),
-        .prompt_ = parsePrompt(request)};
+        .prompt_ = parsePrompt(request),
+        .lastEventId_ = fieldOrEmpty(request.fields_, "Last-Event-Id"),
+        .resumedRequestId_ = fieldOrEmpty(request.fields_, "Resumes")};
 }
 
 auto makeUpstreamHeaders(const std::vector<http::HeaderField> &fields, const UpstreamRequestMetadata &metadata)
@@ -135,6 +137,14 @@
     return {.keyPrefix_ = "/", .watchTimeout_ = Milliseconds(50), .batchDelay_ = Milliseconds(0)};
 }
 
+auto testOriginsOptions() -> StreamOriginsOptions
+{
+    return {.keyPrefix_ = "/jasminewood/",
+        .maximumProposalDelay_ = Milliseconds(20),
+        .recordInterval_ = Milliseconds(20),
+        .retryInterval_ = Milliseconds(100)};
+}
+
 auto sampleConfiguration() -> routes::Configuration
 {
     return {.version_ = 1,
@@ -161,6 +171,7 @@
     registry_.add("environment", environment_);
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
+    registry_.add("stream-origins", std::make_shared<StreamOrigins>(client_, testOriginsOptions()));
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, testFeedOptions()));
     registry_.add("crashing-prompts", std::make_shared<CrashingPrompts>());
     registry_.add("front", frontend_);
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -10,6 +10,7 @@
 #include "jasminewood/forward/configuration_watcher.h"
 #include "jasminewood/forward/frontend.h"
 #include "jasminewood/forward/probes.h"
+#include "jasminewood/forward/stream_origins.h"
 #include "jasminewood/forward/upstream_watcher.h"
 #include "jasminewood/http/server.h"
 #include "jasminewood/kernel/service_registry.h"
@@ -32,6 +33,9 @@
 // Returns options with which the feed watches all keys of the tests and passes on changes soon.
 auto testFeedOptions() -> StoreFeedOptions;
 
+// Returns options with which the versions of streams are written soon, under the prefix of the tests.
+auto testOriginsOptions() -> StreamOriginsOptions;
+
 // Returns a configuration with the routes "/once/", "/again/" (two attempts), "/stream/", "/resumable/" (two attempts)
 // and "/patient/" (as "/resumable/", with pauses of up to 800 ms) of host "shop" to service "pool". sampleApiKey is the
 // API key of account "installer".
--- a/packages/membership/include/jasminewood/membership/upstream_directory.h
+++ b/packages/membership/include/jasminewood/membership/upstream_directory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,9 @@
     // Returns the upstreams that accept new work, ordered by id.
     auto routableUpstreams(TimePoint now) const -> std::vector<RoutableUpstream>;
 
+    // Returns the software versions of each service's upstreams, including those that are leaving.
+    auto versionsByService(TimePoint now) const -> std::map<std::string, std::set<std::string>>;
+
     // Returns the ids of the upstreams whose restored entries are older than what they said before, and differ from it.
     auto outdatedUpstreams() const -> std::vector<std::string>;
 
--- a/packages/membership/src/upstream_directory.cpp
+++ b/packages/membership/src/upstream_directory.cpp
@@ -175,6 +175,17 @@
     return routable;
 }
 
+auto UpstreamDirectory::versionsByService(TimePoint now) const -> std::map<std::string, std::set<std::string>>
+{
+    auto versions = std::map<std::string, std::set<std::string>>();
+    for (const auto &[id, entry] : entries_) {
+        if (!entry.routableUntil_ || now < *entry.routableUntil_) {
+            versions[entry.record_->service_].insert(entry.record_->version_);
+        }
+    }
+    return versions;
+}
+
 auto UpstreamDirectory::outdatedUpstreams() const -> std::vector<std::string>
 {
     auto ids = std::vector<std::string>();
