Resume a caller's stream at the software version that began it

What callers saw: two software versions were in service when all routers were killed; streams that were taken up again ended as complete, with text of both versions.

Cause: no router knew at which version a stream began, and a request with Last-Event-Id was sent to any upstream.

Change: RequestRun reads Last-Event-Id and Resumes, asks stream-origins for the version of the stream, and sends the request to upstreams of that version only. If the version is not known within 300 ms, or the route does not lead to the service any more, it refuses the request as not run (code stream_origin). New streams begin at agreed versions where one is eligible, and are recorded with their first event.

Evidence: adapter_test 'a stream that a caller resumes', with this change's RequestRun as it was before: 8 of 9 fail; the ninth, one version only, passes. With it: 9 of 9.

--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -39,6 +39,9 @@
 constexpr Milliseconds crashProbeTimeout = Milliseconds(100);
 // A caller that retries on a new connection reaches another process, so it may retry soon.
 constexpr Milliseconds stoppingRetryAfter = Milliseconds(50);
+// How long a request that resumes a stream waits for the record of where it began: routers collect records for a while,
+// and the store feed delays them.
+constexpr Milliseconds maximumOriginWait = Milliseconds(300);
 
 auto milliseconds(Clock::duration time) -> std::int64_t
 {
@@ -150,8 +153,9 @@
     deadline_ = arrivedAt_ + timeout_;
     route_ = admitted.route_->name_;
     enginePriority_ = admitted.enginePriority_;
-    service_ = routes::chooseService(
-        *admitted.route_, XXH3_64bits(requestMetadata_.requestId_.data(), requestMetadata_.requestId_.size()));
+    if (const auto refusal = chooseService(*admitted.route_)) {
+        return refuse(*refusal);
+    }
     frontend_.countRequest(service_);
     frontend_.upstreams_->pool().recordArrival(selectionCriteria(admitted), Clock::now());
     do {
@@ -178,6 +182,52 @@
     return respondAfterFailure();
 }
 
+auto RequestRun::resumesStream(const routes::Route &route) const -> bool
+{
+    return isResumable(route) && !requestMetadata_.lastEventId_.empty();
+}
+
+auto RequestRun::chooseService(const routes::Route &route) -> std::optional<Refusal>
+{
+    // The request that brought the first event of the stream went to the service that its own id gives.
+    const auto &firstRequest = resumesStream(route) && !requestMetadata_.resumedRequestId_.empty()
+        ? requestMetadata_.resumedRequestId_
+        : requestMetadata_.requestId_;
+    service_ = routes::chooseService(route, XXH3_64bits(firstRequest.data(), firstRequest.size()));
+    if (!resumesStream(route)) {
+        return std::nullopt;
+    }
+    const auto decision = frontend_.streamOrigins_->awaitOrigin(
+        requestMetadata_.resumedRequestId_, service_, std::min(deadline_, Clock::now() + maximumOriginWait));
+    const auto *origin = std::get_if<routing::StreamOrigin>(&decision);
+    frontend_.countResumption(origin != nullptr);
+    const auto isOfRoute = [&route, origin] {
+        return std::any_of(route.weightedServices_.begin(), route.weightedServices_.end(), [origin](const auto &each) {
+            return each.service_ == origin->service_;
+        });
+    };
+    if (origin == nullptr || !isOfRoute()) {
+        return Refusal {.status_ = serviceUnavailable,
+            .code_ = "stream_origin",
+            .message_ = origin == nullptr ? "it is not known at which version of the upstreams the stream began"
+                                          : "the route does not lead to the service of the stream any more",
+            .retryAfter_ = unavailableRetryAfter};
+    }
+    service_ = origin->service_;
+    originVersion_ = origin->version_;
+    return std::nullopt;
+}
+
+auto RequestRun::versionCriterion(const routes::Route &route) const -> VersionCriterion
+{
+    if (originVersion_) {
+        return RequiredVersion {.version_ = *originVersion_};
+    }
+    return isResumable(route)
+        ? VersionCriterion(PreferredVersions {.versions_ = frontend_.streamOrigins_->admittedVersions(service_)})
+        : VersionCriterion(AnyVersion {});
+}
+
 auto RequestRun::selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria
 {
     const auto *service = routeTable_->findService(service_);
@@ -189,7 +239,8 @@
         .engineCacheTokens_
         = service != nullptr && service->engineCapacity_ ? service->engineCapacity_->kvCacheTokens_ : 0,
         .timeUntilDue_ = target.count() > 0 ? std::optional(target - elapsed) : std::nullopt,
-        .excludedUpstreams_ = triedUpstreams_};
+        .excludedUpstreams_ = triedUpstreams_,
+        .versions_ = versionCriterion(*admitted.route_)};
 }
 
 auto RequestRun::startAttempt(const AdmittedRequest &admitted) -> Status
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -64,6 +64,12 @@
 
 private:
     auto forward(const AdmittedRequest &admitted) -> http::Response;
+    // Sets service_, and the version at which the stream began that the request resumes. Refuses the request if that
+    // is not known, or if the route does not lead there any more.
+    auto chooseService(const routes::Route &route) -> std::optional<Refusal>;
+    // Returns whether the request resumes a stream that began in the response to another one.
+    auto resumesStream(const routes::Route &route) const -> bool;
+    auto versionCriterion(const routes::Route &route) const -> VersionCriterion;
     auto selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria;
     // Chooses an upstream and sends the request to it; sets attempt_. Fails if there is no upstream.
     auto startAttempt(const AdmittedRequest &admitted) -> Status;
@@ -77,6 +83,8 @@
     auto nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent;
     // Waits for data of the stream. Fails with step "stall" if the stream makes no progress.
     auto awaitChunk() -> Result<std::optional<std::string>>;
+    // Records the version at which a new stream began, when its first event is passed on.
+    auto recordStreamBegin(const routes::Route &route) -> void;
     auto endStream() -> http::StreamEvent;
     // Sends the request to another upstream, to resume the stream after the last complete event there. Fails if that
     // is not allowed or not possible.
@@ -135,6 +143,8 @@
     const std::shared_ptr<const routes::RouteTable> routeTable_;
     TimePoint deadline_;
     std::string service_;
+    // The version at which the stream began that the request resumes.
+    std::optional<std::string> originVersion_;
     std::string route_;
     std::uint32_t enginePriority_ = 0;
     std::uint32_t possiblyRunAttempts_ = 0;
@@ -155,6 +165,7 @@
     internal::EventSplitter eventSplitter_;
     // Body bytes that were passed to the caller.
     std::size_t relayedBytes_ = 0;
+    bool beginRecorded_ = false;
     bool outcomeRecorded_ = false;
 };
 
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -114,11 +114,21 @@
         const auto output = allowsRerun(*admitted.route_) ? eventSplitter_.split(**chunk) : **chunk;
         relayedBytes_ += output.size();
         if (!output.empty()) {
+            recordStreamBegin(*admitted.route_);
             return http::Chunk {.data_ = output};
         }
     }
 }
 
+auto RequestRun::recordStreamBegin(const routes::Route &route) -> void
+{
+    // The caller of a resumed stream goes on naming the request that brought the first event.
+    if (isResumable(route) && !resumesStream(route) && !std::exchange(beginRecorded_, true)) {
+        frontend_.streamOrigins_->recordBegin(
+            requestMetadata_.requestId_, {.service_ = service_, .version_ = attempt_->assignment_.upstream_.version_});
+    }
+}
+
 auto RequestRun::endStream() -> http::StreamEvent
 {
     if (const auto partialEvent = eventSplitter_.takePartial(); !partialEvent.empty()) {
