Fix a stream's software version with its first event

No caller is affected yet: the choice of an upstream does not ask for the version.

internal::StreamVersion (packages/forward/src/stream_version.h) decides, without I/O, at which software version the stream of one answer goes on. RequestRun has one as streamVersion_. RequestRun::recordStreamBegin() is called once for each new stream, when its first event arrived and before it is passed on: attempt_->assignment_.upstream_ is the upstream, streamVersion_.version() the version, empty if it is not known. A criterion for new streams goes into streamVersion_.criterion(forNewStream).

UpstreamPool::recordOf() gives the present entry of an upstream, since the one by which it was chosen may be older than the process that responds. An unknown version never matches a required one. Upstreams of the tests have version v1 unless a test says otherwise, as each entry on the platform states one.

--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -65,7 +65,8 @@
     auto operator<=>(const PreferredVersions &) const = default;
 };
 
-// Only upstreams of this version may be chosen, because it began the stream that is resumed.
+// Only upstreams of this version may be chosen, because it began the stream that is resumed. No upstream matches an
+// empty version.
 struct RequiredVersion
 {
     const std::string version_;
@@ -208,6 +209,9 @@
     // Returns whether the pool holds this upstream.
     auto contains(const std::string &id) const -> bool;
 
+    // Returns the present entry of an upstream; empty if the upstream takes no new requests.
+    auto recordOf(const std::string &id) const -> std::optional<membership::UpstreamRecord>;
+
 private:
     struct Upstream
     {
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -13,6 +13,7 @@
 #include "jasminewood/forward/retry_decision.h"
 #include "jasminewood/http/client.h"
 #include "stream_progress.h"
+#include "stream_version.h"
 
 // Runs one request of a caller, from its arrival to the end of its response, on the thread of the caller's
 // connection.
@@ -77,6 +78,10 @@
     auto nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent;
     // Waits for data of the stream. Fails with step "stall" if the stream makes no progress.
     auto awaitChunk() -> Result<std::optional<std::string>>;
+    // Fixes the software version of the stream with the first event of an attempt.
+    auto recordFirstEvent() -> void;
+    // Called with the first event of a new stream, which the attempt in flight brought.
+    auto recordStreamBegin() -> void;
     auto endStream() -> http::StreamEvent;
     // Sends the request to another upstream, to resume the stream after the last complete event there. Fails if that
     // is not allowed or not possible.
@@ -153,6 +158,7 @@
     std::optional<TimePoint> lastChunkAt_;
     Clock::duration longestChunkGap_ = Clock::duration::zero();
     internal::EventSplitter eventSplitter_;
+    internal::StreamVersion streamVersion_;
     // Body bytes that were passed to the caller.
     std::size_t relayedBytes_ = 0;
     bool outcomeRecorded_ = false;
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -73,11 +73,29 @@
         }
         if (progress.hasEvent() && !attempt_->hasFirstToken_) {
             recordFirstToken();
+            recordFirstEvent();
         }
     }
     return chunk;
 }
 
+auto RequestRun::recordFirstEvent() -> void
+{
+    const auto &upstream = attempt_->assignment_.upstream_;
+    const auto present = frontend_.upstreams_->pool().recordOf(upstream.id_);
+    if (std::holds_alternative<internal::StreamBegins>(streamVersion_.recordFirstEvent(upstream, present))) {
+        recordStreamBegin();
+    }
+}
+
+auto RequestRun::recordStreamBegin() -> void
+{
+    if (!streamVersion_.version()) {
+        frontend_.environment_->log().info("a stream began at an unknown software version",
+            {{"request", requestMetadata_.requestId_}, {"upstream", attempt_->assignment_.upstream_.id_}});
+    }
+}
+
 auto RequestRun::nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent
 {
     while (true) {
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -63,7 +63,7 @@
                               return preferred.versions_.contains(version);
                           },
                           [&version](const RequiredVersion &required) {
-                              return required.version_ == version;
+                              return !version.empty() && required.version_ == version;
                           }},
         criterion);
 }
@@ -482,4 +482,11 @@
     return upstreams_.contains(id);
 }
 
+auto UpstreamPool::recordOf(const std::string &id) const -> std::optional<membership::UpstreamRecord>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() ? std::nullopt : std::optional(*found->second.record_);
+}
+
 } // namespace jasminewood::forward
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -48,7 +48,7 @@
         .slots_ = 4,
         .leaving_ = parts[1] == "leaving",
         .incarnation_ = parts.size() > 2 ? std::stoll(parts[2]) : 0,
-        .version_ = parts.size() > 3 ? parts[3] : ""};
+        .version_ = parts.size() > 3 ? parts[3] : "v1"};
 }
 
 // Returns the prompt of a request whose field "Prompt" lists the ids of its segments, separated by spaces.
@@ -203,10 +203,10 @@
     store_->stop();
 }
 
-auto FrontendFixture::addUpstream(const std::string &id, http::Handler handler) -> void
+auto FrontendFixture::addUpstream(const std::string &id, http::Handler handler, const std::string &state) -> void
 {
     servers_.push_back(*http::Server::start({}, std::move(handler)));
-    registerUpstream(id, fmt::format("127.0.0.1:{}", servers_.back()->port()), "ready");
+    registerUpstream(id, fmt::format("127.0.0.1:{}", servers_.back()->port()), state);
 }
 
 auto FrontendFixture::registerUpstream(const std::string &id, const std::string &address, const std::string &state)
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -48,10 +48,10 @@
     FrontendFixture(const FrontendFixture &) = delete;
     auto operator=(const FrontendFixture &) -> FrontendFixture & = delete;
 
-    // Starts an upstream of service "pool" and waits until it is in the pool.
-    auto addUpstream(const std::string &id, http::Handler handler) -> void;
+    // Starts an upstream of service "pool" and registers it.
+    auto addUpstream(const std::string &id, http::Handler handler, const std::string &state = "ready") -> void;
     // Registers an address as an upstream. Waits until it is in the pool if the state is "ready", which the
-    // incarnation, a number, and the version of the software may follow; otherwise until it is not.
+    // incarnation, a number, and the version of the software, otherwise "v1", may follow; otherwise until it is not.
     auto registerUpstream(const std::string &id, const std::string &address, const std::string &state) -> void;
     auto publish(std::int64_t version) -> void;
     auto publishWithoutRoutes(std::int64_t version) -> void;
