--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -153,6 +153,7 @@
     deadline_ = arrivedAt_ + timeout_;
     route_ = admitted.route_->name_;
     enginePriority_ = admitted.enginePriority_;
+    resumable_ = isResumable(*admitted.route_);
     if (const auto refusal = chooseService(*admitted.route_)) {
         return refuse(*refusal);
     }
@@ -182,19 +183,15 @@
     return respondAfterFailure();
 }
 
-auto RequestRun::resumesStream(const routes::Route &route) const -> bool
-{
-    return isResumable(route) && !requestMetadata_.lastEventId_.empty();
-}
-
 auto RequestRun::chooseService(const routes::Route &route) -> std::optional<Refusal>
 {
+    const auto resumes = isResumable(route) && !requestMetadata_.lastEventId_.empty();
     // The request that brought the first event of the stream went to the service that its own id gives.
-    const auto &firstRequest = resumesStream(route) && !requestMetadata_.resumedRequestId_.empty()
+    const auto &firstRequest = resumes && !requestMetadata_.resumedRequestId_.empty()
         ? requestMetadata_.resumedRequestId_
         : requestMetadata_.requestId_;
     service_ = routes::chooseService(route, XXH3_64bits(firstRequest.data(), firstRequest.size()));
-    if (!resumesStream(route)) {
+    if (!resumes) {
         return std::nullopt;
     }
     const auto decision = frontend_.streamOrigins_->awaitOrigin(
@@ -214,18 +211,15 @@
             .retryAfter_ = unavailableRetryAfter};
     }
     service_ = origin->service_;
-    originVersion_ = origin->version_;
+    streamVersion_.fixAt(origin->version_);
     return std::nullopt;
 }
 
-auto RequestRun::versionCriterion(const routes::Route &route) const -> VersionCriterion
+auto RequestRun::versionCriterion() const -> VersionCriterion
 {
-    if (originVersion_) {
-        return RequiredVersion {.version_ = *originVersion_};
-    }
-    return isResumable(route)
-        ? VersionCriterion(PreferredVersions {.versions_ = frontend_.streamOrigins_->admittedVersions(service_)})
-        : VersionCriterion(AnyVersion {});
+    return streamVersion_.criterion(resumable_
+            ? VersionCriterion(PreferredVersions {.versions_ = frontend_.streamOrigins_->admittedVersions(service_)})
+            : VersionCriterion(AnyVersion {}));
 }
 
 auto RequestRun::selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria
@@ -240,7 +234,7 @@
         = service != nullptr && service->engineCapacity_ ? service->engineCapacity_->kvCacheTokens_ : 0,
         .timeUntilDue_ = target.count() > 0 ? std::optional(target - elapsed) : std::nullopt,
         .excludedUpstreams_ = triedUpstreams_,
-        .versions_ = versionCriterion(*admitted.route_)};
+        .versions_ = versionCriterion()};
 }
 
 auto RequestRun::startAttempt(const AdmittedRequest &admitted) -> Status
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -73,11 +73,33 @@
         }
         if (progress.hasEvent() && !attempt_->hasFirstToken_) {
             recordFirstToken();
+            recordFirstEvent();
         }
     }
     return chunk;
 }
 
+auto RequestRun::recordFirstEvent() -> void
+{
+    const auto &upstream = attempt_->assignment_.upstream_;
+    const auto present = frontend_.upstreams_->pool().recordOf(upstream.id_);
+    if (std::holds_alternative<internal::StreamBegins>(streamVersion_.recordFirstEvent(upstream, present))) {
+        recordStreamBegin();
+    }
+}
+
+auto RequestRun::recordStreamBegin() -> void
+{
+    if (!streamVersion_.version()) {
+        frontend_.environment_->log().info("a stream began at an unknown software version",
+            {{"request", requestMetadata_.requestId_}, {"upstream", attempt_->assignment_.upstream_.id_}});
+    }
+    if (resumable_) {
+        frontend_.streamOrigins_->recordBegin(
+            requestMetadata_.requestId_, {.service_ = service_, .version_ = streamVersion_.version().value_or("")});
+    }
+}
+
 auto RequestRun::nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent
 {
     while (true) {
@@ -114,21 +136,11 @@
         const auto output = allowsRerun(*admitted.route_) ? eventSplitter_.split(**chunk) : **chunk;
         relayedBytes_ += output.size();
         if (!output.empty()) {
-            recordStreamBegin(*admitted.route_);
             return http::Chunk {.data_ = output};
         }
     }
 }
 
-auto RequestRun::recordStreamBegin(const routes::Route &route) -> void
-{
-    // The caller of a resumed stream goes on naming the request that brought the first event.
-    if (isResumable(route) && !resumesStream(route) && !std::exchange(beginRecorded_, true)) {
-        frontend_.streamOrigins_->recordBegin(
-            requestMetadata_.requestId_, {.service_ = service_, .version_ = attempt_->assignment_.upstream_.version_});
-    }
-}
-
 auto RequestRun::endStream() -> http::StreamEvent
 {
     if (const auto partialEvent = eventSplitter_.takePartial(); !partialEvent.empty()) {
