--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -344,6 +344,7 @@
     frontend_.environment_->log().info("attempt failed",
         observe::concatenate({{"request", requestMetadata_.requestId_}, {"attempt", std::int64_t(failedAttempts_)},
                                  {"upstream", attempt_->assignment_.upstream_.id_},
+                                 {"software_version", attempt_->assignment_.upstream_.version_},
                                  {"ms", milliseconds(Clock::now() - attempt_->assignment_.startedAt_)}},
             observe::fieldsOf(failedAttempt.failure_)));
 }
@@ -454,7 +455,8 @@
             {{"request", requestMetadata_.requestId_}, {"route", route_}, {"service", service_},
                 {"urgency", std::int64_t(enginePriority_)}, {"status", std::int64_t(status)},
                 {"attempts", std::int64_t(triedUpstreams_.size())},
-                {"upstream", lastAssignment_ ? lastAssignment_->upstream_.id_ : ""}, {"version", version},
+                {"upstream", lastAssignment_ ? lastAssignment_->upstream_.id_ : ""},
+                {"software_version", lastAssignment_ ? lastAssignment_->upstream_.version_ : ""}, {"version", version},
                 {"version_at_end", newestTable ? newestTable->configuration().version_ : 0},
                 {"passed_on", !triedUpstreams_.empty()}, {"version_age_ms", age ? age->count() : -1},
                 {"bytes", std::int64_t(relayedBytes_)},
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -279,7 +279,7 @@
 {
     frontend_.environment_->log().info("resumed a stream",
         {{"request", requestMetadata_.requestId_}, {"upstream", attempt_->assignment_.upstream_.id_},
-            {"after", eventSplitter_.lastEventId()}});
+            {"software_version", attempt_->assignment_.upstream_.version_}, {"after", eventSplitter_.lastEventId()}});
 }
 
 } // namespace jasminewood::forward
