Resume a stream within one answer only at the version that began it

Cause: a replacement for a broken or stalled attempt was chosen among all upstreams of the service. The version of the upstream, which decides whether its events fit those before, was not a property of the stream.

Change: the first event of an attempt fixes the version, and the choice of a replacement then requires it (RequiredVersion). An upstream whose entry changed its version since it was chosen, or that states none, leaves the version unknown: such a stream is not resumed. The first event of a replacement whose upstream changed its version meanwhile is not passed on. Without an upstream of the version a stalled attempt stays and a broken stream ends; the line 'broken off' then says in not_resumed which version has no other upstream. A stream without an event may still go to any version.

Why it works: events are only passed on from an attempt whose upstream, by its entry at the choice and at its first event, has the version of the first event of the stream.

--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -189,7 +189,8 @@
         .engineCacheTokens_
         = service != nullptr && service->engineCapacity_ ? service->engineCapacity_->kvCacheTokens_ : 0,
         .timeUntilDue_ = target.count() > 0 ? std::optional(target - elapsed) : std::nullopt,
-        .excludedUpstreams_ = triedUpstreams_};
+        .excludedUpstreams_ = triedUpstreams_,
+        .versions_ = streamVersion_.criterion()};
 }
 
 auto RequestRun::startAttempt(const AdmittedRequest &admitted) -> Status
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -78,11 +78,14 @@
     auto nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent;
     // Waits for data of the stream. Fails with step "stall" if the stream makes no progress.
     auto awaitChunk() -> Result<std::optional<std::string>>;
-    // Fixes the software version of the stream with the first event of an attempt.
-    auto recordFirstEvent() -> void;
+    // Fixes the software version of the stream with the first event of an attempt. Fails if the event may be of another
+    // version than the events before it.
+    auto acceptFirstEvent() -> Status;
     // Called with the first event of a new stream, which the attempt in flight brought.
     auto recordStreamBegin() -> void;
     auto endStream() -> http::StreamEvent;
+    // Returns why no upstream may resume the stream; empty if there is one.
+    auto findUpstreamShortage(const AdmittedRequest &admitted) -> std::optional<std::string>;
     // Sends the request to another upstream, to resume the stream after the last complete event there. Fails if that
     // is not allowed or not possible.
     auto startReplacement(const AdmittedRequest &admitted) -> Status;
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include "end_to_end_fields.h"
+#include "jasminewood/core/overloaded.h"
 #include "request_run.h"
 
 // The part of RequestRun that relays streams of events.
@@ -73,19 +74,32 @@
         }
         if (progress.hasEvent() && !attempt_->hasFirstToken_) {
             recordFirstToken();
-            recordFirstEvent();
+            if (const auto failure = acceptFirstEvent()) {
+                return *failure;
+            }
         }
     }
     return chunk;
 }
 
-auto RequestRun::recordFirstEvent() -> void
+auto RequestRun::acceptFirstEvent() -> Status
 {
     const auto &upstream = attempt_->assignment_.upstream_;
     const auto present = frontend_.upstreams_->pool().recordOf(upstream.id_);
-    if (std::holds_alternative<internal::StreamBegins>(streamVersion_.recordFirstEvent(upstream, present))) {
-        recordStreamBegin();
-    }
+    return std::visit(Overloaded {[this](const internal::StreamBegins &) -> Status {
+                                      recordStreamBegin();
+                                      return std::nullopt;
+                                  },
+                          [](const internal::StreamGoesOn &) -> Status {
+                              return std::nullopt;
+                          },
+                          [&upstream](const internal::EventOfOtherVersion &) -> Status {
+                              return Failure {.step_ = "resume",
+                                  .peer_ = upstream.address_,
+                                  .reason_ = "the upstream may have another software version than the stream",
+                                  .runState_ = RunState::MayHaveRun};
+                          }},
+        streamVersion_.recordFirstEvent(upstream, present));
 }
 
 auto RequestRun::recordStreamBegin() -> void
@@ -147,6 +161,23 @@
     return http::EndOfStream {};
 }
 
+auto RequestRun::findUpstreamShortage(const AdmittedRequest &admitted) -> std::optional<std::string>
+{
+    const auto &pool = frontend_.upstreams_->pool();
+    if (const auto first = streamVersion_.firstUpstream()) {
+        streamVersion_.recordPresentEntry(pool.recordOf(first->id_));
+    }
+    if (pool.hasEligibleUpstream(selectionCriteria(admitted), Clock::now())) {
+        return std::nullopt;
+    }
+    if (!streamVersion_.hasBegun()) {
+        return "there is no other upstream";
+    }
+    const auto version = streamVersion_.version();
+    return version ? fmt::format("there is no other upstream of software version {}", *version)
+                   : "the software version of the stream is not known";
+}
+
 auto RequestRun::startReplacement(const AdmittedRequest &admitted) -> Status
 {
     const auto makeFailure = [](const std::string &reason) {
@@ -157,8 +188,8 @@
         return makeFailure("the stream has no event with an id");
     }
     // Neither a trial of a refused prompt nor a retry of the budget is used for a search that finds nothing.
-    if (!frontend_.upstreams_->pool().hasEligibleUpstream(selectionCriteria(admitted), Clock::now())) {
-        return makeFailure("there is no other upstream");
+    if (const auto shortage = findUpstreamShortage(admitted)) {
+        return makeFailure(*shortage);
     }
     if (const auto refusal = readmit()) {
         return makeFailure(refusal->message_);
--- /dev/null
+++ b/packages/forward/tests/resumed_version_test.cpp
@@ -0,0 +1,309 @@
+#include <atomic>
+#include <future>
+
+#include "frontend_fixture.h"
+#include "jasminewood/testkit/test_suite.h"
+
+using namespace jasminewood;
+using namespace jasminewood::forward;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+constexpr int lastEvent = 3;
+// Longer than the stall timeout, and shorter than two of them.
+constexpr auto shortSilence = Milliseconds(1'900);
+// A silence that ends with the test.
+constexpr auto longSilence = Milliseconds(30'000);
+
+auto event(int number, const std::string &version) -> std::string
+{
+    return "id: " + std::to_string(number) + "\ndata: " + version + "\n\n";
+}
+
+enum class Ending
+{
+    Completes,
+    BreaksOff,
+    FallsSilent,
+};
+
+// What an upstream does with a request: it sends this many further events of the stream, waits until the test lets it
+// go on, and ends.
+struct Script
+{
+    const std::string version_ = "v1";
+    const int events_ = lastEvent;
+    const Ending ending_ = Ending::Completes;
+    const Milliseconds silence_ = shortSilence;
+};
+
+// Upstreams that follow scripts, and a caller of theirs. The stream starts at the first upstream.
+class Streams
+{
+public:
+    explicit Streams(
+        const Script &first, const std::string &state = "ready 1 v1", const std::string &path = "/resumable/")
+        : fixture_(configuration())
+    {
+        add("a", first, state);
+        response_ = std::async(std::launch::async, [this, path] {
+            return http::fetch(
+                {.url_ = fixture_.url(path), .headers_ = FrontendFixture::requestFields("r1"), .retryable_ = false});
+        });
+        waitUntil(
+            [this] {
+                return requests("a") == 1;
+            },
+            "the stream runs");
+    }
+
+    ~Streams()
+    {
+        release();
+        end_.set_value();
+    }
+
+    Streams(const Streams &) = delete;
+    auto operator=(const Streams &) -> Streams & = delete;
+
+    auto add(const std::string &id, const Script &script, const std::string &state) -> void
+    {
+        auto &requests = requests_[id];
+        fixture_.addUpstream(
+            id,
+            [this, script, &requests](const http::Request &request) -> http::Response {
+                ++requests;
+                return respond(script, request);
+            },
+            state);
+    }
+
+    auto drain(const std::string &id) -> void
+    {
+        fixture_.registerUpstream(id, pool().recordOf(id)->address_, "leaving 1 v1");
+    }
+
+    // Registers the first upstream as restarted and waits until the pool has its new entry.
+    auto restartFirst(const std::string &version) -> void
+    {
+        fixture_.registerUpstream("a", pool().recordOf("a")->address_, "ready 2 " + version);
+        waitUntil(
+            [this] {
+                return pool().recordOf("a")->incarnation_ == 2;
+            },
+            "the new entry is read");
+    }
+
+    auto requests(const std::string &id) -> int
+    {
+        return requests_[id];
+    }
+
+    // Lets the upstreams go on and returns what the caller received; empty if the stream was broken off.
+    auto receive() -> std::string
+    {
+        release();
+        const auto response = response_.get();
+        return response ? response->body_ : "";
+    }
+
+    auto pool() -> UpstreamPool &
+    {
+        return fixture_.upstreams().pool();
+    }
+
+private:
+    // Returns the sample with a route on which a stream may be resumed twice.
+    static auto configuration() -> routes::Configuration
+    {
+        const auto base = sampleConfiguration();
+        auto routes = base.routes_;
+        routes.push_back({.name_ = "twice",
+            .host_ = "shop",
+            .pathPrefix_ = "/twice/",
+            .retrySafety_ = routes::RetrySafety::Stream,
+            .timeout_ = Milliseconds(20'000),
+            .weightedServices_ = {{.service_ = "pool"}},
+            .maximumAttempts_ = 3,
+            .resumable_ = true});
+        return {.version_ = 1, .routes_ = routes, .services_ = base.services_, .accounts_ = base.accounts_};
+    }
+
+    auto respond(const Script &script, const http::Request &request) -> http::Response
+    {
+        auto fields = authenticResponse(request, 200, "").headers_;
+        fields.push_back({.name_ = "Content-Type", .value_ = "text/event-stream"});
+        const auto after = http::findHeader(request.fields_, "Resume-After").value_or("");
+        const auto first = after.empty() ? 1 : std::stoi(after) + 1;
+        return http::StreamResponse {.status_ = 200,
+            .headers_ = fields,
+            .nextEvent_ = [this, script, first, step = 0]() mutable -> http::StreamEvent {
+                const auto number = first + step;
+                if (step++ == script.events_ && number <= lastEvent) {
+                    released_.wait_for(longSilence);
+                    if (script.ending_ == Ending::BreaksOff) {
+                        return http::AbortStream {};
+                    }
+                    ended_.wait_for(script.silence_);
+                }
+                return number <= lastEvent ? http::StreamEvent(http::Chunk {.data_ = event(number, script.version_)})
+                                           : http::StreamEvent(http::EndOfStream {});
+            }};
+    }
+
+    auto release() -> void
+    {
+        if (!std::exchange(isReleased_, true)) {
+            release_.set_value();
+        }
+    }
+
+    std::map<std::string, std::atomic<int>> requests_;
+    std::promise<void> release_;
+    const std::shared_future<void> released_ = release_.get_future().share();
+    bool isReleased_ = false;
+    std::promise<void> end_;
+    const std::shared_future<void> ended_ = end_.get_future().share();
+    FrontendFixture fixture_;
+    std::future<Result<http::ClientResponse>> response_;
+};
+
+const auto wholeStream = event(1, "v1") + event(2, "v1") + event(3, "v1");
+const auto breaksAfterEvent = Script {.events_ = 1, .ending_ = Ending::BreaksOff};
+const auto pausesAfterEvent = Script {.events_ = 1, .ending_ = Ending::FallsSilent};
+const auto stallsAfterEvent = Script {.events_ = 1, .ending_ = Ending::FallsSilent, .silence_ = longSilence};
+const auto newer = Script {.version_ = "v2"};
+
+const testkit::TestSuite suite = {"a stream beside upstreams of another software version",
+    {
+        section("that breaks off after an event",
+            {
+                // Guards against a stream that is joined from what two versions wrote.
+                test("is resumed at another upstream of its version",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent);
+                        streams.add("b", newer, "ready 1 v2");
+                        streams.add("c", {}, "ready 1 v1");
+                        check(streams.receive() == wholeStream);
+                        check(streams.requests("b") == 0 && streams.requests("c") == 1);
+                    }),
+                test("is resumed at an ejected upstream of its version",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent);
+                        streams.add("b", newer, "ready 1 v2");
+                        streams.add("c", {}, "ready 1 v1");
+                        const auto now = Clock::now();
+                        const auto failed
+                            = streams.pool().choose({.service_ = "pool", .excludedUpstreams_ = {"a", "b"}}, now);
+                        streams.pool().recordAttemptEnd(*failed, AttemptResult::Failed, now);
+                        check(streams.receive() == wholeStream);
+                    }),
+                test("is broken off if its version has no other upstream",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent);
+                        streams.add("b", newer, "ready 1 v2");
+                        check(streams.receive().empty() && streams.requests("b") == 0);
+                    }),
+                test("is broken off if the other upstream of its version drains",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent);
+                        streams.add("b", newer, "ready 1 v2");
+                        streams.add("c", {}, "ready 1 v1");
+                        streams.drain("c");
+                        check(streams.receive().empty() && streams.requests("b") == 0 && streams.requests("c") == 0);
+                    }),
+                // Guards against an unknown version that counts as the same as another unknown one.
+                test("is broken off if its upstream states no version",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent, "ready 1 ");
+                        streams.add("b", newer, "ready 1 ");
+                        check(streams.receive().empty() && streams.requests("b") == 0);
+                    }),
+                // Guards against the version of an entry that is older than the process that responded.
+                test("is broken off if its upstream restarted with another version",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent);
+                        streams.add("c", {}, "ready 1 v1");
+                        streams.restartFirst("v2");
+                        check(streams.receive().empty() && streams.requests("c") == 0);
+                    }),
+                test("is resumed if its upstream restarted with the same version",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent);
+                        streams.add("c", {}, "ready 1 v1");
+                        streams.restartFirst("v1");
+                        check(streams.receive() == wholeStream);
+                    }),
+                test("and again where it was resumed keeps its version",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent, "ready 1 v1", "/twice/");
+                        streams.add("b", newer, "ready 1 v2");
+                        streams.add("c", breaksAfterEvent, "ready 1 v1");
+                        streams.add("d", breaksAfterEvent, "ready 1 v1");
+                        check(streams.receive() == wholeStream);
+                        check(streams.requests("b") == 0);
+                    }),
+            }),
+        section("whose upstream falls silent after an event",
+            {
+                // Guards against a stream that is joined from two versions since its upstream only paused.
+                test("goes on there if its version has no other upstream",
+                    [] {
+                        auto streams = Streams(pausesAfterEvent);
+                        streams.add("b", newer, "ready 1 v2");
+                        check(streams.receive() == wholeStream && streams.requests("b") == 0);
+                    }),
+                test("is resumed at another upstream of its version",
+                    [] {
+                        auto streams = Streams(stallsAfterEvent);
+                        streams.add("b", newer, "ready 1 v2");
+                        streams.add("c", {}, "ready 1 v1");
+                        check(streams.receive() == wholeStream && streams.requests("b") == 0);
+                    }),
+            }),
+        section("without an event",
+            {
+                // Guards against a stream that ends for a version of which it holds nothing.
+                test("is sent to any upstream if it breaks off",
+                    [] {
+                        auto streams = Streams({.events_ = 0, .ending_ = Ending::BreaksOff});
+                        streams.add("b", newer, "ready 1 v2");
+                        check(streams.receive() == event(1, "v2") + event(2, "v2") + event(3, "v2"));
+                    }),
+                // Guards against the version of a stalled upstream that sent nothing.
+                test("has the version of the upstream that replaced a stalled one",
+                    [] {
+                        auto streams = Streams({.events_ = 0, .ending_ = Ending::FallsSilent, .silence_ = longSilence},
+                            "ready 1 v1", "/twice/");
+                        streams.add("b", {.version_ = "v2", .events_ = 1, .ending_ = Ending::BreaksOff}, "ready 1 v2");
+                        waitUntil(
+                            [&streams] {
+                                return streams.requests("b") == 1;
+                            },
+                            "the replacement runs");
+                        streams.add("c", {}, "ready 1 v1");
+                        check(streams.receive().empty() && streams.requests("c") == 0);
+                    }),
+            }),
+        // Guards against a search by version where nothing is joined.
+        test("does not keep a request that is no stream from any upstream",
+            [] {
+                auto fixture = FrontendFixture();
+                const auto requests = std::make_shared<std::atomic<int>>(0);
+                const auto respond = [requests](const http::Request &request) -> http::Response {
+                    return authenticResponse(request, ++*requests == 1 ? 500 : 200, "answer");
+                };
+                fixture.addUpstream("a", respond, "ready 1 v1");
+                fixture.addUpstream("b", respond, "ready 1 v2");
+                const auto response = http::fetch({.url_ = fixture.url("/again/"),
+                    .headers_ = FrontendFixture::requestFields("r1"),
+                    .retryable_ = false});
+                check(response && response->status_ == 200);
+            }),
+    }};
+
+} // namespace
