--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -37,6 +37,9 @@
 constexpr Milliseconds maximumStartupWait = Milliseconds(500);
 // Hosts on the local network refuse a connection to a port without a listener within this time.
 constexpr Milliseconds crashProbeTimeout = Milliseconds(100);
+// How long a request that resumes a stream waits for the record of where it began: routers collect records for a while,
+// and the store feed delays them.
+constexpr Milliseconds maximumOriginWait = Milliseconds(300);
 
 auto milliseconds(Clock::duration time) -> std::int64_t
 {
@@ -148,8 +151,10 @@
         return refuse(*refusal);
     }
     enginePriority_ = admitted.enginePriority_;
-    service_ = routes::chooseService(
-        *admitted.route_, XXH3_64bits(requestMetadata_.requestId_.data(), requestMetadata_.requestId_.size()));
+    resumable_ = isResumable(*admitted.route_);
+    if (const auto refusal = chooseService(*admitted.route_)) {
+        return refuse(*refusal);
+    }
     frontend_.countRequest(service_);
     frontend_.upstreams_->pool().recordArrival(selectionCriteria(admitted), Clock::now());
     do {
@@ -182,6 +187,45 @@
     return schedule ? refusalWhileStopping(*schedule, route, remainingTime(), Clock::now()) : std::nullopt;
 }
 
+auto RequestRun::chooseService(const routes::Route &route) -> std::optional<Refusal>
+{
+    const auto resumes = isResumable(route) && !requestMetadata_.lastEventId_.empty();
+    // The request that brought the first event of the stream went to the service that its own id gives.
+    const auto &firstRequest = resumes && !requestMetadata_.resumedRequestId_.empty()
+        ? requestMetadata_.resumedRequestId_
+        : requestMetadata_.requestId_;
+    service_ = routes::chooseService(route, XXH3_64bits(firstRequest.data(), firstRequest.size()));
+    if (!resumes) {
+        return std::nullopt;
+    }
+    const auto decision = frontend_.streamOrigins_->awaitOrigin(
+        requestMetadata_.resumedRequestId_, service_, std::min(deadline_, Clock::now() + maximumOriginWait));
+    const auto *origin = std::get_if<routing::StreamOrigin>(&decision);
+    frontend_.countResumption(origin != nullptr);
+    const auto isOfRoute = [&route, origin] {
+        return std::any_of(route.weightedServices_.begin(), route.weightedServices_.end(), [origin](const auto &each) {
+            return each.service_ == origin->service_;
+        });
+    };
+    if (origin == nullptr || !isOfRoute()) {
+        return Refusal {.status_ = serviceUnavailable,
+            .code_ = "stream_origin",
+            .message_ = origin == nullptr ? "it is not known at which version of the upstreams the stream began"
+                                          : "the route does not lead to the service of the stream any more",
+            .retryAfter_ = unavailableRetryAfter};
+    }
+    service_ = origin->service_;
+    streamVersion_.fixAt(origin->version_);
+    return std::nullopt;
+}
+
+auto RequestRun::versionCriterion() const -> VersionCriterion
+{
+    return streamVersion_.criterion(resumable_
+            ? VersionCriterion(PreferredVersions {.versions_ = frontend_.streamOrigins_->admittedVersions(service_)})
+            : VersionCriterion(AnyVersion {}));
+}
+
 auto RequestRun::selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria
 {
     const auto *service = routeTable_->findService(service_);
@@ -193,7 +237,8 @@
         .engineCacheTokens_
         = service != nullptr && service->engineCapacity_ ? service->engineCapacity_->kvCacheTokens_ : 0,
         .timeUntilDue_ = target.count() > 0 ? std::optional(target - elapsed) : std::nullopt,
-        .excludedUpstreams_ = triedUpstreams_};
+        .excludedUpstreams_ = triedUpstreams_,
+        .versions_ = versionCriterion()};
 }
 
 auto RequestRun::startAttempt(const AdmittedRequest &admitted) -> Status
@@ -348,6 +393,7 @@
     frontend_.environment_->log().info("attempt failed",
         observe::concatenate({{"request", requestMetadata_.requestId_}, {"attempt", std::int64_t(failedAttempts_)},
                                  {"upstream", attempt_->assignment_.upstream_.id_},
+                                 {"software_version", attempt_->assignment_.upstream_.version_},
                                  {"ms", milliseconds(Clock::now() - attempt_->assignment_.startedAt_)}},
             observe::fieldsOf(failedAttempt.failure_)));
 }
@@ -472,7 +518,8 @@
             {{"request", requestMetadata_.requestId_}, {"route", route_}, {"service", service_},
                 {"urgency", std::int64_t(enginePriority_)}, {"status", std::int64_t(status)},
                 {"attempts", std::int64_t(triedUpstreams_.size())},
-                {"upstream", lastAssignment_ ? lastAssignment_->upstream_.id_ : ""}, {"version", version},
+                {"upstream", lastAssignment_ ? lastAssignment_->upstream_.id_ : ""},
+                {"software_version", lastAssignment_ ? lastAssignment_->upstream_.version_ : ""}, {"version", version},
                 {"version_at_end", newestTable ? newestTable->configuration().version_ : 0},
                 {"passed_on", !triedUpstreams_.empty()}, {"version_age_ms", age ? age->count() : -1},
                 {"bytes", std::int64_t(relayedBytes_)},
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -13,6 +13,7 @@
 #include "jasminewood/forward/retry_decision.h"
 #include "jasminewood/http/client.h"
 #include "stream_progress.h"
+#include "stream_version.h"
 
 // Runs one request of a caller, from its arrival to the end of its response, on the thread of the caller's
 // connection.
@@ -66,6 +67,10 @@
     auto forward(const AdmittedRequest &admitted) -> http::Response;
     // Returns the refusal of a request that arrives during a planned stop; empty if it is forwarded.
     auto refusalDuringStop(const routes::Route &route) const -> std::optional<Refusal>;
+    // Sets service_, and fixes the version at which the stream began that the request resumes. Refuses the request if
+    // that is not known, or if the route does not lead there any more.
+    auto chooseService(const routes::Route &route) -> std::optional<Refusal>;
+    auto versionCriterion() const -> VersionCriterion;
     auto selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria;
     // Chooses an upstream and sends the request to it; sets attempt_. Fails if there is no upstream.
     auto startAttempt(const AdmittedRequest &admitted) -> Status;
@@ -79,7 +84,14 @@
     auto nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent;
     // Waits for data of the stream. Fails with step "stall" if the stream makes no progress.
     auto awaitChunk() -> Result<std::optional<std::string>>;
+    // Fixes the software version of the stream with the first event of an attempt. Fails if the event may be of another
+    // version than the events before it.
+    auto acceptFirstEvent() -> Status;
+    // Called with the first event of a new stream, which the attempt in flight brought.
+    auto recordStreamBegin() -> void;
     auto endStream() -> http::StreamEvent;
+    // Returns why no upstream may resume the stream; empty if there is one.
+    auto findUpstreamShortage(const AdmittedRequest &admitted) -> std::optional<std::string>;
     // Sends the request to another upstream, to resume the stream after the last complete event there. Fails if that
     // is not allowed or not possible.
     auto startReplacement(const AdmittedRequest &admitted) -> Status;
@@ -139,6 +151,8 @@
     const std::shared_ptr<const routes::RouteTable> routeTable_;
     TimePoint deadline_;
     std::string service_;
+    // Whether the response is a stream that may be resumed at another upstream.
+    bool resumable_ = false;
     std::string route_;
     std::uint32_t enginePriority_ = 0;
     std::uint32_t possiblyRunAttempts_ = 0;
@@ -157,6 +171,7 @@
     std::optional<TimePoint> lastChunkAt_;
     Clock::duration longestChunkGap_ = Clock::duration::zero();
     internal::EventSplitter eventSplitter_;
+    internal::StreamVersion streamVersion_;
     // Body bytes that were passed to the caller.
     std::size_t relayedBytes_ = 0;
     bool outcomeRecorded_ = false;
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include "end_to_end_fields.h"
+#include "jasminewood/core/overloaded.h"
 #include "request_run.h"
 
 // The part of RequestRun that relays streams of events.
@@ -73,11 +74,46 @@
         }
         if (progress.hasEvent() && !attempt_->hasFirstToken_) {
             recordFirstToken();
+            if (const auto failure = acceptFirstEvent()) {
+                return *failure;
+            }
         }
     }
     return chunk;
 }
 
+auto RequestRun::acceptFirstEvent() -> Status
+{
+    const auto &upstream = attempt_->assignment_.upstream_;
+    const auto present = frontend_.upstreams_->pool().recordOf(upstream.id_);
+    return std::visit(Overloaded {[this](const internal::StreamBegins &) -> Status {
+                                      recordStreamBegin();
+                                      return std::nullopt;
+                                  },
+                          [](const internal::StreamGoesOn &) -> Status {
+                              return std::nullopt;
+                          },
+                          [&upstream](const internal::EventOfOtherVersion &) -> Status {
+                              return Failure {.step_ = "resume",
+                                  .peer_ = upstream.address_,
+                                  .reason_ = "the upstream may have another software version than the stream",
+                                  .runState_ = RunState::MayHaveRun};
+                          }},
+        streamVersion_.recordFirstEvent(upstream, present));
+}
+
+auto RequestRun::recordStreamBegin() -> void
+{
+    if (!streamVersion_.version()) {
+        frontend_.environment_->log().info("a stream began at an unknown software version",
+            {{"request", requestMetadata_.requestId_}, {"upstream", attempt_->assignment_.upstream_.id_}});
+    }
+    if (resumable_) {
+        frontend_.streamOrigins_->recordBegin(
+            requestMetadata_.requestId_, {.service_ = service_, .version_ = streamVersion_.version().value_or("")});
+    }
+}
+
 auto RequestRun::nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent
 {
     while (true) {
@@ -129,6 +165,23 @@
     return http::EndOfStream {};
 }
 
+auto RequestRun::findUpstreamShortage(const AdmittedRequest &admitted) -> std::optional<std::string>
+{
+    const auto &pool = frontend_.upstreams_->pool();
+    if (const auto first = streamVersion_.firstUpstream()) {
+        streamVersion_.recordPresentEntry(pool.recordOf(first->id_));
+    }
+    if (pool.hasEligibleUpstream(selectionCriteria(admitted), Clock::now())) {
+        return std::nullopt;
+    }
+    if (!streamVersion_.hasBegun()) {
+        return "there is no other upstream";
+    }
+    const auto version = streamVersion_.version();
+    return version ? fmt::format("there is no other upstream of software version {}", *version)
+                   : "the software version of the stream is not known";
+}
+
 auto RequestRun::startReplacement(const AdmittedRequest &admitted) -> Status
 {
     const auto makeFailure = [](const std::string &reason) {
@@ -139,8 +192,8 @@
         return makeFailure("the stream has no event with an id");
     }
     // Neither a trial of a refused prompt nor a retry of the budget is used for a search that finds nothing.
-    if (!frontend_.upstreams_->pool().hasEligibleUpstream(selectionCriteria(admitted), Clock::now())) {
-        return makeFailure("there is no other upstream");
+    if (const auto shortage = findUpstreamShortage(admitted)) {
+        return makeFailure(*shortage);
     }
     if (const auto refusal = readmit()) {
         return makeFailure(refusal->message_);
@@ -261,7 +314,7 @@
 {
     frontend_.environment_->log().info("resumed a stream",
         {{"request", requestMetadata_.requestId_}, {"upstream", attempt_->assignment_.upstream_.id_},
-            {"after", eventSplitter_.lastEventId()}});
+            {"software_version", attempt_->assignment_.upstream_.version_}, {"after", eventSplitter_.lastEventId()}});
 }
 
 } // namespace jasminewood::forward
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -48,7 +48,7 @@
         .slots_ = 4,
         .leaving_ = parts[1] == "leaving",
         .incarnation_ = parts.size() > 2 ? std::stoll(parts[2]) : 0,
-        .version_ = parts.size() > 3 ? parts[3] : ""};
+        .version_ = parts.size() > 3 ? parts[3] : "v1"};
 }
 
 // Returns the prompt of a request whose field "Prompt" lists the ids of its segments, separated by spaces.
@@ -72,7 +72,9 @@
         .host_ = fieldOrEmpty(request.fields_, "Host"),
         .apiKey_ = fieldOrEmpty(request.fields_, "Key"),
         .remainingTime_ = remainingMs.empty() ? std::nullopt : std::optional(Milliseconds(std::stoll(remainingMs))),
-        .prompt_ = parsePrompt(request)};
+        .prompt_ = parsePrompt(request),
+        .lastEventId_ = fieldOrEmpty(request.fields_, "Last-Event-Id"),
+        .resumedRequestId_ = fieldOrEmpty(request.fields_, "Resumes")};
 }
 
 auto makeUpstreamHeaders(const std::vector<http::HeaderField> &fields, const UpstreamRequestMetadata &metadata)
@@ -135,6 +137,14 @@
     return {.keyPrefix_ = "/", .watchTimeout_ = Milliseconds(50), .batchDelay_ = Milliseconds(0)};
 }
 
+auto testOriginsOptions() -> StreamOriginsOptions
+{
+    return {.keyPrefix_ = "/jasminewood/",
+        .maximumProposalDelay_ = Milliseconds(20),
+        .recordInterval_ = Milliseconds(20),
+        .retryInterval_ = Milliseconds(100)};
+}
+
 auto sampleConfiguration() -> routes::Configuration
 {
     return {.version_ = 1,
@@ -161,6 +171,7 @@
     registry_.add("environment", environment_);
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
+    registry_.add("stream-origins", std::make_shared<StreamOrigins>(client_, testOriginsOptions()));
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, testFeedOptions()));
     registry_.add("crashing-prompts", std::make_shared<CrashingPrompts>());
     registry_.add("front", frontend_);
@@ -203,10 +214,10 @@
     store_->stop();
 }
 
-auto FrontendFixture::addUpstream(const std::string &id, http::Handler handler) -> void
+auto FrontendFixture::addUpstream(const std::string &id, http::Handler handler, const std::string &state) -> void
 {
     servers_.push_back(*http::Server::start({}, std::move(handler)));
-    registerUpstream(id, fmt::format("127.0.0.1:{}", servers_.back()->port()), "ready");
+    registerUpstream(id, fmt::format("127.0.0.1:{}", servers_.back()->port()), state);
 }
 
 auto FrontendFixture::registerUpstream(const std::string &id, const std::string &address, const std::string &state)
