--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -497,7 +497,8 @@
     const auto age = frontend_.configuration_->age();
     frontend_.environment_->log().info(outcome,
         observe::concatenate(
-            {{"request", requestMetadata_.requestId_}, {"route", route_}, {"service", service_},
+            {{"request", requestMetadata_.requestId_}, {"resumes", requestMetadata_.resumedRequestId_},
+                {"after", requestMetadata_.lastEventId_}, {"route", route_}, {"service", service_},
                 {"urgency", std::int64_t(enginePriority_)}, {"status", std::int64_t(status)},
                 {"attempts", std::int64_t(triedUpstreams_.size())},
                 {"upstream", lastAssignment_ ? lastAssignment_->upstream_.id_ : ""},
