--- a/packages/forward/tests/resumed_version_test.cpp
+++ b/packages/forward/tests/resumed_version_test.cpp
@@ -39,14 +39,15 @@
     const int events_ = lastEvent;
     const Ending ending_ = Ending::Completes;
     const Milliseconds silence_ = shortSilence;
+    // Whether it sends nothing before the pool has read that it restarted.
+    const bool awaitsRestart_ = false;
 };
 
 // Upstreams that follow scripts, and a caller of theirs. The stream starts at the first upstream.
 class Streams
 {
 public:
-    explicit Streams(
-        const Script &first, const std::string &state = "ready 1 v1", const std::string &path = "/resumable/")
+    explicit Streams(const Script &first, const std::string &state = "ready 1 v1", const std::string &path = "/steady/")
         : fixture_(configuration())
     {
         add("a", first, state);
@@ -54,11 +55,7 @@
             return http::fetch(
                 {.url_ = fixture_.url(path), .headers_ = FrontendFixture::requestFields("r1"), .retryable_ = false});
         });
-        waitUntil(
-            [this] {
-                return requests("a") == 1;
-            },
-            "the stream runs");
+        awaitRequest("a");
     }
 
     ~Streams()
@@ -75,9 +72,9 @@
         auto &requests = requests_[id];
         fixture_.addUpstream(
             id,
-            [this, script, &requests](const http::Request &request) -> http::Response {
+            [this, id, script, &requests](const http::Request &request) -> http::Response {
                 ++requests;
-                return respond(script, request);
+                return respond(id, script, request);
             },
             state);
     }
@@ -87,15 +84,20 @@
         fixture_.registerUpstream(id, pool().recordOf(id)->address_, "leaving 1 v1");
     }
 
-    // Registers the first upstream as restarted and waits until the pool has its new entry.
-    auto restartFirst(const std::string &version) -> void
+    // Registers an upstream as restarted and waits until the pool has its new entry.
+    auto restart(const std::string &id, const std::string &version) -> void
+    {
+        fixture_.registerUpstream(id, pool().recordOf(id)->address_, "ready 2 " + version);
+        awaitRestart(id);
+    }
+
+    auto awaitRequest(const std::string &id) -> void
     {
-        fixture_.registerUpstream("a", pool().recordOf("a")->address_, "ready 2 " + version);
         waitUntil(
-            [this] {
-                return pool().recordOf("a")->incarnation_ == 2;
+            [&requests = requests_[id]] {
+                return requests == 1;
             },
-            "the new entry is read");
+            "the upstream is asked");
     }
 
     auto requests(const std::string &id) -> int
@@ -103,6 +105,14 @@
         return requests_[id];
     }
 
+    // Lets the upstreams go on.
+    auto release() -> void
+    {
+        if (!std::exchange(isReleased_, true)) {
+            release_.set_value();
+        }
+    }
+
     // Lets the upstreams go on and returns what the caller received; empty if the stream was broken off.
     auto receive() -> std::string
     {
@@ -117,23 +127,40 @@
     }
 
 private:
-    // Returns the sample with a route on which a stream may be resumed twice.
-    static auto configuration() -> routes::Configuration
+    static auto makeRoute(const std::string &name, std::optional<Milliseconds> eventGapTarget) -> routes::Route
     {
-        const auto base = sampleConfiguration();
-        auto routes = base.routes_;
-        routes.push_back({.name_ = "twice",
+        return {.name_ = name,
             .host_ = "shop",
-            .pathPrefix_ = "/twice/",
+            .pathPrefix_ = "/" + name + "/",
             .retrySafety_ = routes::RetrySafety::Stream,
             .timeout_ = Milliseconds(20'000),
+            .eventGapTarget_ = eventGapTarget,
             .weightedServices_ = {{.service_ = "pool"}},
             .maximumAttempts_ = 3,
-            .resumable_ = true});
+            .resumable_ = true};
+    }
+
+    // Returns the sample with two more routes on which a stream may be resumed twice: "/steady/" allows for pauses that
+    // last longer than a test takes to prepare its upstreams.
+    static auto configuration() -> routes::Configuration
+    {
+        const auto base = sampleConfiguration();
+        auto routes = base.routes_;
+        routes.push_back(makeRoute("steady", Milliseconds(5'000)));
+        routes.push_back(makeRoute("twice", std::nullopt));
         return {.version_ = 1, .routes_ = routes, .services_ = base.services_, .accounts_ = base.accounts_};
     }
 
-    auto respond(const Script &script, const http::Request &request) -> http::Response
+    auto awaitRestart(const std::string &id) -> void
+    {
+        waitUntil(
+            [this, &id] {
+                return pool().recordOf(id)->incarnation_ == 2;
+            },
+            "the new entry is read");
+    }
+
+    auto respond(const std::string &id, const Script &script, const http::Request &request) -> http::Response
     {
         auto fields = authenticResponse(request, 200, "").headers_;
         fields.push_back({.name_ = "Content-Type", .value_ = "text/event-stream"});
@@ -141,7 +168,10 @@
         const auto first = after.empty() ? 1 : std::stoi(after) + 1;
         return http::StreamResponse {.status_ = 200,
             .headers_ = fields,
-            .nextEvent_ = [this, script, first, step = 0]() mutable -> http::StreamEvent {
+            .nextEvent_ = [this, id, script, first, step = 0]() mutable -> http::StreamEvent {
+                if (script.awaitsRestart_) {
+                    awaitRestart(id);
+                }
                 const auto number = first + step;
                 if (step++ == script.events_ && number <= lastEvent) {
                     released_.wait_for(longSilence);
@@ -155,13 +185,6 @@
             }};
     }
 
-    auto release() -> void
-    {
-        if (!std::exchange(isReleased_, true)) {
-            release_.set_value();
-        }
-    }
-
     std::map<std::string, std::atomic<int>> requests_;
     std::promise<void> release_;
     const std::shared_future<void> released_ = release_.get_future().share();
@@ -228,19 +251,30 @@
                     [] {
                         auto streams = Streams(breaksAfterEvent);
                         streams.add("c", {}, "ready 1 v1");
-                        streams.restartFirst("v2");
+                        streams.restart("a", "v2");
                         check(streams.receive().empty() && streams.requests("c") == 0);
                     }),
                 test("is resumed if its upstream restarted with the same version",
                     [] {
                         auto streams = Streams(breaksAfterEvent);
                         streams.add("c", {}, "ready 1 v1");
-                        streams.restartFirst("v1");
+                        streams.restart("a", "v1");
                         check(streams.receive() == wholeStream);
                     }),
+                // Guards against events of a process that started after its upstream was chosen.
+                test("is resumed elsewhere if the upstream that resumes it restarted with another version",
+                    [] {
+                        auto streams = Streams(breaksAfterEvent);
+                        streams.add("b", {.version_ = "v2", .awaitsRestart_ = true}, "ready 1 v1");
+                        streams.release();
+                        streams.awaitRequest("b");
+                        streams.add("c", {}, "ready 1 v1");
+                        streams.restart("b", "v2");
+                        check(streams.receive() == wholeStream && streams.requests("c") == 1);
+                    }),
                 test("and again where it was resumed keeps its version",
                     [] {
-                        auto streams = Streams(breaksAfterEvent, "ready 1 v1", "/twice/");
+                        auto streams = Streams(breaksAfterEvent);
                         streams.add("b", newer, "ready 1 v2");
                         streams.add("c", breaksAfterEvent, "ready 1 v1");
                         streams.add("d", breaksAfterEvent, "ready 1 v1");
@@ -253,13 +287,13 @@
                 // Guards against a stream that is joined from two versions since its upstream only paused.
                 test("goes on there if its version has no other upstream",
                     [] {
-                        auto streams = Streams(pausesAfterEvent);
+                        auto streams = Streams(pausesAfterEvent, "ready 1 v1", "/resumable/");
                         streams.add("b", newer, "ready 1 v2");
                         check(streams.receive() == wholeStream && streams.requests("b") == 0);
                     }),
                 test("is resumed at another upstream of its version",
                     [] {
-                        auto streams = Streams(stallsAfterEvent);
+                        auto streams = Streams(stallsAfterEvent, "ready 1 v1", "/resumable/");
                         streams.add("b", newer, "ready 1 v2");
                         streams.add("c", {}, "ready 1 v1");
                         check(streams.receive() == wholeStream && streams.requests("b") == 0);
@@ -280,15 +314,19 @@
                         auto streams = Streams({.events_ = 0, .ending_ = Ending::FallsSilent, .silence_ = longSilence},
                             "ready 1 v1", "/twice/");
                         streams.add("b", {.version_ = "v2", .events_ = 1, .ending_ = Ending::BreaksOff}, "ready 1 v2");
-                        waitUntil(
-                            [&streams] {
-                                return streams.requests("b") == 1;
-                            },
-                            "the replacement runs");
+                        streams.awaitRequest("b");
                         streams.add("c", {}, "ready 1 v1");
                         check(streams.receive().empty() && streams.requests("c") == 0);
                     }),
             }),
+        // Guards against a stream that ends for its version although it may not be resumed anyway.
+        test("that may not be resumed is passed on whatever its version",
+            [] {
+                check(Streams({}, "ready 1 ", "/stream/").receive() == wholeStream);
+                auto streams = Streams(breaksAfterEvent, "ready 1 v1", "/stream/");
+                streams.add("c", {}, "ready 1 v1");
+                check(streams.receive().empty() && streams.requests("c") == 0);
+            }),
         // Guards against a search by version where nothing is joined.
         test("does not keep a request that is no stream from any upstream",
             [] {
