Read the store again if it has not reached the revision that is applied

A router that applied changes up to a revision that another process made up, in the name of the router that it follows, would take no later change from the store: the client returned the larger of the two revisions, for ever.

Change: a watch whose response states an earlier revision of the same era fails with step "kv restored", and all entries are read again. The store's responses are linearizable, so a revision that was read from it is never ahead of it.

--- a/packages/platform/include/jasminewood/platform/key_value.h
+++ b/packages/platform/include/jasminewood/platform/key_value.h
@@ -99,8 +99,8 @@
 
     // Calls onEvent in order of revision for all changes after after_. Returns the position after which to watch next
     // when the watch's timeout is over, or with PagedProtocol after the first events. Fails with step "kv compacted" if
-    // the history after after_ has been compacted and with step "kv restored" if its era has ended, so that the caller
-    // has to read a snapshot, and with step "cancel" after cancel().
+    // the history after after_ has been compacted and with step "kv restored" if its era has ended or the service has
+    // not reached after_, so that the caller has to read a snapshot, and with step "cancel" after cancel().
     auto watch(const WatchRequest &request, WatchCall &call,
         const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<StorePosition>;
 
--- a/packages/platform/src/key_value.cpp
+++ b/packages/platform/src/key_value.cpp
@@ -514,10 +514,14 @@
     if (!page) {
         return wrapFailure("watch", page.failure());
     }
+    if (page->revision_ < request.after_.revision_) {
+        const auto reason = fmt::format("revision {} after {}", page->revision_, request.after_.revision_);
+        return wrapFailure("restored", {.step_ = "revision", .reason_ = reason});
+    }
     for (const auto &event : page->events_) {
         onEvent(event);
     }
-    return std::max(request.after_, StorePosition {.era_ = *era, .revision_ = page->revision_});
+    return StorePosition {.era_ = *era, .revision_ = page->revision_};
 }
 
 auto KeyValueClient::watchStream(const WatchRequest &request, WatchCall &call,
