--- a/packages/forward/src/store_feed.cpp
+++ b/packages/forward/src/store_feed.cpp
@@ -181,7 +181,8 @@
         updateFollowers();
     } else if (failure->step_ == "kv compacted" || failure->step_ == "kv restored") {
         environment_->log().info("the history of the store is lost",
-            {{"era", applied.era_}, {"revision", applied.revision_}, {"store_era", store_->era()}});
+            {{"era", applied.era_}, {"revision", applied.revision_}, {"store_era", store_->era()},
+                {"reason", failure->reason_}});
         state_->dropSnapshot();
     } else if (failure->step_ != "cancel") {
         outages_ += std::exchange(storeAvailable_, false) ? 1 : 0;
