Split the agent's gate by job

It keeps the routers' messages and the load report; gate_attempts.cpp has the scheduler thread and the run of an attempt, scheduler_policies.cpp the policies of the scheduler. Voiding an attempt, which stood three times, is one function.

--- a/packages/agent/include/jasminewood/agent/gate.h
+++ b/packages/agent/include/jasminewood/agent/gate.h
@@ -102,6 +102,8 @@
         -> std::optional<wire::Failed>;
     auto makeQueueEntry(const wire::Dispatch &message, TimePoint now) const -> scheduling::QueueEntry;
     auto makeFailure(const std::string &reason) const -> Failure;
+    // Makes sure that the attempt does not start from now on; returns whether it ran. Requires mutex_.
+    auto voidAttempt(const AttemptId &attempt) -> RunState;
     auto rejectAttempt(const AttemptId &attempt, const std::string &reason, Rejections &rejections) -> void;
     auto sendRejections(const Rejections &rejections) -> void;
     auto sendUnknownAttemptFailure(const AttemptId &attempt, const std::string &step, RunState runState,
--- a/packages/agent/src/gate.cpp
+++ b/packages/agent/src/gate.cpp
@@ -1,10 +1,10 @@
 #include "jasminewood/agent/gate.h"
 
-#include <algorithm>
 #include <utility>
-#include <vector>
 
-#include "jasminewood/core/overloaded.h"
+#include "scheduler_policies.h"
+
+// The part of Gate that handles the routers' messages and reports its load. gate_attempts.cpp runs the attempts.
 
 namespace jasminewood::agent
 {
@@ -12,66 +12,8 @@
 namespace
 {
 
-// Interval at which detached attempts are cancelled and expired outputs are erased.
-constexpr auto cleanupInterval = Milliseconds(500);
-constexpr auto percent = 100.0;
 constexpr auto rejectionRetryAfter = Milliseconds(1000);
 
-auto initialPolicy() -> scheduling::SchedulerPolicy
-{
-    return scheduling::SchedulerPolicy {.concurrency_ = 1, .longLaneSlots_ = 1, .queueLimit_ = 16};
-}
-
-auto makeSchedulerPolicy(const manifest::Manifest &manifest, const manifest::Pool &pool) -> scheduling::SchedulerPolicy
-{
-    auto classes = std::vector<scheduling::ClassPolicy>();
-    for (const auto &[name, requestClass] : manifest.classes_) {
-        classes.push_back(scheduling::ClassPolicy {.name_ = name,
-            .tier_ = requestClass.tier_,
-            .minimumShare_ = requestClass.minimumShare_ / percent,
-            .maximumWait_ = requestClass.maximumWait_});
-    }
-    return scheduling::SchedulerPolicy {.classes_ = std::move(classes),
-        .concurrency_ = pool.concurrency_,
-        .longLaneSlots_ = pool.longLaneSlots_,
-        .longAttemptTokens_ = pool.longAttemptTokens_,
-        .queueLimit_ = pool.queueLimit_};
-}
-
-// Returns the queue entry of a preempted attempt. It has no maximum wait and is exempt from the queue limit.
-auto makeResumedQueueEntry(const scheduling::QueueEntry &entry, std::uint32_t preemptions) -> scheduling::QueueEntry
-{
-    return scheduling::QueueEntry {.attempt_ = entry.attempt_,
-        .account_ = entry.account_,
-        .accountWeight_ = entry.accountWeight_,
-        .requestClass_ = entry.requestClass_,
-        .tier_ = entry.tier_,
-        .costEstimate_ = entry.costEstimate_,
-        .crashSuspect_ = entry.crashSuspect_,
-        .expectedLong_ = entry.expectedLong_,
-        .preemptible_ = preemptions < maximumPreemptions,
-        .resuming_ = true,
-        .enqueuedAt_ = entry.enqueuedAt_};
-}
-
-// Adds the output tokens of the attempt's earlier calls, which preemption ended, to the outcome of its last call.
-auto addEarlierTokens(const CallOutcome &outcome, std::uint32_t earlierTokens) -> CallOutcome
-{
-    return std::visit(Overloaded {[earlierTokens](const CallCompleted &completed) -> CallOutcome {
-                                      return CallCompleted {.status_ = completed.status_,
-                                          .contentType_ = completed.contentType_,
-                                          .finishReason_ = completed.finishReason_,
-                                          .promptTokens_ = completed.promptTokens_,
-                                          .outputTokens_ = completed.outputTokens_ + earlierTokens};
-                                  },
-                          [earlierTokens](const CallFailed &failed) -> CallOutcome {
-                              return CallFailed {.failure_ = failed.failure_,
-                                  .crashId_ = failed.crashId_,
-                                  .outputTokens_ = failed.outputTokens_ + earlierTokens};
-                          }},
-        outcome);
-}
-
 auto toRunState(AttemptState state) -> RunState
 {
     switch (state) {
@@ -89,7 +31,7 @@
 } // namespace
 
 Gate::Gate(scheduling::QueueDiscipline discipline)
-    : scheduler_(initialPolicy(), discipline)
+    : scheduler_(internal::initialPolicy(), discipline)
 {
 }
 
@@ -232,7 +174,7 @@
             environment_->recordEvent(message.attempt_, "withdraw", router->peer().node_.name_);
         } else if (!run) {
             // Voids the attempt, so that a dispatch that arrives after this reply does not start it.
-            runStateOfUnknownAttempt = toRunState(ledger_->voidAttempt(message.attempt_, Clock::now()));
+            runStateOfUnknownAttempt = voidAttempt(message.attempt_);
         } else if (run->dispatch().idempotent_) {
             run->cancel();
         }
@@ -244,6 +186,11 @@
     }
 }
 
+auto Gate::voidAttempt(const AttemptId &attempt) -> RunState
+{
+    return toRunState(ledger_->voidAttempt(attempt, Clock::now()));
+}
+
 auto Gate::handleAttach(const wire::Attach &message, const RouterConnection &router) -> void
 {
     auto run = std::shared_ptr<AttemptRun>();
@@ -251,8 +198,7 @@
     {
         const auto lock = std::lock_guard(mutex_);
         run = findRun(message.attempt_);
-        runStateOfUnknownAttempt
-            = run ? runStateOfUnknownAttempt : toRunState(ledger_->voidAttempt(message.attempt_, Clock::now()));
+        runStateOfUnknownAttempt = run ? runStateOfUnknownAttempt : voidAttempt(message.attempt_);
     }
     if (!run) {
         sendUnknownAttemptFailure(message.attempt_, "attach", runStateOfUnknownAttempt, router);
@@ -280,7 +226,7 @@
     {
         const auto lock = std::lock_guard(mutex_);
         withdrawQueued(message.attempt_, "voided by another router", rejections);
-        runState = toRunState(ledger_->voidAttempt(message.attempt_, Clock::now()));
+        runState = voidAttempt(message.attempt_);
         run = findRun(message.attempt_);
     }
     sendRejections(rejections);
@@ -357,144 +303,6 @@
         .leaving_ = leaving_};
 }
 
-auto Gate::runScheduler() -> void
-{
-    auto lock = std::unique_lock(mutex_);
-    auto nextCleanup = Clock::now() + cleanupInterval;
-    while (!stopping_) {
-        const auto now = Clock::now();
-        auto rejections = Rejections();
-        for (const auto &attempt : scheduler_.removeExpired(now)) {
-            rejectAttempt(attempt, "waited longer than the class allows", rejections);
-        }
-        while (const auto entry = scheduler_.startNext(now)) {
-            startAttempt(*entry);
-            ++loadVersion_;
-        }
-        while (const auto victim = scheduler_.choosePreemption(now)) {
-            preemptAttempt(*victim);
-        }
-        if (now >= nextCleanup) {
-            cancelDetachedAttempts(now, rejections);
-            eraseExpiredRuns(now);
-            nextCleanup = now + cleanupInterval;
-        }
-        if (!rejections.empty()) {
-            lock.unlock();
-            sendRejections(rejections);
-            lock.lock();
-            continue;
-        }
-        const auto nextExpiry = scheduler_.nextExpiryTime().value_or(nextCleanup);
-        const auto nextPreemption = scheduler_.nextPreemptionTime(now).value_or(nextCleanup);
-        stateChanged_.wait_until(lock, std::min({nextExpiry, nextPreemption, nextCleanup}));
-    }
-}
-
-auto Gate::startAttempt(const scheduling::QueueEntry &entry) -> void
-{
-    const auto preempted = preemptedAttempts_.find(entry.attempt_);
-    if (preempted != preemptedAttempts_.end()) {
-        preempted->second = PreemptionState::SlotGranted;
-        stateChanged_.notify_all();
-        return;
-    }
-    const auto run = findRun(entry.attempt_);
-    if (!run || !ledger_->tryStart(entry.attempt_)) {
-        scheduler_.onFinished(entry.attempt_, 0);
-        return;
-    }
-    ++activeAttemptThreads_;
-    std::thread([this, run] {
-        runAttempt(*run);
-    }).detach();
-}
-
-auto Gate::preemptAttempt(const AttemptId &attempt) -> void
-{
-    if (const auto run = findRun(attempt)) {
-        environment_->recordEvent(attempt, "interrupt");
-        preemptedAttempts_.insert_or_assign(attempt, PreemptionState::CancellingCall);
-        run->cancelCall();
-    }
-}
-
-auto Gate::runAttempt(AttemptRun &run) -> void
-{
-    const auto &dispatch = run.dispatch();
-    environment_->recordEvent(dispatch.attempt_, "start", "", dispatch.requestClass_);
-    run.markStarted();
-    const auto outcome = callUpstream(run);
-    const auto outputTokens = std::visit(
-        [](const auto &ended) -> std::uint32_t {
-            return ended.outputTokens_;
-        },
-        outcome);
-    releaseSlot(dispatch, outcome, outputTokens);
-    // The ledger is updated after finish(), so that the response is already available when the ledger says that the
-    // attempt ran.
-    std::visit(
-        [&](const auto &ended) -> void {
-            finish(run, ended);
-        },
-        outcome);
-    const auto *failedCall = std::get_if<CallFailed>(&outcome);
-    const auto lock = std::lock_guard(mutex_);
-    ledger_->markEnded(dispatch.attempt_, failedCall == nullptr ? RunState::Ran : failedCall->failure_.runState_);
-    preemptionCounts_.erase(dispatch.attempt_);
-    --activeAttemptThreads_;
-    stateChanged_.notify_all();
-}
-
-auto Gate::callUpstream(AttemptRun &run) -> CallOutcome
-{
-    const auto attempt = run.dispatch().attempt_;
-    while (true) {
-        const auto earlierTokens = run.outputTokenCount();
-        const auto call = run.createCall();
-        auto outcome = upstream_->call(
-            run.resumedDispatch(), *call, [&](std::string_view text, std::uint32_t outputTokens) -> bool {
-                const auto appendFailure = run.append(text, earlierTokens + outputTokens);
-                const auto lock = std::lock_guard(mutex_);
-                scheduler_.onProgress(attempt, earlierTokens + outputTokens);
-                return !appendFailure;
-            });
-        const auto *failedCall = std::get_if<CallFailed>(&outcome);
-        const auto callCancelled = failedCall != nullptr && failedCall->failure_.step_ == "cancel";
-        if (!callCancelled || !requeueAndAwaitSlot(run)) {
-            const auto lock = std::lock_guard(mutex_);
-            preemptedAttempts_.erase(attempt);
-            return addEarlierTokens(outcome, earlierTokens);
-        }
-    }
-}
-
-auto Gate::requeueAndAwaitSlot(const AttemptRun &run) -> bool
-{
-    const auto &dispatch = run.dispatch();
-    auto lock = std::unique_lock(mutex_);
-    const auto preempted = preemptedAttempts_.find(dispatch.attempt_);
-    if (preempted == preemptedAttempts_.end() || run.cancelled() || stopping_) {
-        return false;
-    }
-    scheduler_.onFinished(dispatch.attempt_, run.outputTokenCount());
-    auto &preemptions = preemptionCounts_[dispatch.attempt_];
-    ++preemptions;
-    preempted->second = PreemptionState::Requeued;
-    static_cast<void>(
-        scheduler_.enqueue(makeResumedQueueEntry(makeQueueEntry(dispatch, Clock::now()), preemptions), Clock::now()));
-    notifyLoadChange();
-    stateChanged_.wait(lock, [&]() -> bool {
-        return preempted->second != PreemptionState::Requeued || stopping_;
-    });
-    const auto granted = preempted->second == PreemptionState::SlotGranted;
-    if (granted) {
-        preemptedAttempts_.erase(preempted);
-        environment_->recordEvent(dispatch.attempt_, "continue");
-    }
-    return granted;
-}
-
 auto Gate::withdrawQueued(const AttemptId &attempt, const std::string &reason, Rejections &rejections) -> bool
 {
     if (!scheduler_.removeQueued(attempt)) {
@@ -510,55 +318,6 @@
     return true;
 }
 
-auto Gate::releaseSlot(const wire::Dispatch &dispatch, const CallOutcome &outcome, std::uint32_t outputTokens) -> void
-{
-    const auto lock = std::lock_guard(mutex_);
-    scheduler_.onFinished(dispatch.attempt_, outputTokens);
-    if (std::holds_alternative<CallCompleted>(outcome)) {
-        lengthEstimator_.addSample(dispatch.requestClass_, dispatch.account_, outputTokens);
-    }
-    notifyLoadChange();
-}
-
-auto Gate::finish(AttemptRun &run, const CallCompleted &outcome) -> void
-{
-    environment_->recordEvent(run.dispatch().attempt_, observe::finishStep, "", std::to_string(outcome.status_));
-    run.complete(outcome, Clock::now());
-}
-
-auto Gate::finish(AttemptRun &run, const CallFailed &outcome) -> void
-{
-    environment_->recordEvent(
-        run.dispatch().attempt_, observe::finishStep, outcome.failure_.peer_, outcome.failure_.reason_);
-    run.fail(outcome.failure_, outcome.crashId_, outcome.outputTokens_, Clock::now());
-}
-
-auto Gate::cancelDetachedAttempts(TimePoint now, Rejections &rejections) -> void
-{
-    for (const auto &[attempt, run] : runs_) {
-        const auto detachedAt = run->detachedAt();
-        if (!detachedAt || run->endedAt() || now - *detachedAt < reattachGracePeriod) {
-            continue;
-        }
-        if (!withdrawQueued(attempt, "its router is gone", rejections) && run->dispatch().idempotent_) {
-            run->cancel();
-        }
-    }
-}
-
-auto Gate::eraseExpiredRuns(TimePoint now) -> void
-{
-    ledger_->eraseExpired(now);
-    std::erase_if(runs_, [&](const auto &entry) {
-        const auto endedAt = entry.second->endedAt();
-        const auto expired = endedAt && now - *endedAt > outputRetention;
-        if (expired && entry.second->dispatch().idempotent_) {
-            ledger_->erase(entry.first);
-        }
-        return expired;
-    });
-}
-
 auto Gate::applyManifest(const node::ManifestPointer &manifest) -> void
 {
     const auto *pool = manifest->manifest_->poolNamed(environment_->identity().pool_);
@@ -569,7 +328,7 @@
     }
     if (pool != nullptr) {
         longAttemptTokens_ = pool->longAttemptTokens_;
-        scheduler_.replacePolicy(makeSchedulerPolicy(*manifest->manifest_, *pool));
+        scheduler_.replacePolicy(internal::makeSchedulerPolicy(*manifest->manifest_, *pool));
     }
     stateChanged_.notify_all();
 }
