Make callers reconnect when one router has kept them all

Cause: the load balancer chooses a router for a new connection only. The first one whose readiness probe succeeds is the only one in rotation until the next ones are probed, so it gets the callers of all data centres, and their connections stay with it. Its share of a core does not suffice.

The server closes each after a complete response that says so.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -16,6 +16,7 @@
 #include "jasminewood/http/server.h"
 #include "jasminewood/kernel/service_registry.h"
 #include "jasminewood/node/environment.h"
+#include "jasminewood/routing/caller_balance.h"
 #include "jasminewood/routing/retry_budget.h"
 
 // Service "front": forwards callers' requests to upstreams with method, path and body unchanged, and relays the
@@ -74,6 +75,10 @@
     // Returns the number of open connections of callers.
     auto connectionCount() const -> unsigned;
 
+    // Makes callers reconnect: so many of the connections that were opened before the given time are closed, each after
+    // a complete response that tells it to the caller. What is left of an earlier call no longer applies.
+    auto releaseConnections(const routing::ConnectionRelease &release) -> void;
+
     // Returns the port on which callers connect.
     auto port() const -> std::uint16_t;
 
--- a/packages/forward/include/jasminewood/forward/probes.h
+++ b/packages/forward/include/jasminewood/forward/probes.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 
+#include "jasminewood/core/clock.h"
 #include "jasminewood/forward/configuration_watcher.h"
 #include "jasminewood/forward/frontend.h"
 #include "jasminewood/forward/upstream_watcher.h"
@@ -39,9 +43,16 @@
     // of callers are in use.
     auto ready() const -> bool;
 
+    // Returns since when every readiness probe has succeeded; empty if the last one failed or there was none.
+    auto reportedReadySince() const -> std::optional<TimePoint>;
+
+    // Returns the port of the readiness probe.
+    auto readinessPort() const -> std::uint16_t;
+
 private:
     auto updateGauges() const -> void;
-    auto handleReadinessProbe(const http::Request &request) const -> http::Response;
+    auto handleReadinessProbe(const http::Request &request) -> http::Response;
+    auto recordProbe(bool succeeded) -> void;
 
     const ProbeServerOptions options_;
     std::shared_ptr<node::Environment> environment_;
@@ -49,6 +60,8 @@
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<Frontend> frontend_;
     std::atomic<bool> stopping_ = false;
+    mutable std::mutex mutex_;
+    std::optional<TimePoint> reportedReadySince_;
     std::shared_ptr<http::Server> readinessServer_;
     std::shared_ptr<http::Server> metricsServer_;
 };
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -133,6 +133,11 @@
     return server_->connectionCount();
 }
 
+auto Frontend::releaseConnections(const routing::ConnectionRelease &release) -> void
+{
+    server_->closeAfterResponses(release.connections_, release.openedBefore_);
+}
+
 auto Frontend::port() const -> std::uint16_t
 {
     return server_->port();
--- a/packages/forward/src/probes.cpp
+++ b/packages/forward/src/probes.cpp
@@ -71,6 +71,28 @@
     return !stopping_ && configuration_->current() && upstreams_->loaded() && frontend_->hasRoom();
 }
 
+auto ProbeServer::reportedReadySince() const -> std::optional<TimePoint>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return reportedReadySince_;
+}
+
+auto ProbeServer::readinessPort() const -> std::uint16_t
+{
+    return readinessServer_->port();
+}
+
+auto ProbeServer::recordProbe(bool succeeded) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    if (!succeeded) {
+        reportedReadySince_.reset();
+    } else if (!reportedReadySince_) {
+        reportedReadySince_ = Clock::now();
+        environment_->log().info("the load balancer was told that this router is ready");
+    }
+}
+
 auto ProbeServer::updateGauges() const -> void
 {
     const auto &metrics = environment_->metrics();
@@ -88,12 +110,14 @@
         .set(double(upstreams_->pool().size()));
 }
 
-auto ProbeServer::handleReadinessProbe(const http::Request &request) const -> http::Response
+auto ProbeServer::handleReadinessProbe(const http::Request &request) -> http::Response
 {
     if (request.path_ != options_.readinessPath_) {
         return http::BufferedResponse {.status_ = notFound};
     }
-    return http::BufferedResponse {.status_ = ready() ? ok : serviceUnavailable};
+    const auto isReady = ready();
+    recordProbe(isReady);
+    return http::BufferedResponse {.status_ = isReady ? ok : serviceUnavailable};
 }
 
 } // namespace jasminewood::forward
--- a/packages/forward/tests/router_fixture.cpp
+++ b/packages/forward/tests/router_fixture.cpp
@@ -17,6 +17,8 @@
     , network_(std::make_shared<PeerNetwork>(
           client_, PeerNetworkOptions {.address_ = "127.0.0.1", .dataCentre_ = "local", .keyPrefix_ = "/routers/"}))
     , crashingPrompts_(std::make_shared<CrashingPrompts>())
+    , frontend_(std::make_shared<Frontend>(FrontendOptions {}, testProtocolAdapter(sampleConfiguration())))
+    , probes_(std::make_shared<ProbeServer>(ProbeServerOptions {.readinessPath_ = "/ready"}))
 {
     registry_.add("environment", environment_);
     registry_.add("configuration", configuration_);
@@ -25,6 +27,9 @@
     registry_.add("peers", std::make_shared<PeerLoadExchange>());
     registry_.add("crashing-prompts", crashingPrompts_);
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, feedOptions));
+    registry_.add("front", frontend_);
+    registry_.add("probes", probes_);
+    registry_.add("caller-balance", std::make_shared<CallerBalance>());
     const auto failure = registry_.startAll();
     testkit::check(!failure, failure ? toString(*failure) : "");
 }
@@ -64,6 +69,16 @@
     return *crashingPrompts_;
 }
 
+auto RouterFixture::frontend() -> Frontend &
+{
+    return *frontend_;
+}
+
+auto RouterFixture::probes() -> ProbeServer &
+{
+    return *probes_;
+}
+
 auto RouterFixture::metrics() const -> std::string
 {
     return environment_->metrics().text();
--- a/packages/forward/tests/router_fixture.h
+++ b/packages/forward/tests/router_fixture.h
@@ -5,13 +5,14 @@
 #include <string>
 
 #include "frontend_fixture.h"
+#include "jasminewood/forward/caller_balance.h"
 #include "jasminewood/forward/crashing_prompts.h"
 #include "jasminewood/forward/peer_load_exchange.h"
 #include "jasminewood/forward/peer_network.h"
 #include "jasminewood/testbench/tcp_relay.h"
 
-// One router without a frontend: its configuration, its upstream pool, its feed of the store and its exchange with the
-// other routers.
+// One router: its configuration, its upstream pool, its feed of the store, its exchange with the other routers and its
+// frontend.
 
 namespace jasminewood::forward
 {
@@ -34,6 +35,8 @@
     auto pool() -> UpstreamPool &;
     auto network() -> PeerNetwork &;
     auto crashingPrompts() -> CrashingPrompts &;
+    auto frontend() -> Frontend &;
+    auto probes() -> ProbeServer &;
     // Returns the metrics in Prometheus's text format.
     auto metrics() const -> std::string;
 
@@ -48,6 +51,8 @@
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<PeerNetwork> network_;
     std::shared_ptr<CrashingPrompts> crashingPrompts_;
+    std::shared_ptr<Frontend> frontend_;
+    std::shared_ptr<ProbeServer> probes_;
     kernel::ServiceRegistry registry_;
 };
 
--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -232,6 +232,10 @@
     // Makes each later response close its connection. New connections are still accepted.
     auto closeAfterResponses() -> void;
 
+    // Makes responses close their connections, if these were opened before the given time, until so many connections
+    // have been closed. What is left of an earlier call no longer applies.
+    auto closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> void;
+
     // Accepts no new connections. Requests on open connections are still served, and each response closes its
     // connection.
     auto stopAccepting() -> void;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -85,10 +85,20 @@
 {
     const int socket_ = -1;
     const Peer peer_;
+    const TimePoint openedAt_;
 
     auto operator<=>(const OpenConnection &) const = default;
 };
 
+// The connections that are still to be closed by their responses.
+struct PendingCloses
+{
+    const std::size_t connections_ = 0;
+    const TimePoint openedBefore_;
+
+    auto operator<=>(const PendingCloses &) const = default;
+};
+
 auto peerOf(int socket) -> Peer
 {
     auto address = sockaddr_in {};
@@ -192,6 +202,12 @@
         closeConnections_ = true;
     }
 
+    auto closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> void
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        pendingCloses_.emplace(PendingCloses {.connections_ = connections, .openedBefore_ = openedBefore});
+    }
+
     auto stopAccepting() -> void
     {
         closeConnections_ = true;
@@ -251,11 +267,29 @@
             unsigned(std::chrono::ceil<std::chrono::seconds>(timeout).count()));
     }
 
-    // Returns the value of the Keep-Alive field; empty if the response should have none.
-    auto keepAlive() const -> std::string
+    // Returns what the next response on the connection says of it.
+    auto persistence(MHD_Connection *connection) -> internal::Persistence
     {
+        if (closeConnections_ || takePendingClose(connection)) {
+            return {.close_ = true};
+        }
         const auto seconds = std::chrono::floor<std::chrono::seconds>(currentLimits().idleTimeout_).count();
-        return limits_ && !closeConnections_ && seconds > 0 ? fmt::format("timeout={}", seconds) : "";
+        return {.keepAlive_ = limits_ && seconds > 0 ? fmt::format("timeout={}", seconds) : ""};
+    }
+
+    // Returns whether the connection is one of those to be closed, and counts it as closed.
+    auto takePendingClose(MHD_Connection *connection) -> bool
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto found = connections_.find(connection);
+        if (!pendingCloses_ || pendingCloses_->connections_ == 0 || found == connections_.end()
+            || found->second.openedAt_ >= pendingCloses_->openedBefore_) {
+            return false;
+        }
+        const auto remaining = pendingCloses_->connections_ - 1;
+        pendingCloses_.emplace(
+            PendingCloses {.connections_ = remaining, .openedBefore_ = pendingCloses_->openedBefore_});
+        return true;
     }
 
     static auto onConnection(
@@ -273,7 +307,8 @@
         startIdleTime(connection);
         const auto socket = internal::socketOf(connection);
         const auto lock = std::scoped_lock(mutex_);
-        connections_.emplace(connection, OpenConnection {.socket_ = socket, .peer_ = peerOf(socket)});
+        connections_.emplace(
+            connection, OpenConnection {.socket_ = socket, .peer_ = peerOf(socket), .openedAt_ = Clock::now()});
     }
 
     auto removeConnection(MHD_Connection *connection) -> void
@@ -337,8 +372,7 @@
         // A slow handler or a pause in a stream must not count towards the idle timeout of the caller.
         MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
         const auto response = callHandler(internal::makeRequest(connection, method, path, pending), *pending.progress_);
-        return internal::queueResponse(
-            connection, response, {.close_ = closeConnections_, .keepAlive_ = keepAlive()}, pending.progress_);
+        return internal::queueResponse(connection, response, persistence(connection), pending.progress_);
     }
 
     auto beginRequest(MHD_Connection *connection, PendingRequest &pending) -> MHD_Result
@@ -453,6 +487,7 @@
     std::condition_variable allClosed_;
     std::size_t activeRequests_ = 0;
     std::map<MHD_Connection *, OpenConnection> connections_;
+    std::optional<PendingCloses> pendingCloses_;
 };
 
 auto Server::start(const ServerOptions &options, Handler handler, UnservedListener onUnserved, LimitsSource limits)
@@ -496,6 +531,11 @@
     state_->closeAfterResponses();
 }
 
+auto Server::closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> void
+{
+    state_->closeAfterResponses(connections, openedBefore);
+}
+
 auto Server::stopAccepting() -> void
 {
     state_->stopAccepting();
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -75,6 +75,32 @@
                         close(socket);
                     }),
             }),
+        section("that is asked to close some of its connections",
+            {
+                // Guards against callers that stay although they should reconnect, and against closes of connections
+                // that were opened since.
+                test("closes as many old ones, each with a complete response that says so",
+                    [] {
+                        const auto server = serve(&echo);
+                        const auto isClosedAfterResponse = [](int socket) {
+                            sendText(socket, post("one", 3));
+                            return readUntil(socket, "POST /p one").find("Connection: close") != std::string::npos;
+                        };
+                        const auto first = connectTo(server->port());
+                        const auto second = connectTo(server->port());
+                        check(!isClosedAfterResponse(first) && !isClosedAfterResponse(second));
+                        const auto openedBefore = Clock::now();
+                        const auto third = connectTo(server->port());
+                        server->closeAfterResponses(1, openedBefore);
+                        check(!isClosedAfterResponse(third));
+                        check(isClosedAfterResponse(first));
+                        check(!isClosedAfterResponse(second));
+                        check(readUntil(first, "never sent").empty());
+                        close(first);
+                        close(second);
+                        close(third);
+                    }),
+            }),
         section("that streams",
             {
                 // Guards against chunks held back until a buffer is full.
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -411,6 +411,18 @@
     auto operator<=>(const ConfigurationInForce &) const = default;
 };
 
+// Router to router, at a regular interval: the open connections of the sender's callers.
+struct CallerReport
+{
+    const NodeId router_;
+    const std::uint32_t connections_ = 0;
+    // For how long the load balancer has been told that the sender is ready, at most a day; empty while it is not
+    // ready.
+    const std::optional<Milliseconds> readyFor_;
+
+    auto operator<=>(const CallerReport &) const = default;
+};
+
 // Router to agent: start to leave.
 struct Drain
 {
@@ -440,6 +452,6 @@
 
 using Message = std::variant<Hello, Heartbeat, Dispatch, Started, Frame, Finished, Failed, Cancel, Attach, Void,
     VoidReply, Leaving, ManifestUpdate, AccountUsageReport, CrashReports, Drain, TimelineQuery, TimelineReply,
-    EngineUsageReport, StoreFollow, StoreChanges, Fragment, PromptCrashEvidence, ConfigurationInForce>;
+    EngineUsageReport, StoreFollow, StoreChanges, Fragment, PromptCrashEvidence, ConfigurationInForce, CallerReport>;
 
 } // namespace jasminewood::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -202,6 +202,11 @@
     return std::tie(value.router_, value.version_);
 }
 
+inline auto fieldsOf(const CallerReport &value)
+{
+    return std::tie(value.router_, value.connections_, value.readyFor_);
+}
+
 inline auto fieldsOf(const CrashReports &value)
 {
     return std::tie(value.reports_);
@@ -280,5 +285,7 @@
 inline constexpr std::uint32_t typeNumber<PromptCrashEvidence> = 23;
 template <>
 inline constexpr std::uint32_t typeNumber<ConfigurationInForce> = 24;
+template <>
+inline constexpr std::uint32_t typeNumber<CallerReport> = 25;
 
 } // namespace jasminewood::wire::internal
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -226,8 +226,10 @@
             .index_ = anyNumber<std::uint32_t>(),
             .count_ = anyNumber<std::uint32_t>(),
             .data_ = anyBody()},
-        anyPromptCrashEvidence(),
-        ConfigurationInForce {.router_ = anyNodeId(), .version_ = anyNumber<std::uint64_t>()}};
+        anyPromptCrashEvidence(), ConfigurationInForce {.router_ = anyNodeId(), .version_ = anyNumber<std::uint64_t>()},
+        CallerReport {.router_ = anyNodeId(),
+            .connections_ = anyNumber<std::uint32_t>(),
+            .readyFor_ = anyNumber<bool>() ? std::optional(anyDuration<Milliseconds>()) : std::nullopt}};
 }
 
 } // namespace jasminewood::wire
