--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -76,8 +76,9 @@
     auto connectionCount() const -> unsigned;
 
     // Makes callers reconnect: so many of the connections that were opened before the given time are closed, each after
-    // a complete response that tells it to the caller. What is left of an earlier call no longer applies.
-    auto releaseConnections(const routing::ConnectionRelease &release) -> void;
+    // a complete response that tells it to the caller. What is left of an earlier call no longer applies. Returns how
+    // many open connections this can close at most.
+    auto releaseConnections(const routing::ConnectionRelease &release) -> std::size_t;
 
     // Returns the port on which callers connect.
     auto port() const -> std::uint16_t;
--- a/packages/forward/src/caller_balance.cpp
+++ b/packages/forward/src/caller_balance.cpp
@@ -98,10 +98,10 @@
         others = reports_.current(interval, now);
     }
     const auto release = routing::releaseConnections(callers, others, interval, now);
-    frontend_->releaseConnections(release);
-    if (release.connections_ > 0) {
+    const auto closes = frontend_->releaseConnections(release);
+    if (closes > 0) {
         environment_->log().info("callers reconnect to routers that have returned",
-            {{"connections", std::int64_t(callers.connections_)}, {"closes", std::int64_t(release.connections_)},
+            {{"connections", std::int64_t(callers.connections_)}, {"closes", std::int64_t(closes)},
                 {"routers", std::int64_t(others.size() + 1)}});
     }
 }
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -133,9 +133,9 @@
     return server_->connectionCount();
 }
 
-auto Frontend::releaseConnections(const routing::ConnectionRelease &release) -> void
+auto Frontend::releaseConnections(const routing::ConnectionRelease &release) -> std::size_t
 {
-    server_->closeAfterResponses(release.connections_, release.openedBefore_);
+    return server_->closeAfterResponses(release.connections_, release.openedBefore_);
 }
 
 auto Frontend::port() const -> std::uint16_t
--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -233,8 +233,9 @@
     auto closeAfterResponses() -> void;
 
     // Makes responses close their connections, if these were opened before the given time, until so many connections
-    // have been closed. What is left of an earlier call no longer applies.
-    auto closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> void;
+    // have been closed. What is left of an earlier call no longer applies. Returns how many open connections this can
+    // close at most.
+    auto closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> std::size_t;
 
     // Accepts no new connections. Requests on open connections are still served, and each response closes its
     // connection.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -202,10 +202,15 @@
         closeConnections_ = true;
     }
 
-    auto closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> void
+    auto closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> std::size_t
     {
         const auto lock = std::scoped_lock(mutex_);
         pendingCloses_.emplace(PendingCloses {.connections_ = connections, .openedBefore_ = openedBefore});
+        const auto eligible
+            = std::count_if(connections_.begin(), connections_.end(), [openedBefore](const auto &entry) {
+                  return entry.second.openedAt_ < openedBefore;
+              });
+        return std::min(connections, std::size_t(eligible));
     }
 
     auto stopAccepting() -> void
@@ -531,9 +536,9 @@
     state_->closeAfterResponses();
 }
 
-auto Server::closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> void
+auto Server::closeAfterResponses(std::size_t connections, TimePoint openedBefore) -> std::size_t
 {
-    state_->closeAfterResponses(connections, openedBefore);
+    return state_->closeAfterResponses(connections, openedBefore);
 }
 
 auto Server::stopAccepting() -> void
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -91,7 +91,8 @@
                         check(!isClosedAfterResponse(first) && !isClosedAfterResponse(second));
                         const auto openedBefore = Clock::now();
                         const auto third = connectTo(server->port());
-                        server->closeAfterResponses(1, openedBefore);
+                        check(server->closeAfterResponses(5, openedBefore) == 2);
+                        check(server->closeAfterResponses(1, openedBefore) == 1);
                         check(!isClosedAfterResponse(third));
                         check(isClosedAfterResponse(first));
                         check(!isClosedAfterResponse(second));
