--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -65,8 +65,8 @@
 
 private:
     auto forward(const AdmittedRequest &admitted) -> http::Response;
-    // Sets service_, and fixes the version at which the stream began that the request resumes. Refuses the request if that
-    // is not known, or if the route does not lead there any more.
+    // Sets service_, and fixes the version at which the stream began that the request resumes. Refuses the request if
+    // that is not known, or if the route does not lead there any more.
     auto chooseService(const routes::Route &route) -> std::optional<Refusal>;
     auto versionCriterion() const -> VersionCriterion;
     auto selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria;
--- a/packages/membership/tests/upstream_directory_test.cpp
+++ b/packages/membership/tests/upstream_directory_test.cpp
@@ -205,6 +205,24 @@
                         check(directory.routableUpstreams(now + 1s).empty());
                     }),
             }),
+        section("whose upstreams have several software versions",
+            {
+                // Guards against a version that is forgotten while its upstreams still run the streams that they began.
+                test("lists those of all entries, also of leaving upstreams, until they are removed",
+                    [] {
+                        const auto ofVersion = [](const std::string &id, const std::string &version, bool leaving) {
+                            return UpstreamRecord {
+                                .id_ = id, .service_ = "pool", .leaving_ = leaving, .version_ = version};
+                        };
+                        auto directory = UpstreamDirectory();
+                        directory.put(ofVersion("a", "v1", true), TimePoint(1s));
+                        directory.put(ofVersion("b", "v2", false), TimePoint(1s));
+                        using Versions = std::set<std::string>;
+                        check(directory.versionsByService(TimePoint(1s)).at("pool") == Versions {"v1", "v2"});
+                        directory.remove("a", TimePoint(2s));
+                        check(directory.versionsByService(TimePoint(2s)).at("pool") == Versions {"v2"});
+                    }),
+            }),
     }};
 
 } // namespace
