Leave out software versions that are too long for the records of streams

What could happen: an entry of another writer with a version of some thousand bytes made routers agree on versions that none of them can read, which counts as lost and is written again each second by each router, and made the records beside it unreadable. Cause: the limits of the parser did not apply to what is written. Such a version is left out now, and a stream at its upstreams counts as begun at an unknown one. adapter_test 'goes on if an upstream's version is too long to be written' failed before (more than one write) and passes.

--- a/packages/forward/src/stream_origin_codec.cpp
+++ b/packages/forward/src/stream_origin_codec.cpp
@@ -22,7 +22,6 @@
 // Keys of the store have at most 200 bytes, of which the prefix and a sequence number need some.
 constexpr std::size_t maximumKeyPartBytes = 80;
 constexpr std::size_t maximumNameBytes = 1'024;
-constexpr std::size_t maximumVersions = 256;
 constexpr std::size_t maximumValueBytes = 1'048'576;
 constexpr int hexadecimal = 16;
 
@@ -121,6 +120,11 @@
 
 } // namespace
 
+auto isWritable(const std::string &version) -> bool
+{
+    return version.size() <= maximumNameBytes;
+}
+
 auto keyPart(const std::string &name) -> std::string
 {
     const auto isUsual
@@ -142,7 +146,7 @@
     constexpr std::size_t wordsBeforeVersions = 3;
     const auto lines = splitLines(value);
     if (lines.size() != 1 || lines.front().size() <= wordsBeforeVersions
-        || lines.front().size() > wordsBeforeVersions + maximumVersions || lines.front().front() != format) {
+        || lines.front().size() > wordsBeforeVersions + maximumVersionsOfEntry || lines.front().front() != format) {
         return malformed("not one line of format, era, service and versions");
     }
     const auto &words = lines.front();
--- a/packages/forward/src/stream_origin_codec.h
+++ b/packages/forward/src/stream_origin_codec.h
@@ -25,8 +25,12 @@
     auto operator<=>(const ServiceVersions &) const = default;
 };
 
-// The most streams that one entry may hold.
+// The most streams, or versions, that one entry may hold.
 constexpr std::size_t maximumStreamsOfEntry = 512;
+constexpr std::size_t maximumVersionsOfEntry = 256;
+
+// Returns whether a version can be written. One that cannot be read again would make a whole entry unreadable.
+auto isWritable(const std::string &version) -> bool;
 
 // Returns a name as part of a key: itself, or its hash if it is long or holds other characters than names usually do.
 auto keyPart(const std::string &name) -> std::string;
--- a/packages/forward/src/stream_origins.cpp
+++ b/packages/forward/src/stream_origins.cpp
@@ -131,9 +131,12 @@
     if (requestId.empty()) {
         return;
     }
+    const auto version = internal::isWritable(origin.version_) ? origin.version_ : routing::unrecordedVersion;
+    const auto record = routing::StreamRecord {
+        .stream_ = streamIdOf(requestId), .origin_ = {.service_ = origin.service_, .version_ = version}};
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
-    if (versions_ && versions_->recordBegin({.stream_ = streamIdOf(requestId), .origin_ = origin}, now)) {
+    if (versions_ && versions_->recordBegin(record, now)) {
         scheduleRecords(now);
     }
 }
@@ -289,7 +292,9 @@
         if (services_.contains(service)) {
             auto &ofService = known[service];
             ofService = versions;
-            ofService.erase(routing::unrecordedVersion);
+            std::erase_if(ofService, [](const auto &version) {
+                return version == routing::unrecordedVersion || !internal::isWritable(version);
+            });
         }
     }
     versions_->setRegistered(known, now);
@@ -324,7 +329,8 @@
 {
     auto proposals = std::vector<Proposal>();
     for (const auto &service : services_) {
-        if (const auto agreed = versions_->proposal(service, now)) {
+        const auto agreed = versions_->proposal(service, now);
+        if (agreed && agreed->versions_.size() <= internal::maximumVersionsOfEntry) {
             const auto known = revisions_.find(versionsKey(service));
             proposals.push_back({.service_ = service,
                 .agreed_ = *agreed,
