--- a/packages/platform/tests/vm_list_test.cpp
+++ b/packages/platform/tests/vm_list_test.cpp
@@ -4,6 +4,8 @@
 #include <string>
 
 #include "jasminewood/http/client.h"
+#include "jasminewood/http/server.h"
+#include "jasminewood/platform/key_value.h"
 #include "jasminewood/testbench/fake_vm_list.h"
 #include "jasminewood/testkit/test_suite.h"
 
@@ -60,6 +62,23 @@
                         check(VmListClient({.url_ = urlOf(**list)}).fetchVms()->empty());
                     }),
             }),
+        section("whose list is nested too deeply",
+            {
+                // Guards against a process that ends when the document is copied.
+                test("fails, as does a client of the key-value service",
+                    [] {
+                        constexpr std::size_t depth = 100'000;
+                        const auto nested = std::string(depth, '[') + std::string(depth, ']');
+                        const auto server = *http::Server::start(
+                            {}, [&nested](const http::Request &request) -> http::Response {
+                                const auto isList = request.method_ == "GET";
+                                return http::BufferedResponse {.body_ = isList ? nested : R"({"kvs":)" + nested + "}"};
+                            });
+                        const auto url = "http://127.0.0.1:" + std::to_string(server->port());
+                        check(VmListClient({.url_ = url}).fetchVms().failure().step_ == "vm list");
+                        check(KeyValueClient({.url_ = url}).get("a").failure().step_ == "kv get");
+                    }),
+            }),
         section("whose list is malformed or absent",
             {
                 // Guards against a partial list that makes live VMs disappear.
