Answer the requests that the router reads in the last moment of a planned stop

What callers saw: in a planned stop of jasminewood-router, requests on kept connections that were read just after the last request in flight had ended got no answer.

Connections were also kept during the notice, so many were open at that moment.

Change: HttpFrontend::drain closes each connection after its response from the start of the notice, and after the last request closes the connections once what was read from them is answered. Requests without a complete response are counted and logged, as in the forwarding router.

--- a/packages/router/include/jasminewood/router/http_frontend.h
+++ b/packages/router/include/jasminewood/router/http_frontend.h
@@ -34,8 +34,9 @@
     auto start(const kernel::ServiceRegistry &services) -> Status;
     auto stop() -> void;
 
-    // Continues to accept connections during the notice period, then stops accepting and waits until no request is in
-    // flight. Returns whether all requests ended before the timeout.
+    // Continues to accept connections during the notice period, and closes each after its response. Then stops
+    // accepting, waits until no request is in flight and closes the connections. Returns whether all requests were
+    // answered before the timeout.
     auto drain(Milliseconds noticePeriod, Milliseconds timeout) -> bool;
 
     auto port() const -> std::uint16_t;
@@ -56,6 +57,8 @@
     auto nonStreamingChatResponse(RequestExecution &execution, const RoutedRequest &request, const std::string &model)
         -> http::Response;
     auto countOutcome(const std::string &requestClass, const std::string &outcome) const -> void;
+    // Counts and logs a request that the server ended without a complete response.
+    auto recordUnserved(const http::UnservedRequest &request) const -> void;
     auto makeExecution(const RoutedRequest &request) const -> std::shared_ptr<RequestExecution>;
 
     const http::ServerOptions options_;
--- a/packages/router/src/http_frontend.cpp
+++ b/packages/router/src/http_frontend.cpp
@@ -98,9 +98,14 @@
     if (const auto failure = services.require("claims", claimStore_)) {
         return failure;
     }
-    const auto server = http::Server::start(options_, [this](const http::Request &request) -> http::Response {
-        return handle(request);
-    });
+    const auto server = http::Server::start(
+        options_,
+        [this](const http::Request &request) -> http::Response {
+            return handle(request);
+        },
+        [this](const http::UnservedRequest &request) {
+            recordUnserved(request);
+        });
     if (!server) {
         return server.failure();
     }
@@ -118,10 +123,17 @@
 
 auto HttpFrontend::drain(Milliseconds noticePeriod, Milliseconds timeout) -> bool
 {
-    // During this period the health check fails, so that the load balancer stops opening new connections.
+    // During this period the health check fails, so that the load balancer stops opening new connections. Callers of
+    // open ones open a new connection for their next request, which reaches another router.
+    server_->closeAfterResponses();
     std::this_thread::sleep_for(noticePeriod);
+    const auto deadline = Clock::now() + timeout;
     server_->stopAccepting();
-    return server_->waitUntilIdle(timeout);
+    if (!server_->waitUntilIdle(timeout)) {
+        return false;
+    }
+    // A request may have been read since; stop() would close its connection before the response.
+    return server_->closeConnections(std::chrono::ceil<Milliseconds>(deadline - Clock::now()));
 }
 
 auto HttpFrontend::port() const -> std::uint16_t
@@ -371,6 +383,18 @@
         result);
 }
 
+auto HttpFrontend::recordUnserved(const http::UnservedRequest &request) const -> void
+{
+    const auto reason = std::string(http::toString(request.reason_));
+    environment_->metrics()
+        .counter("jasminewood_unserved_total", "Requests without a complete response of this process",
+            {{"reason", reason}, {"read", request.requestRead_ ? "whole" : "partly"}})
+        .add();
+    environment_->log().info("connection ended without a complete response",
+        {{"reason", reason}, {"target", request.target_}, {"request_read", request.requestRead_},
+            {"response_begun", request.responseBegun_}, {"detail", request.detail_}});
+}
+
 auto HttpFrontend::countOutcome(const std::string &requestClass, const std::string &outcome) const -> void
 {
     environment_->metrics()
--- a/packages/router/tests/router_under_test.cpp
+++ b/packages/router/tests/router_under_test.cpp
@@ -104,6 +104,13 @@
     testkit::check(manifestStore_->update(1, manifest), "the manifest is not valid");
 }
 
+auto RouterUnderTest::stopCallers(Milliseconds noticePeriod) -> bool
+{
+    const auto allAnswered = callers_->drain(noticePeriod, Milliseconds(30'000));
+    callers_->stop();
+    return allAnswered;
+}
+
 auto RouterUnderTest::callersPort() const -> std::uint16_t
 {
     return callers_->port();
--- a/packages/router/tests/router_under_test.h
+++ b/packages/router/tests/router_under_test.h
@@ -48,6 +48,9 @@
     // Activates a manifest without the key-value service.
     auto setManifest(const std::string &manifest) -> void;
 
+    // Stops the callers' API as the program does; returns whether all requests were answered.
+    auto stopCallers(Milliseconds noticePeriod) -> bool;
+
     auto callersPort() const -> std::uint16_t;
 
     // Calls the callers' API, with the callers' key unless the headers contain Authorization.
