Read the schedule of a planned stop without a lock

Each request asks twice whether the process stops. With the frontend's mutex that made three locks a request instead of one, and on a machine with a tenth of a core a thread may lose the processor while it holds one. The schedule is written once, before a flag; requests read the flag.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -65,7 +65,8 @@
     // their timeout ends after the process (see refusalWhileStopping()). After the notice period no new connections are
     // accepted, requests on open ones are refused, and the requests in flight may complete. Shortly before the end of
     // the grace period those that are left end: with status 504 if they may have run, and as aborted if they are
-    // streams. Returns whether all requests completed by themselves. stop() ends the notice period early.
+    // streams. Returns whether all requests completed by themselves. stop() ends the notice period early. To be called
+    // once.
     auto drain(const StopPeriods &periods) -> bool;
 
     // Returns whether all requests are refused because the process stops.
@@ -103,13 +104,14 @@
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<CrashingPrompts> crashingPrompts_;
+    // Set once, before stopBegun_. Each request reads it, so it has no lock.
+    std::optional<StopSchedule> stopSchedule_;
+    std::atomic<bool> stopBegun_ = false;
     std::atomic<bool> requestsEnded_ = false;
-    mutable std::mutex mutex_;
+    std::mutex mutex_;
     std::condition_variable stopCondition_;
     // Guarded by mutex_.
     bool stopped_ = false;
-    // Guarded by mutex_.
-    std::optional<StopSchedule> stopSchedule_;
     // Retry budgets by service. Guarded by mutex_.
     std::map<std::string, routing::RetryBudget> retryBudgets_;
     std::optional<observe::Counter> requestCounter_;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -103,9 +103,10 @@
         return std::chrono::ceil<Milliseconds>(until - Clock::now());
     };
     server_->closeAfterResponses();
+    stopSchedule_.emplace(schedule);
+    stopBegun_ = true;
     {
         auto lock = std::unique_lock(mutex_);
-        stopSchedule_.emplace(schedule);
         stopCondition_.wait_until(lock, schedule.refuseFrom_, [this] {
             return stopped_;
         });
@@ -133,8 +134,7 @@
 
 auto Frontend::stopSchedule() const -> std::optional<StopSchedule>
 {
-    const auto lock = std::scoped_lock(mutex_);
-    return stopSchedule_;
+    return stopBegun_ ? stopSchedule_ : std::nullopt;
 }
 
 auto Frontend::hasRoom() const -> bool
