Make no system call under the lock of the idle connections to upstreams

Cause: http's pool of idle connections created, polled and checked connections under its one lock, which each attempt needs when it begins and when it ends. A thread that lost the processor meanwhile kept all others waiting, and those that waited longest got the lock last.

Change: the lock is held only to take a connection out of the map or to put it in.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -40,16 +40,10 @@
         if (request.ownConnection_) {
             return std::make_unique<internal::Transfer>();
         }
-        auto expired = std::vector<std::unique_ptr<internal::Transfer>>();
-        const auto lock = std::scoped_lock(mutex_);
-        const auto now = Clock::now();
-        for (auto found = idle_.find(origin); found != idle_.end(); found = idle_.find(origin)) {
-            auto transfer = std::move(found->second);
-            idle_.erase(found);
-            if (now < transfer->usableUntil() && transfer->isQuiet()) {
+        while (auto transfer = takeIdle(origin)) {
+            if (Clock::now() < transfer->usableUntil() && transfer->isQuiet()) {
                 return transfer;
             }
-            expired.push_back(std::move(transfer));
         }
         return std::make_unique<internal::Transfer>();
     }
@@ -83,6 +77,20 @@
     }
 
 private:
+    // Returns nothing if there is none. Transfers are created, checked and destroyed without the lock: that makes
+    // system calls, and each request that begins or ends needs the lock.
+    auto takeIdle(const std::string &origin) -> std::unique_ptr<internal::Transfer>
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto found = idle_.find(origin);
+        if (found == idle_.end()) {
+            return nullptr;
+        }
+        auto transfer = std::move(found->second);
+        idle_.erase(found);
+        return transfer;
+    }
+
     std::mutex mutex_;
     std::multimap<std::string, std::unique_ptr<internal::Transfer>> idle_;
 };
