Count streams of unknown versions anew after each loss of the store

What callers saw: nothing yet; found by review. A stream could be resumed at another version than its own.

Cause: after the store came back from an older copy, the agreed versions include unrecordedVersion for the memory. The time counted from the first time that a router saw it, so it was not extended by a second older copy or by a second loss of the entry within the memory. A router that had seen the first loss dropped it too early, and streams whose records and version were lost with the second copy, and whose router had died, counted as streams of the only version left.

Evidence: the new test failed before the change, at the first proposal after the second era. The model test did not find it: it killed all routers at once only, so the router that dropped it was always as new as the loss.

Change: setAgreed() counts the memory anew if the entry is of another era than the known one, or if changes before it may not have been heard.

--- a/packages/routing/src/stream_versions.cpp
+++ b/packages/routing/src/stream_versions.cpp
@@ -34,6 +34,8 @@
     const std::string &service, const AgreedVersions &agreed, TimePoint now, HeardChanges heard) -> void
 {
     auto &known = services_[service];
+    // Records may have been lost with the former entry, or with one that this router did not hear of.
+    const auto mayLackRecords = heard == HeardChanges::Some || (known.agreed_ && known.agreed_->era_ != agreed.era_);
     // A router that starts takes the versions that it finds for ones that all know.
     const auto admittedAt = registeredAt_ ? now + options_.propagationTime_ : now;
     if (heard == HeardChanges::Some) {
@@ -50,6 +52,9 @@
     for (const auto &version : agreed.versions_) {
         known.lastRegisteredAt_.try_emplace(version, now);
     }
+    if (mayLackRecords) {
+        known.lastRegisteredAt_[unrecordedVersion] = now;
+    }
     std::erase_if(known.lastRegisteredAt_, [&agreed, &known](const auto &entry) {
         return !agreed.versions_.contains(entry.first) && !known.registered_.contains(entry.first);
     });
--- a/packages/routing/tests/stream_versions_model_test.cpp
+++ b/packages/routing/tests/stream_versions_model_test.cpp
@@ -21,7 +21,7 @@
 
 // A model of one store, routers that begin and resume streams, and upstreams of a few versions that come and go, in
 // steps of simulated time. Routers read the store late, or not for long; their writes fail, or are performed although
-// they failed; all of them are killed at once; and the store comes back from an older copy.
+// they failed; one of them or all at once are killed; and the store comes back from an older copy.
 
 constexpr std::size_t routerCount = 3;
 constexpr int steps = 400;
@@ -141,6 +141,9 @@
                 router.reset();
             }
         }
+        if (chance(2)) {
+            routers_[std::size_t(random_()) % routerCount].reset();
+        }
         if (chance(3)) {
             copy_ = std::make_shared<const StoreData>(*data_);
         }
--- a/packages/routing/tests/stream_versions_test.cpp
+++ b/packages/routing/tests/stream_versions_test.cpp
@@ -233,6 +233,28 @@
                         check(router.admittedVersions(chat, start) == std::set<std::string> {"v1"});
                         check(router.proposal(chat, start + 1s + memory) == agreed({"v1"}, 2));
                     }),
+                // Guards against a second era in which records and versions were lost again, while streams of unknown
+                // versions are counted from the first one.
+                test("include streams of unknown versions for the memory since the newest era",
+                    [] {
+                        auto router = routerThatAgreesOn({"v1"});
+                        const auto restoredAgain = start + memory;
+                        router.setEra(2);
+                        router.setAgreed(chat, agreed({"v1", unrecordedVersion}, 2), start);
+                        for (auto now = start; now < restoredAgain; now += 1s) {
+                            router.setRegistered({{chat, {"v1"}}}, now);
+                        }
+                        router.setEra(3);
+                        router.setAgreed(chat, agreed({"v1", unrecordedVersion}, 2), restoredAgain, HeardChanges::Some);
+                        check(router.proposal(chat, restoredAgain) == agreed({"v1", unrecordedVersion}, 3));
+                        router.setAgreed(chat, agreed({"v1", unrecordedVersion}, 3), restoredAgain);
+                        for (auto now = restoredAgain; now <= restoredAgain + memory; now += 1s) {
+                            router.setRegistered({{chat, {"v1"}}}, now);
+                            check(!router.proposal(chat, now));
+                        }
+                        const auto forgottenAt = restoredAgain + memory + 1s;
+                        check(router.proposal(chat, forgottenAt) == agreed({"v1"}, 3));
+                    }),
             }),
     }};
 
