Refuse to resume a stream on a route that does not allow it

What callers saw: nothing yet; found by review. A caller that takes up a stream after a configuration took resume_streams from the route was passed on to an upstream of any version, with its Last-Event-Id.

Cause: chooseService() looked at the version only if the route is resumable now, while the field that resumes the stream is forwarded on any route.

Evidence: the new test got 200 instead of 503 before the change, and passes with it.

Change: such a request is refused as not run, before anything is sent to an upstream.

--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -189,7 +189,15 @@
 
 auto RequestRun::chooseService(const routes::Route &route) -> std::optional<Refusal>
 {
-    const auto resumes = isResumable(route) && !requestMetadata_.lastEventId_.empty();
+    const auto isStream = route.retrySafety_ == routes::RetrySafety::Stream;
+    const auto resumes = isStream && !requestMetadata_.lastEventId_.empty();
+    if (resumes && !isResumable(route)) {
+        // The route may have allowed it when the stream began.
+        return Refusal {.status_ = serviceUnavailable,
+            .code_ = "not_resumable",
+            .message_ = "streams of the route may not be resumed",
+            .retryAfter_ = unavailableRetryAfter};
+    }
     // The request that brought the first event of the stream went to the service that its own id gives.
     const auto &firstRequest = resumes && !requestMetadata_.resumedRequestId_.empty()
         ? requestMetadata_.resumedRequestId_
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -68,7 +68,7 @@
     // Returns the refusal of a request that arrives during a planned stop; empty if it is forwarded.
     auto refusalDuringStop(const routes::Route &route) const -> std::optional<Refusal>;
     // Sets service_, and fixes the version at which the stream began that the request resumes. Refuses the request if
-    // that is not known, or if the route does not lead there any more.
+    // that is not known, or if the route does not lead there or allow resumption any more.
     auto chooseService(const routes::Route &route) -> std::optional<Refusal>;
     auto versionCriterion() const -> VersionCriterion;
     auto selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria;
--- a/packages/forward/tests/resumed_version_test.cpp
+++ b/packages/forward/tests/resumed_version_test.cpp
@@ -121,6 +121,16 @@
         return response ? response->body_ : "";
     }
 
+    // Resumes the stream of a request after an event, as its caller, and returns the status of the response.
+    auto resume(const std::string &path, const std::string &id, int afterEvent) -> int
+    {
+        auto fields = FrontendFixture::requestFields("again-" + id);
+        fields.push_back({.name_ = "Last-Event-Id", .value_ = std::to_string(afterEvent)});
+        fields.push_back({.name_ = "Resumes", .value_ = id});
+        const auto response = http::fetch({.url_ = fixture_.url(path), .headers_ = fields, .retryable_ = false});
+        return response ? response->status_ : 0;
+    }
+
     auto pool() -> UpstreamPool &
     {
         return fixture_.upstreams().pool();
@@ -327,6 +337,15 @@
                 streams.add("c", {}, "ready 1 v1");
                 check(streams.receive().empty() && streams.requests("c") == 0);
             }),
+        // Guards against text joined from two versions where a stream was begun before its route forbade resumption.
+        test("that may not be resumed is refused as not run if a caller resumes it",
+            [] {
+                auto streams = Streams({}, "ready 1 v1", "/stream/");
+                streams.add("b", newer, "ready 1 v2");
+                check(streams.receive() == wholeStream);
+                check(streams.resume("/stream/", "r1", 1) == 503);
+                check(streams.requests("a") == 1 && streams.requests("b") == 0);
+            }),
         // Guards against a search by version where nothing is joined.
         test("does not keep a request that is no stream from any upstream",
             [] {
