Begin streams at agreed versions while none is known to all routers

What callers saw: nothing yet; found by review. A stream that began right after the first agreement (or after the store's history was lost) could be resumed at another version.

Cause: for 2 s after a router first reads the agreed versions, or reads them again after it lost the history, none counts as admitted. An empty set prefers nothing, so the router began streams also at a version that was registered but not agreed on, while other routers took each stream without a record for one of the agreed version.

Change: StreamOrigins::preferredVersions() returns the agreed versions while none is admitted.

--- a/packages/forward/include/jasminewood/forward/stream_origins.h
+++ b/packages/forward/include/jasminewood/forward/stream_origins.h
@@ -54,8 +54,9 @@
     auto start(const kernel::ServiceRegistry &services) -> Status;
     auto stop() -> void;
 
-    // Returns the versions at which new streams of the service should begin; empty if none is preferred.
-    auto admittedVersions(const std::string &service) const -> std::set<std::string>;
+    // Returns the versions at which new streams of the service should begin: those of which all routers know, otherwise
+    // those that are agreed on; empty if there are none.
+    auto preferredVersions(const std::string &service) const -> std::set<std::string>;
 
     // Records that the first event of a new stream was passed on, which this request brought. An empty version stands
     // for an unknown one.
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -230,7 +230,7 @@
 auto RequestRun::versionCriterion() const -> VersionCriterion
 {
     return streamVersion_.criterion(resumable_
-            ? VersionCriterion(PreferredVersions {.versions_ = frontend_.streamOrigins_->admittedVersions(service_)})
+            ? VersionCriterion(PreferredVersions {.versions_ = frontend_.streamOrigins_->preferredVersions(service_)})
             : VersionCriterion(AnyVersion {}));
 }
 
--- a/packages/forward/src/stream_origins.cpp
+++ b/packages/forward/src/stream_origins.cpp
@@ -119,11 +119,16 @@
             }});
 }
 
-auto StreamOrigins::admittedVersions(const std::string &service) const -> std::set<std::string>
+auto StreamOrigins::preferredVersions(const std::string &service) const -> std::set<std::string>
 {
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
-    return versions_ ? versions_->admittedVersions(service, now) : std::set<std::string>();
+    if (!versions_) {
+        return {};
+    }
+    const auto admitted = versions_->admittedVersions(service, now);
+    // Other routers may not know yet of a version that is agreed on, and much less of one that is not.
+    return admitted.empty() ? versions_->agreedVersions(service) : admitted;
 }
 
 auto StreamOrigins::recordBegin(const std::string &requestId, const routing::StreamOrigin &origin) -> void
