Give the routers of the tests the service for origins of streams

Cause: Frontend requires "stream-origins", which RouterFixture did not add.

Change: RouterFixture adds the service.

--- a/packages/forward/tests/router_fixture.cpp
+++ b/packages/forward/tests/router_fixture.cpp
@@ -26,6 +26,7 @@
     registry_.add("peer-network", network_);
     registry_.add("peers", std::make_shared<PeerLoadExchange>());
     registry_.add("crashing-prompts", crashingPrompts_);
+    registry_.add("stream-origins", std::make_shared<StreamOrigins>(client_, testOriginsOptions()));
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, feedOptions));
     registry_.add("front", frontend_);
     registry_.add("probes", probes_);
