Take an upstream's entry whose parser throws for one that names none

What callers saw: requests went on to an upstream whose entry named none any more, and a router that started while there was such an entry applied none of the others and was never ready. Found in review; no such entry is known, as the adapter's parser returns failures.

The revision counted as applied, so the change was not read again.

Evidence: without the change both new tests of unexpected_exception_test fail ("the router that starts later is ready", "the upstream is used as its entry says").

Change: each entry is parsed in a step of its own, and an entry without a result counts as malformed.

Result: both tests pass.

--- a/packages/forward/src/upstream_watcher.cpp
+++ b/packages/forward/src/upstream_watcher.cpp
@@ -118,12 +118,17 @@
 
 auto UpstreamWatcher::parseEntry(const platform::KeyValue &entry) const -> std::optional<membership::UpstreamRecord>
 {
-    const auto record = protocolAdapter_.parseUpstream_(entry);
-    if (!record) {
-        environment_->log().warning("ignored a malformed upstream entry", observe::fieldsOf(record.failure()));
-        return std::nullopt;
-    }
-    return *record;
+    auto record = std::optional<membership::UpstreamRecord>();
+    // An entry whose parser throws names no upstream either, and must not keep the others from being applied.
+    environment_->contain("parse an upstream entry", [this, &entry, &record] {
+        const auto parsed = protocolAdapter_.parseUpstream_(entry);
+        if (parsed) {
+            record.emplace(*parsed);
+        } else {
+            environment_->log().warning("ignored a malformed upstream entry", observe::fieldsOf(parsed.failure()));
+        }
+    });
+    return record;
 }
 
 auto UpstreamWatcher::applySnapshot(const platform::Snapshot &snapshot) -> void
--- a/packages/forward/tests/unexpected_exception_test.cpp
+++ b/packages/forward/tests/unexpected_exception_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <memory>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -67,6 +68,39 @@
                                 != std::string::npos);
                         }
                     }),
+                // Guards against an entry that hides all others of a snapshot, so that the router is never ready.
+                test("use the other upstreams of a snapshot, and are ready",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto first = RouterFixture("first", store->port());
+                        const auto prefix = std::string(upstreamPrefix);
+                        check(bool(first.store().put(prefix + "odd", "127.0.0.1:1 ready incarnation")));
+                        check(bool(first.store().put(prefix + "good", "127.0.0.1:3 ready")));
+                        check(bool(first.store().put(configurationKey, "1")));
+                        auto second = RouterFixture("second", store->port());
+                        waitUntil(
+                            [&second] {
+                                return second.probes().ready() && second.pool().contains("good");
+                            },
+                            "the router that starts later is ready");
+                    }),
+                // Guards against requests to an upstream whose entry names none any more.
+                test("stop using a known upstream whose entry becomes one of those",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto router = RouterFixture("router", store->port());
+                        const auto key = upstreamPrefix + std::string("known");
+                        for (const auto *entry :
+                            {"127.0.0.1:1 ready", "127.0.0.1:1 ready incarnation", "127.0.0.1:1 ready"}) {
+                            check(bool(router.store().put(key, entry)));
+                            const auto isValid = std::string_view(entry).ends_with("ready");
+                            waitUntil(
+                                [&router, isValid] {
+                                    return router.pool().contains("known") == isValid;
+                                },
+                                "the upstream is used as its entry says");
+                        }
+                    }),
             }),
     }};
 
