Do not confirm API keys by a configuration that cannot be read

What callers saw: a key that the newest configuration had revoked was accepted without a limit, although keys are trusted for a limited time, if that configuration could not be read as a whole. Found in review; the store accepts valid configurations only, so no such configuration is known.

Cause: each read of the store confirmed the configuration in force as the newest one, also after a newer one had been rejected or its parser had thrown.

Evidence: without the change the new test of unexpected_exception_test fails: the keys are still confirmed 30 s after an unreadable configuration, with a trust period of 600 ms.

Change: the configuration in force is not confirmed from the arrival of an unreadable one until a readable one arrives. Without a trust period nothing changes.

Result: the test passes; keys are refused within the period and accepted again after the next configuration.

--- a/packages/forward/include/jasminewood/forward/configuration_watcher.h
+++ b/packages/forward/include/jasminewood/forward/configuration_watcher.h
@@ -28,8 +28,8 @@
 {
 public:
     // API keys are accepted for keyTrustPeriod, less a safety margin, after the store last confirmed that the
-    // configuration is the newest one, and not while other routers have a newer one (relay::VersionCheck); without a
-    // period they are always accepted.
+    // configuration is the newest one, which it cannot while the newest one is unreadable, and not while other routers
+    // have a newer one (relay::VersionCheck); without a period they are always accepted.
     ConfigurationWatcher(const ProtocolAdapter &protocolAdapter, std::optional<Milliseconds> keyTrustPeriod);
 
     auto start(const kernel::ServiceRegistry &services) -> Status;
@@ -62,6 +62,7 @@
     mutable std::condition_variable loadedCondition_;
     std::shared_ptr<const routes::RouteTable> current_;
     std::optional<BootTime> confirmedAt_;
+    bool newestIsReadable_ = true;
     bool storeReachable_ = false;
     std::shared_ptr<PeerNetwork> network_;
     relay::VersionCheck versions_;
--- a/packages/forward/src/configuration_watcher.cpp
+++ b/packages/forward/src/configuration_watcher.cpp
@@ -92,6 +92,10 @@
 
 auto ConfigurationWatcher::applyConfiguration(const std::string &value) -> void
 {
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        newestIsReadable_ = false;
+    }
     const auto configuration = protocolAdapter_.parseConfiguration_(value);
     if (!configuration) {
         environment_->log().error("ignored a malformed configuration", observe::fieldsOf(configuration.failure()));
@@ -99,6 +103,7 @@
     }
     auto table = std::make_shared<const routes::RouteTable>(*configuration);
     const auto lock = std::scoped_lock(mutex_);
+    newestIsReadable_ = true;
     const auto currentVersion = current_ ? current_->configuration().version_ : 0;
     const auto version = configuration->version_;
     if (current_ && version <= currentVersion) {
@@ -123,7 +128,10 @@
 auto ConfigurationWatcher::recordConfirmation(BootTime confirmedAt) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    confirmedAt_ = std::max(confirmedAt_.value_or(confirmedAt), confirmedAt);
+    // A newer configuration that cannot be read may have revoked a key of the one in force.
+    if (newestIsReadable_) {
+        confirmedAt_ = std::max(confirmedAt_.value_or(confirmedAt), confirmedAt);
+    }
     if (!std::exchange(storeReachable_, true)) {
         environment_->log().info(
             "the store of the configuration is reachable", {{"has_configuration", bool(current_)}});
--- a/packages/forward/tests/unexpected_exception_test.cpp
+++ b/packages/forward/tests/unexpected_exception_test.cpp
@@ -102,6 +102,24 @@
                         }
                     }),
             }),
+        section("that trust API keys for a limited time, and cannot read the newest configuration",
+            {
+                // Guards against a revoked key that stays in force without a limit.
+                test("trust them no longer, until there is one that they can read",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto router = RouterFixture("router", store->port(), Milliseconds(600));
+                        for (const auto *value : {"1", "version", "2"}) {
+                            check(bool(router.store().put(configurationKey, value)));
+                            const auto isValid = std::string_view(value) != "version";
+                            waitUntil(
+                                [&router, isValid] {
+                                    return router.configuration().keysConfirmed() == isValid;
+                                },
+                                "the keys are trusted as long as the configuration is the newest one");
+                        }
+                    }),
+            }),
     }};
 
 } // namespace
