Notice that a caller's connection ends also if it has unread data

What callers saw: a request in flight at the end of a planned stop was cut off without an answer if its caller had sent anything after it, such as the next request on the connection. By the same cause the upstream of a caller that had left went on with its work if the caller had sent something before.

Cause: the wait for the upstream looked for the end of the connection with a one-byte read. Data in front of the end hid it, and the connection was not looked at again for the rest of the call.

Change: the end is looked for with POLLRDHUP, which unread data does not hide. Once there is unread data the connection is checked every 50 ms, as poll() would report the data at once.

--- a/packages/forward/tests/shutdown_test.cpp
+++ b/packages/forward/tests/shutdown_test.cpp
@@ -239,6 +239,23 @@
                         const auto text = response.get();
                         check(text.starts_with("HTTP/1.1 504") && text.find("may_have_run") != std::string::npos, text);
                     }),
+                // Guards against a request that is cut off without an answer since its caller sent the next one early.
+                test("is answered before the process ends, also if its caller has sent the next one",
+                    [] {
+                        auto frontend = StoppingFrontend();
+                        const auto socket = connectTo(frontend.fixture_.port());
+                        auto response = call(socket, "/once/slow", longTimeout);
+                        waitUntil(
+                            [&frontend] {
+                                return frontend.slowRuns_ == 1;
+                            },
+                            "the upstream got the request");
+                        sendText(socket, requestText("/once/next", longTimeout));
+                        frontend.fixture_.frontend().drain({.grace_ = 3'000ms, .finalResponses_ = 2'000ms});
+                        frontend.fixture_.frontend().stop();
+                        const auto text = response.get();
+                        check(text.starts_with("HTTP/1.1 504") && text.find("may_have_run") != std::string::npos, text);
+                    }),
             }),
     }};
 
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <cerrno>
 #include <cstdlib>
 #include <string>
 #include <string_view>
@@ -20,6 +19,8 @@
 
 // libcurl's own timers wake curl_multi_poll earlier; this bounds the wait of a call without any timer.
 constexpr auto maximumWait = Milliseconds(60'000);
+// How often a watched descriptor with unread data is checked. poll() would report the data at once on every call.
+constexpr auto hangUpCheckInterval = Milliseconds(50);
 
 // A connection that was idle for longer is not reused. Common HTTP servers close idle connections after 5 s or more;
 // the lower limit avoids that a server closes a connection just as a request is sent on it.
@@ -94,14 +95,12 @@
                                              : curl_easy_strerror(code);
 }
 
-// Returns whether the peer closed the connection of the descriptor. Sets watching to false if data has arrived instead,
-// because poll() would report it at once on every later call.
-auto hungUp(int descriptor, bool &watching) -> bool
+// Returns whether the peer closed the connection of the descriptor, or reception was shut down, also if there is unread
+// data.
+auto hungUp(int descriptor) -> bool
 {
-    auto byte = char();
-    const auto received = recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    watching = received <= 0;
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EINTR);
+    auto poller = pollfd {.fd = descriptor, .events = POLLRDHUP, .revents = 0};
+    return poll(&poller, 1, 0) > 0 && (poller.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
 }
 
 } // namespace
@@ -164,7 +163,7 @@
     }
     // The connection may have taken long, or this thread may have waited for the processor.
     const auto watched = state.request_.watchedDescriptor_;
-    if (watched >= 0 && state.watching_ && hungUp(watched, state.watching_)) {
+    if (watched >= 0 && hungUp(watched)) {
         state.hungUpBeforeSend_ = true;
         return CURL_PREREQFUNC_ABORT;
     }
@@ -317,13 +316,19 @@
 
 auto Transfer::waitForActivity(TimePoint until) -> bool
 {
-    const auto wait = std::min<Clock::duration>(maximumWait, until - Clock::now());
     const auto descriptor = progress_->request_.watchedDescriptor_;
-    const auto watching = descriptor >= 0 && progress_->watching_;
+    const auto isWatched = descriptor >= 0;
+    const auto hasUnreadData = isWatched && progress_->hasUnreadData_;
+    const auto longestWait = hasUnreadData ? hangUpCheckInterval : maximumWait;
+    const auto wait = std::min<Clock::duration>(longestWait, until - Clock::now());
     auto watched = curl_waitfd {.fd = descriptor, .events = CURL_WAIT_POLLIN, .revents = 0};
     const auto timeout = std::max<std::int64_t>(0, std::chrono::ceil<Milliseconds>(wait).count());
-    curl_multi_poll(multi_, &watched, watching ? 1 : 0, int(timeout), nullptr);
-    return !watching || watched.revents == 0 || !hungUp(descriptor, progress_->watching_);
+    curl_multi_poll(multi_, &watched, isWatched && !hasUnreadData ? 1 : 0, int(timeout), nullptr);
+    if (!isWatched || (!hasUnreadData && watched.revents == 0)) {
+        return true;
+    }
+    progress_->hasUnreadData_ = true;
+    return !hungUp(descriptor);
 }
 
 auto Transfer::drive(const std::function<auto()->bool> &ready, TimePoint deadline) -> DriveResult
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -88,7 +88,8 @@
         bool connected_ = false;
         bool fieldsDelivered_ = false;
         bool dataRejected_ = false;
-        bool watching_ = true;
+        // True once the watched descriptor has data, which stays unread until the end of the call.
+        bool hasUnreadData_ = false;
         // True if the watched descriptor hung up before the request was sent.
         bool hungUpBeforeSend_ = false;
     };
