--- a/packages/forward/src/stream_version.h
+++ b/packages/forward/src/stream_version.h
@@ -11,9 +11,9 @@
 // Decides at which software version the stream of one answer goes on. What upstreams of two versions write does not fit
 // together, so the version of the upstream that brought the first event holds until the end of the answer.
 //
-//     const auto decision = streamVersion.recordFirstEvent(assignment.upstream_,
-//     pool.recordOf(assignment.upstream_.id_)); pool.choose({.service_ = service, .versions_ =
-//     streamVersion.criterion()}, Clock::now());
+//     const auto present = pool.recordOf(assignment.upstream_.id_);
+//     const auto decision = streamVersion.recordFirstEvent(assignment.upstream_, present);
+//     const auto next = pool.choose({.service_ = service, .versions_ = streamVersion.criterion()}, now);
 
 namespace jasminewood::forward::internal
 {
