Name the detector of crashing prompts after requests

It is about to judge whole requests as well as prompt segments, so CrashingPromptDetector and the service CrashingPrompts become CrashingRequestDetector and CrashingRequests.

--- a/packages/forward/include/jasminewood/forward/crashing_prompts.h
+++ b/packages/forward/include/jasminewood/forward/crashing_requests.h
@@ -15,10 +15,10 @@
 #include "jasminewood/kernel/service_registry.h"
 #include "jasminewood/membership/upstream_directory.h"
 #include "jasminewood/node/environment.h"
-#include "jasminewood/routing/crashing_prompt_detector.h"
+#include "jasminewood/routing/crashing_request_detector.h"
 #include "jasminewood/wire/messages.h"
 
-// Service "crashing-prompts": which prompt segments crash the engines, as this router and the others have seen it.
+// Service "crashing-requests": which prompt segments crash the engines, as this router and the others have seen it.
 //
 // The routers send each other their evidence, not their decisions: what is new at once, and the strongest of it again
 // and again, since datagrams may be lost. A router that starts gets it from the others as soon as they hear it.
@@ -28,7 +28,7 @@
 
 // Requires the service "environment"; exchanges evidence with other routers if there is a service "peer-network".
 // Thread-safe.
-class CrashingPrompts
+class CrashingRequests
 {
 public:
     auto start(const kernel::ServiceRegistry &services) -> Status;
@@ -70,7 +70,7 @@
     // When evidence was last new here, and when the strongest evidence was last sent.
     TimePoint changedAt_;
     TimePoint repeatedAt_;
-    routing::CrashingPromptDetector detector_;
+    routing::CrashingRequestDetector detector_;
     // The segments that were refused after the last change, for the log.
     std::vector<std::uint64_t> refused_;
     // The incarnations of the other routers.
--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "jasminewood/forward/configuration_watcher.h"
-#include "jasminewood/forward/crashing_prompts.h"
+#include "jasminewood/forward/crashing_requests.h"
 #include "jasminewood/forward/protocol_adapter.h"
 #include "jasminewood/forward/stop_schedule.h"
 #include "jasminewood/forward/stream_origins.h"
@@ -53,7 +53,7 @@
 auto connectionLimits(const routes::CallerLimits &limits, const http::ServerOptions &settings)
     -> http::ConnectionLimits;
 
-// Requires the services "environment", "configuration", "upstreams", "crashing-prompts" and "stream-origins".
+// Requires the services "environment", "configuration", "upstreams", "crashing-requests" and "stream-origins".
 // Thread-safe.
 class Frontend
 {
@@ -113,7 +113,7 @@
     std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
-    std::shared_ptr<CrashingPrompts> crashingPrompts_;
+    std::shared_ptr<CrashingRequests> crashingRequests_;
     std::shared_ptr<StreamOrigins> streamOrigins_;
     // Set once, before stopBegun_. Each request reads it, so it has no lock.
     std::optional<StopSchedule> stopSchedule_;
--- a/packages/forward/src/crashing_prompts.cpp
+++ b/packages/forward/src/crashing_requests.cpp
@@ -1,4 +1,4 @@
-#include "jasminewood/forward/crashing_prompts.h"
+#include "jasminewood/forward/crashing_requests.h"
 
 #include <algorithm>
 #include <utility>
@@ -45,7 +45,7 @@
 
 } // namespace
 
-auto CrashingPrompts::start(const kernel::ServiceRegistry &services) -> Status
+auto CrashingRequests::start(const kernel::ServiceRegistry &services) -> Status
 {
     if (auto failure = services.require("environment", environment_)) {
         return failure;
@@ -66,7 +66,7 @@
     return std::nullopt;
 }
 
-auto CrashingPrompts::stop() -> void
+auto CrashingRequests::stop() -> void
 {
     {
         const auto lock = std::scoped_lock(mutex_);
@@ -78,7 +78,7 @@
     }
 }
 
-auto CrashingPrompts::recordCrash(
+auto CrashingRequests::recordCrash(
     const membership::UpstreamRecord &upstream, const std::vector<std::uint64_t> &segments) -> void
 {
     crashCounter_->add();
@@ -91,7 +91,7 @@
     applyChange(now);
 }
 
-auto CrashingPrompts::recordStart(const std::vector<std::uint64_t> &segments) -> void
+auto CrashingRequests::recordStart(const std::vector<std::uint64_t> &segments) -> void
 {
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
@@ -101,7 +101,7 @@
     }
 }
 
-auto CrashingPrompts::admit(const std::vector<std::uint64_t> &segments) -> std::optional<Milliseconds>
+auto CrashingRequests::admit(const std::vector<std::uint64_t> &segments) -> std::optional<Milliseconds>
 {
     const auto turn = [this](std::uint64_t segment) {
         return trialTurn(segment);
@@ -110,7 +110,7 @@
     return detector_.admit(segments, turn, Clock::now());
 }
 
-auto CrashingPrompts::trialTurn(std::uint64_t segment) const -> Milliseconds
+auto CrashingRequests::trialTurn(std::uint64_t segment) const -> Milliseconds
 {
     const auto rankOf = [segment](const std::string &router) {
         return std::pair(XXH3_64bits_withSeed(router.data(), router.size(), segment), router);
@@ -125,7 +125,7 @@
     return before * routing::segmentTrialTime;
 }
 
-auto CrashingPrompts::applyChange(TimePoint now) -> void
+auto CrashingRequests::applyChange(TimePoint now) -> void
 {
     auto refused = detector_.refusedSegments(now);
     if (refused != refused_) {
@@ -139,7 +139,7 @@
     }
 }
 
-auto CrashingPrompts::makeReport(const routing::CrashEvidence &evidence) const -> wire::PromptCrashEvidence
+auto CrashingRequests::makeReport(const routing::CrashEvidence &evidence) const -> wire::PromptCrashEvidence
 {
     auto segments = std::vector<wire::SegmentEvidence>();
     for (const auto &segment : evidence) {
@@ -155,13 +155,13 @@
     return {.router_ = environment_->identity().node_, .segments_ = segments};
 }
 
-auto CrashingPrompts::nextRepeatAt() const -> TimePoint
+auto CrashingRequests::nextRepeatAt() const -> TimePoint
 {
     const auto isRecent = repeatedAt_ - changedAt_ < recentChangeTime;
     return repeatedAt_ + (isRecent ? recentRepeatInterval : idleRepeatInterval);
 }
 
-auto CrashingPrompts::sendLoop() -> void
+auto CrashingRequests::sendLoop() -> void
 {
     auto lock = std::unique_lock(mutex_);
     while (!stopping_) {
@@ -179,7 +179,7 @@
     }
 }
 
-auto CrashingPrompts::sendReport(TimePoint now) -> void
+auto CrashingRequests::sendReport(TimePoint now) -> void
 {
     auto report = std::optional<wire::PromptCrashEvidence>();
     {
@@ -193,7 +193,7 @@
     }
 }
 
-auto CrashingPrompts::handleMessage(const wire::Message &message) -> void
+auto CrashingRequests::handleMessage(const wire::Message &message) -> void
 {
     if (const auto *usage = std::get_if<wire::EngineUsageReport>(&message)) {
         greet(usage->router_);
@@ -209,7 +209,7 @@
     applyChange(now);
 }
 
-auto CrashingPrompts::greet(const NodeId &router) -> void
+auto CrashingRequests::greet(const NodeId &router) -> void
 {
     auto report = std::optional<wire::PromptCrashEvidence>();
     {
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -51,7 +51,7 @@
     if (auto failure = services.require("upstreams", upstreams_)) {
         return failure;
     }
-    if (auto failure = services.require("crashing-prompts", crashingPrompts_)) {
+    if (auto failure = services.require("crashing-requests", crashingRequests_)) {
         return failure;
     }
     if (auto failure = services.require("stream-origins", streamOrigins_)) {
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -103,7 +103,7 @@
             .message_ = "the timeout of the request has passed",
             .retryAfter_ = unavailableRetryAfter};
     }
-    if (const auto refusedFor = frontend_.crashingPrompts_->admit(sharedSegments_)) {
+    if (const auto refusedFor = frontend_.crashingRequests_->admit(sharedSegments_)) {
         return Refusal {.status_ = serviceUnavailable,
             .code_ = "crashing_prompt",
             .message_ = "a segment of the prompt crashes the engines",
@@ -410,7 +410,7 @@
 {
     attempt_->hasFirstToken_ = true;
     if (!sharedSegments_.empty()) {
-        frontend_.crashingPrompts_->recordStart(sharedSegments_);
+        frontend_.crashingRequests_->recordStart(sharedSegments_);
     }
 }
 
@@ -422,7 +422,7 @@
     }
     const auto &upstream = attempt_->assignment_.upstream_;
     if (http::probeListener(upstream.address_, crashProbeTimeout) == http::ListenerState::Refused) {
-        frontend_.crashingPrompts_->recordCrash(upstream, sharedSegments_);
+        frontend_.crashingRequests_->recordCrash(upstream, sharedSegments_);
     }
 }
 
--- a/packages/forward/tests/crashing_prompts_test.cpp
+++ b/packages/forward/tests/crashing_requests_test.cpp
@@ -1,4 +1,4 @@
-#include "jasminewood/forward/crashing_prompts.h"
+#include "jasminewood/forward/crashing_requests.h"
 
 #include <algorithm>
 #include <atomic>
@@ -171,17 +171,17 @@
                             "the routers know each other");
                         for (auto index = std::size_t(0); index < routers.size(); ++index) {
                             const auto engine = "e" + std::to_string(index);
-                            routers[index]->crashingPrompts().recordCrash({.id_ = engine}, {1, 66});
+                            routers[index]->crashingRequests().recordCrash({.id_ = engine}, {1, 66});
                             std::this_thread::sleep_for(routing::commonCauseTime + 50ms);
                         }
                         routers.push_back(std::make_unique<RouterFixture>("router-3", store->port()));
                         for (const auto &router : routers) {
                             waitUntil(
                                 [&router] {
-                                    return router->crashingPrompts().admit({66}).has_value();
+                                    return router->crashingRequests().admit({66}).has_value();
                                 },
                                 "the router refuses the segment");
-                            check(!router->crashingPrompts().admit({1}));
+                            check(!router->crashingRequests().admit({1}));
                         }
                     }),
             }),
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -173,7 +173,7 @@
     registry_.add("upstreams", upstreams_);
     registry_.add("stream-origins", std::make_shared<StreamOrigins>(client_, testOriginsOptions()));
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, testFeedOptions()));
-    registry_.add("crashing-prompts", std::make_shared<CrashingPrompts>());
+    registry_.add("crashing-requests", std::make_shared<CrashingRequests>());
     registry_.add("front", frontend_);
     registry_.add("probes", probes_);
     const auto failure = registry_.startAll();
--- a/packages/forward/tests/router_fixture.cpp
+++ b/packages/forward/tests/router_fixture.cpp
@@ -16,7 +16,7 @@
     , upstreams_(std::make_shared<UpstreamWatcher>(testProtocolAdapter(sampleConfiguration()), "local", 1))
     , network_(std::make_shared<PeerNetwork>(
           client_, PeerNetworkOptions {.address_ = "127.0.0.1", .dataCentre_ = "local", .keyPrefix_ = "/routers/"}))
-    , crashingPrompts_(std::make_shared<CrashingPrompts>())
+    , crashingRequests_(std::make_shared<CrashingRequests>())
     , frontend_(std::make_shared<Frontend>(FrontendOptions {}, testProtocolAdapter(sampleConfiguration())))
     , probes_(std::make_shared<ProbeServer>(ProbeServerOptions {.readinessPath_ = "/ready"}))
 {
@@ -25,7 +25,7 @@
     registry_.add("upstreams", upstreams_);
     registry_.add("peer-network", network_);
     registry_.add("peers", std::make_shared<PeerLoadExchange>());
-    registry_.add("crashing-prompts", crashingPrompts_);
+    registry_.add("crashing-requests", crashingRequests_);
     registry_.add("stream-origins", std::make_shared<StreamOrigins>(client_, testOriginsOptions()));
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, feedOptions));
     registry_.add("front", frontend_);
@@ -65,9 +65,9 @@
     return *network_;
 }
 
-auto RouterFixture::crashingPrompts() -> CrashingPrompts &
+auto RouterFixture::crashingRequests() -> CrashingRequests &
 {
-    return *crashingPrompts_;
+    return *crashingRequests_;
 }
 
 auto RouterFixture::frontend() -> Frontend &
--- a/packages/forward/tests/router_fixture.h
+++ b/packages/forward/tests/router_fixture.h
@@ -6,7 +6,7 @@
 
 #include "frontend_fixture.h"
 #include "jasminewood/forward/caller_balance.h"
-#include "jasminewood/forward/crashing_prompts.h"
+#include "jasminewood/forward/crashing_requests.h"
 #include "jasminewood/forward/peer_load_exchange.h"
 #include "jasminewood/forward/peer_network.h"
 #include "jasminewood/testbench/tcp_relay.h"
@@ -34,7 +34,7 @@
     auto configuration() -> ConfigurationWatcher &;
     auto pool() -> UpstreamPool &;
     auto network() -> PeerNetwork &;
-    auto crashingPrompts() -> CrashingPrompts &;
+    auto crashingRequests() -> CrashingRequests &;
     auto frontend() -> Frontend &;
     auto probes() -> ProbeServer &;
     // Returns the metrics in Prometheus's text format.
@@ -50,7 +50,7 @@
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<PeerNetwork> network_;
-    std::shared_ptr<CrashingPrompts> crashingPrompts_;
+    std::shared_ptr<CrashingRequests> crashingRequests_;
     std::shared_ptr<Frontend> frontend_;
     std::shared_ptr<ProbeServer> probes_;
     kernel::ServiceRegistry registry_;
--- a/packages/routing/include/jasminewood/routing/crashing_prompt_detector.h
+++ b/packages/routing/include/jasminewood/routing/crashing_request_detector.h
@@ -75,7 +75,7 @@
 
 // Merging is idempotent and, up to the precision of the ages, commutative, so reports may be lost, repeated, reordered
 // and passed on. Not thread-safe. Precondition: now does not go backwards.
-class CrashingPromptDetector
+class CrashingRequestDetector
 {
 public:
     // Records that a request was lost, before its first token, in the crash of an engine. The segments are those that
--- a/packages/routing/src/crashing_prompt_detector.cpp
+++ b/packages/routing/src/crashing_request_detector.cpp
@@ -1,4 +1,4 @@
-#include "jasminewood/routing/crashing_prompt_detector.h"
+#include "jasminewood/routing/crashing_request_detector.h"
 
 #include <algorithm>
 #include <tuple>
@@ -26,7 +26,7 @@
 
 } // namespace
 
-auto CrashingPromptDetector::recordCrash(CrashId crash, const std::vector<std::uint64_t> &segments, TimePoint now)
+auto CrashingRequestDetector::recordCrash(CrashId crash, const std::vector<std::uint64_t> &segments, TimePoint now)
     -> void
 {
     for (auto depth = std::size_t(0); depth < segments.size(); ++depth) {
@@ -37,7 +37,7 @@
     decide(now);
 }
 
-auto CrashingPromptDetector::recordStart(const std::vector<std::uint64_t> &segments, TimePoint now) -> void
+auto CrashingRequestDetector::recordStart(const std::vector<std::uint64_t> &segments, TimePoint now) -> void
 {
     auto takesBack = false;
     for (const auto segment : segments) {
@@ -52,7 +52,7 @@
     }
 }
 
-auto CrashingPromptDetector::merge(const CrashEvidence &evidence, TimePoint now) -> void
+auto CrashingRequestDetector::merge(const CrashEvidence &evidence, TimePoint now) -> void
 {
     for (const auto &[segment, depth, crashes, startAge] : evidence) {
         for (const auto &[crash, age] : crashes) {
@@ -65,7 +65,7 @@
     decide(now);
 }
 
-auto CrashingPromptDetector::takeNews(TimePoint now) -> CrashEvidence
+auto CrashingRequestDetector::takeNews(TimePoint now) -> CrashEvidence
 {
     auto news = CrashEvidence();
     for (const auto segment : std::exchange(news_, {})) {
@@ -76,17 +76,17 @@
     return news;
 }
 
-auto CrashingPromptDetector::hasNews() const -> bool
+auto CrashingRequestDetector::hasNews() const -> bool
 {
     return !news_.empty();
 }
 
-auto CrashingPromptDetector::isEmpty() const -> bool
+auto CrashingRequestDetector::isEmpty() const -> bool
 {
     return accusations_.empty();
 }
 
-auto CrashingPromptDetector::evidence(std::size_t maximumSegments, TimePoint now) const -> CrashEvidence
+auto CrashingRequestDetector::evidence(std::size_t maximumSegments, TimePoint now) const -> CrashEvidence
 {
     auto ranked = std::vector<std::tuple<std::size_t, TimePoint, std::uint64_t>>();
     for (const auto &[segment, accusation] : accusations_) {
@@ -102,7 +102,7 @@
     return evidence;
 }
 
-auto CrashingPromptDetector::admit(const std::vector<std::uint64_t> &segments, const TrialTurn &turn, TimePoint now)
+auto CrashingRequestDetector::admit(const std::vector<std::uint64_t> &segments, const TrialTurn &turn, TimePoint now)
     -> std::optional<Milliseconds>
 {
     auto longest = std::optional<Milliseconds>();
@@ -130,7 +130,7 @@
     return longest;
 }
 
-auto CrashingPromptDetector::refusedSegments(TimePoint now) const -> std::vector<std::uint64_t>
+auto CrashingRequestDetector::refusedSegments(TimePoint now) const -> std::vector<std::uint64_t>
 {
     auto segments = std::vector<std::uint64_t>();
     for (const auto &[segment, until] : refusedUntil_) {
@@ -141,7 +141,7 @@
     return segments;
 }
 
-auto CrashingPromptDetector::accuse(std::uint64_t segment, std::uint32_t depth, CrashId crash, TimePoint crashedAt)
+auto CrashingRequestDetector::accuse(std::uint64_t segment, std::uint32_t depth, CrashId crash, TimePoint crashedAt)
     -> bool
 {
     auto &accusation = accusations_[segment];
@@ -157,7 +157,7 @@
     return isNew;
 }
 
-auto CrashingPromptDetector::takeBack(Accusation &accusation, TimePoint startedAt) -> bool
+auto CrashingRequestDetector::takeBack(Accusation &accusation, TimePoint startedAt) -> bool
 {
     accusation.startedAt_ = std::max(accusation.startedAt_.value_or(startedAt), startedAt);
     const auto erased = std::erase_if(accusation.crashes_, [startedAt](const auto &crash) {
@@ -167,7 +167,7 @@
 }
 
 // Returns the moments of the crashes; those of a common cause count as one.
-auto CrashingPromptDetector::moments(const Accusation &accusation) -> std::vector<TimePoint>
+auto CrashingRequestDetector::moments(const Accusation &accusation) -> std::vector<TimePoint>
 {
     auto times = std::vector<TimePoint>();
     for (const auto &[crash, time] : accusation.crashes_) {
@@ -183,7 +183,7 @@
     return moments;
 }
 
-auto CrashingPromptDetector::lastTime(const Accusation &accusation) -> TimePoint
+auto CrashingRequestDetector::lastTime(const Accusation &accusation) -> TimePoint
 {
     auto last = accusation.startedAt_.value_or(TimePoint());
     for (const auto &[crash, time] : accusation.crashes_) {
@@ -193,7 +193,7 @@
 }
 
 // Drops the crash that came soonest after the one before it.
-auto CrashingPromptDetector::dropLeastTellingCrash(Accusation &accusation) -> void
+auto CrashingRequestDetector::dropLeastTellingCrash(Accusation &accusation) -> void
 {
     auto byTime = std::vector<std::pair<TimePoint, CrashId>>();
     for (const auto &[crash, time] : accusation.crashes_) {
@@ -209,7 +209,7 @@
 }
 
 // Returns the segment that explains the most crashes; the deepest one if several do, since it is in the fewest prompts.
-auto CrashingPromptDetector::mostAccused(const Accusations &accusations) -> Accusations::const_iterator
+auto CrashingRequestDetector::mostAccused(const Accusations &accusations) -> Accusations::const_iterator
 {
     auto most = accusations.end();
     auto mostRank = std::tuple(std::size_t(0), std::uint32_t(0));
@@ -225,7 +225,7 @@
 
 // Returns until when each segment is refused. The most accused one is judged first, and what it explains is not held
 // against the others.
-auto CrashingPromptDetector::findRefused(Accusations accusations) -> std::map<std::uint64_t, TimePoint>
+auto CrashingRequestDetector::findRefused(Accusations accusations) -> std::map<std::uint64_t, TimePoint>
 {
     auto refusedUntil = std::map<std::uint64_t, TimePoint>();
     for (auto accused = mostAccused(accusations); accused != accusations.end(); accused = mostAccused(accusations)) {
@@ -245,7 +245,7 @@
     return refusedUntil;
 }
 
-auto CrashingPromptDetector::makeEvidence(std::uint64_t segment, const Accusation &accusation, TimePoint now)
+auto CrashingRequestDetector::makeEvidence(std::uint64_t segment, const Accusation &accusation, TimePoint now)
     -> SegmentEvidence
 {
     auto crashes = std::vector<CrashReportOfSegment>();
@@ -257,7 +257,7 @@
     return {.segment_ = segment, .depth_ = accusation.depth_, .crashes_ = crashes, .startAge_ = startAge};
 }
 
-auto CrashingPromptDetector::removeExpired(TimePoint now) -> void
+auto CrashingRequestDetector::removeExpired(TimePoint now) -> void
 {
     for (auto &[segment, accusation] : accusations_) {
         std::erase_if(accusation.crashes_, [now](const auto &crash) {
@@ -276,7 +276,7 @@
     }
 }
 
-auto CrashingPromptDetector::decide(TimePoint now) -> void
+auto CrashingRequestDetector::decide(TimePoint now) -> void
 {
     removeExpired(now);
     refusedUntil_ = findRefused(accusations_);
--- a/packages/routing/tests/crashing_prompt_detector_test.cpp
+++ b/packages/routing/tests/crashing_request_detector_test.cpp
@@ -1,4 +1,4 @@
-#include "jasminewood/routing/crashing_prompt_detector.h"
+#include "jasminewood/routing/crashing_request_detector.h"
 
 #include <algorithm>
 #include <array>
@@ -37,13 +37,13 @@
     return 0ms;
 }
 
-auto isRefused(CrashingPromptDetector &detector, const Segments &segments, TimePoint now) -> bool
+auto isRefused(CrashingRequestDetector &detector, const Segments &segments, TimePoint now) -> bool
 {
     return detector.admit(segments, &noWait, now).has_value();
 }
 
 // Records crashes of different engines by requests with these segments, a second apart. Returns the time after them.
-auto crash(CrashingPromptDetector &detector, const Segments &segments, std::size_t count, TimePoint from) -> TimePoint
+auto crash(CrashingRequestDetector &detector, const Segments &segments, std::size_t count, TimePoint from) -> TimePoint
 {
     for (auto index = std::size_t(0); index < count; ++index) {
         const auto crashedAt = from + index * 1s;
@@ -206,14 +206,14 @@
 
     auto restartRouter() -> void
     {
-        routers_.front() = CrashingPromptDetector();
+        routers_.front() = CrashingRequestDetector();
         routers_.front().merge(routers_.back().evidence(reportedSegments, now_), now_);
     }
 
     std::mt19937 random_;
     const bool hasSecondDeadlySegment_;
     TimePoint now_ = start;
-    std::array<CrashingPromptDetector, routerCount> routers_;
+    std::array<CrashingRequestDetector, routerCount> routers_;
     std::list<Delayed> delayed_;
     std::map<std::uint64_t, std::vector<TimePoint>> crashesBy_;
     int crashCount_ = 0;
@@ -228,7 +228,7 @@
                 // Guards against requests with a deadly segment that crash one engine after the other.
                 test("refuses the segment that they share, also beside others",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         auto now = start;
                         for (auto first = std::uint64_t(1); first <= crashesBeforeSegmentRefusal; ++first) {
                             check(!isRefused(detector, {first, deadly}, now));
@@ -240,14 +240,14 @@
                 // Guards against sound requests that are refused because they share a segment with deadly ones.
                 test("does not refuse a segment that all of them have, once another one explains the crashes",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         const auto now = crash(detector, {sharedByAll, deadly}, 5, start);
                         check(detector.refusedSegments(now) == Segments {deadly});
                     }),
                 // The same if the first segment is the deadly one.
                 test("refuses the first segment if the others differ",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         auto now = start;
                         for (auto other = std::uint64_t(100); other < 103; ++other) {
                             now = crash(detector, {deadly, other}, 1, now);
@@ -260,7 +260,7 @@
                 // Guards against segments that are refused because many engines lost power at once.
                 test("refuses nothing if they crashed at the same time",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         for (auto engine = 0; engine < 12; ++engine) {
                             detector.recordCrash(CrashId(engine), {sharedByAll, 100}, start + engine * 10ms);
                         }
@@ -269,7 +269,7 @@
                 // Guards against a segment in use that is blamed for crashes hours apart.
                 test("takes back what is held against a segment as soon as a request with it got a first token",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         auto now = crash(detector, {100}, 2, start);
                         check(!detector.takeNews(now).empty());
                         detector.recordStart({100}, now);
@@ -285,7 +285,7 @@
                 // Guards against a segment that is refused for ever, and against trials that crash engines again soon.
                 test("allows one trial after some time, and waits longer if it crashes an engine too",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         const auto refusedUntil = crash(detector, {deadly}, 3, start) - 1s + minimumSegmentRefusal;
                         check(isRefused(detector, {deadly}, refusedUntil - 1ms));
                         check(!isRefused(detector, {deadly}, refusedUntil), "the trial");
@@ -297,7 +297,7 @@
                 // Guards against sound requests that are refused although a trial succeeded.
                 test("does not refuse it any more after a first token",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         const auto now = crash(detector, {deadly}, 3, start);
                         detector.recordStart({deadly}, now);
                         check(!isRefused(detector, {deadly}, now));
@@ -305,7 +305,7 @@
                 // Guards against trials by all routers at once.
                 test("leaves the trial to the router whose turn it is",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         const auto refusedUntil = crash(detector, {deadly}, 3, start) - 1s + minimumSegmentRefusal;
                         const auto laterTurn = [](std::uint64_t /*segment*/) {
                             return segmentTrialTime;
@@ -319,17 +319,17 @@
                 // Guards against engines that crash again because a new process knows nothing.
                 test("refuses what the others refuse",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         const auto now = crash(detector, {deadly}, 3, start);
-                        auto restarted = CrashingPromptDetector();
+                        auto restarted = CrashingRequestDetector();
                         restarted.merge(detector.evidence(reportedSegments, now), now + 50ms);
                         check(isRefused(restarted, {deadly}, now + 100ms));
                     }),
                 // Guards against a first token that is forgotten because its report comes before that of the crash.
                 test("accepts reports in any order",
                     [] {
-                        auto first = CrashingPromptDetector();
-                        auto second = CrashingPromptDetector();
+                        auto first = CrashingRequestDetector();
+                        auto second = CrashingRequestDetector();
                         const auto now = crash(first, {100}, 3, start);
                         const auto crashes = first.evidence(reportedSegments, now);
                         first.recordStart({100}, now);
@@ -344,7 +344,7 @@
                 // it.
                 test("keeps what tells most",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         auto now = start;
                         for (auto index = std::uint64_t(0); index < 100; ++index) {
                             now += 100ms;
@@ -359,7 +359,7 @@
                 // Guards against earlier crashes that are forgotten because many engines crash at once.
                 test("keeps crashes at other moments",
                     [] {
-                        auto detector = CrashingPromptDetector();
+                        auto detector = CrashingRequestDetector();
                         auto now = crash(detector, {deadly}, 2, start);
                         for (auto index = std::uint64_t(0); index < 2 * maximumCrashesPerSegment; ++index) {
                             now += 1ms;
