--- a/packages/forward/tests/crashing_requests_test.cpp
+++ b/packages/forward/tests/crashing_requests_test.cpp
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <thread>
 
+#include <sys/socket.h>
+
 #include "frontend_fixture.h"
 #include "jasminewood/testbench/raw_peer.h"
 #include "jasminewood/testkit/test_suite.h"
@@ -20,7 +22,15 @@
 {
 
 constexpr auto deadlySegment = "66";
+constexpr auto deadlyBody = "deadly";
+constexpr auto soundBody = "sound";
 constexpr std::size_t engineCount = 6;
+// The crashes by the same request after which it is refused.
+constexpr std::size_t maximumRequestCrashes = 2;
+// How long callers wait before they send a request again.
+constexpr auto callerRetryTime = Milliseconds(1'050);
+// How long after its start a deadly request crashes its engine.
+constexpr auto runTime = Milliseconds(80);
 
 // Returns the value of a header field of a request head; empty if there is none.
 auto fieldOf(const std::string &head, const std::string &name) -> std::string
@@ -37,7 +47,41 @@
     return url.substr(start, url.find('/', start) - start);
 }
 
-// An engine whose process ends as soon as it begins to respond to a prompt with the deadly segment.
+struct RawRequest
+{
+    // Empty if the connection ended.
+    std::string head_;
+    std::string body_;
+};
+
+auto readRequest(int socket) -> RawRequest
+{
+    const auto endOfHead = std::string("\r\n\r\n");
+    const auto text = testbench::readUntil(socket, endOfHead);
+    const auto bodyStart = text.find(endOfHead);
+    if (bodyStart == std::string::npos) {
+        return {};
+    }
+    auto body = text.substr(bodyStart + endOfHead.size());
+    const auto length = fieldOf(text, "Content-Length");
+    while (!length.empty() && body.size() < std::stoul(length)) {
+        char byte = 0;
+        if (recv(socket, &byte, 1, 0) != 1) {
+            return {};
+        }
+        body.push_back(byte);
+    }
+    return {.head_ = text.substr(0, bodyStart + 2), .body_ = body};
+}
+
+// Returns whether a request crashes the engine that runs it.
+auto isDeadly(const RawRequest &request) -> bool
+{
+    const auto prompt = " " + fieldOf(request.head_, "Prompt") + " ";
+    return request.body_ == deadlyBody || prompt.find(std::string(" ") + deadlySegment + " ") != std::string::npos;
+}
+
+// An engine whose process ends as soon as it begins to respond to a deadly request.
 class FragileEngine
 {
 public:
@@ -81,17 +125,16 @@
 
     auto serve(int socket) -> void
     {
-        for (auto head = testbench::readUntil(socket, "\r\n\r\n"); !head.empty();
-             head = testbench::readUntil(socket, "\r\n\r\n")) {
-            if ((" " + fieldOf(head, "Prompt") + " ").find(std::string(" ") + deadlySegment + " ")
-                != std::string::npos) {
+        for (auto request = readRequest(socket); !request.head_.empty(); request = readRequest(socket)) {
+            if (isDeadly(request)) {
+                std::this_thread::sleep_for(runTime);
                 crash();
                 // The end of a process closes its listener first.
                 std::this_thread::sleep_for(100ms);
                 return;
             }
             testbench::sendText(socket,
-                "HTTP/1.1 200 OK\r\nGenuine: 1\r\nRequest-Id: " + fieldOf(head, "Request-Id")
+                "HTTP/1.1 200 OK\r\nGenuine: 1\r\nRequest-Id: " + fieldOf(request.head_, "Request-Id")
                     + "\r\nContent-Length: 4\r\n\r\ndone");
         }
     }
@@ -102,24 +145,82 @@
     std::thread crasher_;
 };
 
-auto send(const FrontendFixture &fixture, const std::string &id, const std::string &prompt)
-    -> Result<http::ClientResponse>
+auto send(const std::string &url, const std::string &id, const std::string &body, const std::string &prompt = "")
+    -> http::ClientResponse
 {
     auto fields = FrontendFixture::requestFields(id);
-    fields.push_back({.name_ = "Prompt", .value_ = prompt});
-    return http::fetch({.method_ = "POST", .url_ = fixture.url("/once/"), .headers_ = fields, .retryable_ = false});
+    if (!prompt.empty()) {
+        fields.push_back({.name_ = "Prompt", .value_ = prompt});
+    }
+    const auto response
+        = http::fetch({.method_ = "POST", .url_ = url, .headers_ = fields, .body_ = body, .retryable_ = false});
+    check(bool(response), response ? "" : toString(response.failure()));
+    return *response;
 }
 
-auto startEngines(FrontendFixture &fixture) -> std::vector<std::unique_ptr<FragileEngine>>
+// Starts engines and passes the id and the address of each to a function that registers it.
+auto startEngines(const std::function<auto(const std::string &id, const std::string &address)->void> &registerEngine)
+    -> std::vector<std::unique_ptr<FragileEngine>>
 {
     auto engines = std::vector<std::unique_ptr<FragileEngine>>();
     for (auto index = std::size_t(0); index < engineCount; ++index) {
         engines.push_back(std::make_unique<FragileEngine>());
-        fixture.registerUpstream("e" + std::to_string(index), engines.back()->address(), "ready");
+        registerEngine("e" + std::to_string(index), engines.back()->address());
     }
     return engines;
 }
 
+auto startEngines(FrontendFixture &fixture) -> std::vector<std::unique_ptr<FragileEngine>>
+{
+    return startEngines([&fixture](const std::string &id, const std::string &address) {
+        fixture.registerUpstream(id, address, "ready");
+    });
+}
+
+auto startEngines(platform::KeyValueClient &store) -> std::vector<std::unique_ptr<FragileEngine>>
+{
+    check(bool(store.put(configurationKey, "1")));
+    return startEngines([&store](const std::string &id, const std::string &address) {
+        check(bool(store.put(upstreamPrefix + id, address + " ready")));
+    });
+}
+
+using Routers = std::vector<std::unique_ptr<RouterFixture>>;
+
+// Starts routers and waits until they know each other.
+auto startRouters(const std::vector<std::string> &names, const testbench::FakeKv &store) -> Routers
+{
+    auto routers = Routers();
+    for (const auto &name : names) {
+        routers.push_back(std::make_unique<RouterFixture>(name, store.port()));
+    }
+    waitUntil(
+        [&routers] {
+            return std::all_of(routers.begin(), routers.end(), [&routers](const auto &router) {
+                return router->network().peerCount() + 1 == routers.size();
+            });
+        },
+        "the routers know each other");
+    return routers;
+}
+
+auto waitForEngines(const Routers &routers, std::size_t count) -> void
+{
+    waitUntil(
+        [&routers, count] {
+            return std::all_of(routers.begin(), routers.end(), [count](const auto &router) {
+                return router->pool().size() == count && router->configuration().current() != nullptr;
+            });
+        },
+        "the routers know the engines and the configuration");
+}
+
+// Returns the URL of the idempotent route at a router.
+auto urlOf(RouterFixture &router) -> std::string
+{
+    return "http://127.0.0.1:" + std::to_string(router.frontend().port()) + "/again/";
+}
+
 auto crashedEngines(const std::vector<std::unique_ptr<FragileEngine>> &engines) -> std::size_t
 {
     return std::size_t(std::count_if(engines.begin(), engines.end(), [](const auto &engine) {
@@ -127,48 +228,37 @@
     }));
 }
 
-const testkit::TestSuite suite = {"a prompt segment that crashes each engine",
+const testkit::TestSuite suite = {"requests that crash each engine",
     {
-        section("in requests of which no two are alike",
+        section("and share a segment of their prompts, though no two are alike",
             {
                 // Guards against engines that crash one after the other, and against sound requests that are refused
                 // for a segment which they share with the deadly ones.
-                test("is refused as not run after three crashes, and sound requests go on",
+                test("are refused as not run after three crashes, and sound ones go on",
                     [] {
                         auto fixture = FrontendFixture();
                         const auto engines = startEngines(fixture);
                         for (auto request = 0; request < 8; ++request) {
                             const auto id = std::to_string(request);
-                            const auto response
-                                = send(fixture, "bad" + id, std::string("1 ") + deadlySegment + " 9" + id);
-                            check(bool(response), response ? "" : toString(response.failure()));
-                            check(response->status_ == (request < 3 ? 502 : 503), std::to_string(response->status_));
-                            check(request < 3 || response->headers_.contains("retry-after"));
+                            const auto response = send(
+                                fixture.url("/once/"), "bad" + id, id, std::string("1 ") + deadlySegment + " 9" + id);
+                            check(response.status_ == (request < 3 ? 502 : 503), std::to_string(response.status_));
+                            check(request < 3 || response.headers_.contains("retry-after"));
                             std::this_thread::sleep_for(routing::commonCauseTime + 50ms);
                         }
                         check(crashedEngines(engines) == routing::crashesBeforeSegmentRefusal);
-                        const auto sound = send(fixture, "good", "1 2 3");
-                        check(sound && sound->status_ == 200 && sound->body_ == "done");
+                        const auto sound = send(fixture.url("/once/"), "good", soundBody, "1 2 3");
+                        check(sound.status_ == 200 && sound.body_ == "done");
                     }),
             }),
-        section("seen by several routers",
+        section("and share a segment, seen by several routers",
             {
                 // Guards against a limit that each router applies for itself, and against a router that has started
                 // since and knows nothing.
-                test("is refused by all of them, also by one that starts later",
+                test("are refused by all of them, also by one that starts later",
                     [] {
                         const auto store = *testbench::FakeKv::start({});
-                        auto routers = std::vector<std::unique_ptr<RouterFixture>>();
-                        for (const auto *name : {"router-0", "router-1", "router-2"}) {
-                            routers.push_back(std::make_unique<RouterFixture>(name, store->port()));
-                        }
-                        waitUntil(
-                            [&routers] {
-                                return std::all_of(routers.begin(), routers.end(), [&routers](const auto &router) {
-                                    return router->network().peerCount() + 1 == routers.size();
-                                });
-                            },
-                            "the routers know each other");
+                        auto routers = startRouters({"router-0", "router-1", "router-2"}, *store);
                         for (auto index = std::size_t(0); index < routers.size(); ++index) {
                             const auto engine = "e" + std::to_string(index);
                             routers[index]->crashingRequests().recordCrash({.id_ = engine}, {1, 66});
@@ -185,6 +275,44 @@
                         }
                     }),
             }),
+        section("and are the same one, without a prompt",
+            {
+                // Guards against a request that a caller sends again and again until no replica is left: each try has
+                // an id of its own.
+                test("are refused as not run after two crashes, and those with the same path and caller go on",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        const auto engines = startEngines(fixture);
+                        for (auto request = 0; request < 4; ++request) {
+                            const auto id = std::to_string(request);
+                            const auto response = send(fixture.url("/once/"), "bad" + id, deadlyBody);
+                            check(response.status_ == (request < 2 ? 502 : 503), std::to_string(response.status_));
+                            check(request < 2 || response.headers_.contains("retry-after"));
+                            check(send(fixture.url("/once/"), "good" + id, soundBody).status_ == 200);
+                            std::this_thread::sleep_for(callerRetryTime);
+                        }
+                        check(crashedEngines(engines) == maximumRequestCrashes);
+                    }),
+                // Guards against a retry that crashes a third replica, and against a try at each router that crashes
+                // one there too.
+                test("are refused by all routers once one of them has retried, also by one that starts later",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto routers = startRouters({"router-0", "router-1", "router-2"}, *store);
+                        const auto engines = startEngines(routers.front()->store());
+                        waitForEngines(routers, engineCount);
+                        check(send(urlOf(*routers.front()), "bad", deadlyBody).status_ == 502);
+                        check(crashedEngines(engines) == maximumRequestCrashes);
+                        routers.push_back(std::make_unique<RouterFixture>("router-3", store->port()));
+                        waitForEngines(routers, engineCount);
+                        // The operators' bound is 3 s.
+                        std::this_thread::sleep_for(1s);
+                        for (const auto &router : routers) {
+                            check(send(urlOf(*router), "again", deadlyBody).status_ == 503);
+                        }
+                        check(crashedEngines(engines) == maximumRequestCrashes);
+                    }),
+            }),
     }};
 
 } // namespace
