--- a/packages/forward/include/jasminewood/forward/crashing_requests.h
+++ b/packages/forward/include/jasminewood/forward/crashing_requests.h
@@ -18,7 +18,7 @@
 #include "jasminewood/routing/crashing_request_detector.h"
 #include "jasminewood/wire/messages.h"
 
-// Service "crashing-requests": which prompt segments crash the engines, as this router and the others have seen it.
+// Service "crashing-requests": which requests crash the upstreams, as this router and the others have seen it.
 //
 // The routers send each other their evidence, not their decisions: what is new at once, and the strongest of it again
 // and again, since datagrams may be lost. A router that starts gets it from the others as soon as they hear it.
@@ -34,16 +34,17 @@
     auto start(const kernel::ServiceRegistry &services) -> Status;
     auto stop() -> void;
 
-    // Records that an upstream's process ended while a request with these shared segments waited there for its first
-    // token.
-    auto recordCrash(const membership::UpstreamRecord &upstream, const std::vector<std::uint64_t> &segments) -> void;
+    // Records that an upstream's process ended under a request, and that these features of it may have been the cause.
+    // previous is the crash in which the attempt before was lost, if there was one. Returns this crash.
+    auto recordCrash(const membership::UpstreamRecord &upstream, const routing::RequestFeatures &features,
+        routing::CrashId previous) -> routing::CrashId;
 
-    // Records that a request with these shared segments got its first token.
-    auto recordStart(const std::vector<std::uint64_t> &segments) -> void;
+    // Records that a request went so well that these features of it crash no upstream.
+    auto recordSuccess(const routing::RequestFeatures &features) -> void;
 
-    // Returns how long requests with these shared segments are still refused; empty if this one may be sent. Must be
-    // called before each attempt.
-    auto admit(const std::vector<std::uint64_t> &segments) -> std::optional<Milliseconds>;
+    // Returns how long requests with these features are still refused; empty if this one may be sent. Must be called
+    // before each attempt.
+    auto admit(const routing::RequestFeatures &features) -> std::optional<Milliseconds>;
 
 private:
     auto sendLoop() -> void;
@@ -53,17 +54,18 @@
     // Sends the strongest evidence to a router that has started.
     auto greet(const NodeId &router) -> void;
 
-    // Returns how long this router leaves trials of a segment to others, by a ranking that all routers share.
-    auto trialTurn(std::uint64_t segment) const -> Milliseconds;
+    // Returns how many routers try a feature before this one, by a ranking that all routers share.
+    auto trialRank(const routing::RequestFeature &feature) const -> std::size_t;
 
     // These require mutex_.
-    auto makeReport(const routing::CrashEvidence &evidence) const -> wire::PromptCrashEvidence;
+    auto makeReport(const routing::CrashEvidence &evidence) const -> wire::RequestCrashEvidence;
     auto applyChange(TimePoint now) -> void;
     auto nextRepeatAt() const -> TimePoint;
 
     std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<PeerNetwork> network_;
-    std::optional<observe::Counter> crashCounter_;
+    std::optional<observe::Counter> promptCrashCounter_;
+    std::optional<observe::Counter> requestCrashCounter_;
     mutable std::mutex mutex_;
     std::condition_variable changedCondition_;
     bool stopping_ = false;
@@ -71,8 +73,8 @@
     TimePoint changedAt_;
     TimePoint repeatedAt_;
     routing::CrashingRequestDetector detector_;
-    // The segments that were refused after the last change, for the log.
-    std::vector<std::uint64_t> refused_;
+    // The features that were refused after the last change, for the log.
+    routing::RequestFeatures refused_;
     // The incarnations of the other routers.
     std::map<std::string, std::uint64_t> greeted_;
     std::thread senderThread_;
--- a/packages/forward/src/crashing_requests.cpp
+++ b/packages/forward/src/crashing_requests.cpp
@@ -7,6 +7,9 @@
 #include <fmt/ranges.h>
 #include <xxhash.h>
 
+#include "jasminewood/core/overloaded.h"
+#include "jasminewood/wire/codec.h"
+
 namespace jasminewood::forward
 {
 
@@ -19,26 +22,60 @@
 constexpr Milliseconds recentRepeatInterval = Milliseconds(1'000);
 constexpr Milliseconds recentChangeTime = Milliseconds(5'000);
 constexpr Milliseconds idleRepeatInterval = Milliseconds(30'000);
-// The segments in such a report.
-constexpr std::size_t repeatedSegments = 32;
+// The features in such a report.
+constexpr std::size_t repeatedFeatures = 32;
+
+auto toText(const routing::RequestFeature &feature) -> std::string
+{
+    return std::visit(Overloaded {[](const routing::SharedSegment &segment) {
+                                      return fmt::format("segment {:x}", segment.id_);
+                                  },
+                          [](const routing::WholeRequest &request) {
+                              return fmt::format("request {:x}", request.fingerprint_);
+                          }},
+        feature);
+}
+
+auto toText(const routing::RequestFeatures &features) -> std::string
+{
+    auto texts = std::vector<std::string>();
+    for (const auto &feature : features) {
+        texts.push_back(toText(feature));
+    }
+    return fmt::format("{}", fmt::join(texts, ", "));
+}
 
-auto toText(const std::vector<std::uint64_t> &segments) -> std::string
+auto idOf(const routing::RequestFeature &feature) -> std::uint64_t
 {
-    return fmt::format("{:x}", fmt::join(segments, ","));
+    return std::visit(Overloaded {[](const routing::SharedSegment &segment) {
+                                      return segment.id_;
+                                  },
+                          [](const routing::WholeRequest &request) {
+                              return request.fingerprint_;
+                          }},
+        feature);
 }
 
-auto parseEvidence(const wire::PromptCrashEvidence &message) -> routing::CrashEvidence
+auto parseFeature(const wire::FeatureEvidence &evidence) -> routing::RequestFeature
+{
+    if (evidence.isWholeRequest_) {
+        return routing::WholeRequest {.fingerprint_ = evidence.id_};
+    }
+    return routing::SharedSegment {.id_ = evidence.id_};
+}
+
+auto parseEvidence(const wire::RequestCrashEvidence &message) -> routing::CrashEvidence
 {
     auto evidence = routing::CrashEvidence();
-    for (const auto &segment : message.segments_) {
-        auto crashes = std::vector<routing::CrashReportOfSegment>();
-        for (const auto &[crash, age] : segment.crashes_) {
-            crashes.push_back({.crash_ = crash, .age_ = age});
+    for (const auto &feature : message.features_) {
+        auto crashes = std::vector<routing::CrashOfFeature>();
+        for (const auto &[id, age, previous] : feature.crashes_) {
+            crashes.push_back({.crash_ = {.id_ = id, .previous_ = previous}, .age_ = age});
         }
-        evidence.push_back({.segment_ = segment.segment_,
-            .depth_ = segment.depth_,
+        evidence.push_back({.feature_ = parseFeature(feature),
+            .depth_ = feature.depth_,
             .crashes_ = crashes,
-            .startAge_ = segment.startAge_});
+            .successAge_ = feature.successAge_});
     }
     return evidence;
 }
@@ -50,8 +87,10 @@
     if (auto failure = services.require("environment", environment_)) {
         return failure;
     }
-    crashCounter_.emplace(environment_->metrics().counter("jasminewood_forward_prompt_crashes_total",
+    promptCrashCounter_.emplace(environment_->metrics().counter("jasminewood_forward_prompt_crashes_total",
         "Requests that were lost before their first token in the crash of an engine"));
+    requestCrashCounter_.emplace(environment_->metrics().counter("jasminewood_forward_request_crashes_total",
+        "Requests that were lost, as they began to run or before, in the crash of an upstream"));
     const auto network = services.find<PeerNetwork>("peer-network");
     if (!network) {
         return std::nullopt;
@@ -78,42 +117,51 @@
     }
 }
 
-auto CrashingRequests::recordCrash(
-    const membership::UpstreamRecord &upstream, const std::vector<std::uint64_t> &segments) -> void
+auto CrashingRequests::recordCrash(const membership::UpstreamRecord &upstream, const routing::RequestFeatures &features,
+    routing::CrashId previous) -> routing::CrashId
 {
-    crashCounter_->add();
-    const auto crashId = fmt::format("{}@{}", upstream.id_, upstream.incarnation_);
-    environment_->log().warning("an engine crashed before the first token of a request",
-        {{"upstream", upstream.id_}, {"crash", crashId}, {"segments", toText(segments)}});
+    requestCrashCounter_->add();
+    const auto isSegment = [](const routing::RequestFeature &feature) {
+        return std::holds_alternative<routing::SharedSegment>(feature);
+    };
+    if (std::any_of(features.begin(), features.end(), isSegment)) {
+        promptCrashCounter_->add();
+    }
+    const auto name = fmt::format("{}@{}", upstream.id_, upstream.incarnation_);
+    const auto id = XXH3_64bits(name.data(), name.size());
+    environment_->log().warning("an upstream crashed under a request",
+        {{"upstream", upstream.id_}, {"crash", name}, {"retry", previous != routing::noCrash},
+            {"features", toText(features)}});
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
-    detector_.recordCrash(XXH3_64bits(crashId.data(), crashId.size()), segments, now);
+    detector_.recordCrash({.id_ = id, .previous_ = previous}, features, now);
     applyChange(now);
+    return id;
 }
 
-auto CrashingRequests::recordStart(const std::vector<std::uint64_t> &segments) -> void
+auto CrashingRequests::recordSuccess(const routing::RequestFeatures &features) -> void
 {
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
     if (!detector_.isEmpty()) {
-        detector_.recordStart(segments, now);
+        detector_.recordSuccess(features, now);
         applyChange(now);
     }
 }
 
-auto CrashingRequests::admit(const std::vector<std::uint64_t> &segments) -> std::optional<Milliseconds>
+auto CrashingRequests::admit(const routing::RequestFeatures &features) -> std::optional<Milliseconds>
 {
-    const auto turn = [this](std::uint64_t segment) {
-        return trialTurn(segment);
+    const auto rank = [this](const routing::RequestFeature &feature) {
+        return trialRank(feature);
     };
     const auto lock = std::scoped_lock(mutex_);
-    return detector_.admit(segments, turn, Clock::now());
+    return detector_.admit(features, rank, Clock::now());
 }
 
-auto CrashingRequests::trialTurn(std::uint64_t segment) const -> Milliseconds
+auto CrashingRequests::trialRank(const routing::RequestFeature &feature) const -> std::size_t
 {
-    const auto rankOf = [segment](const std::string &router) {
-        return std::pair(XXH3_64bits_withSeed(router.data(), router.size(), segment), router);
+    const auto rankOf = [id = idOf(feature)](const std::string &router) {
+        return std::pair(XXH3_64bits_withSeed(router.data(), router.size(), id), router);
     };
     const auto others = network_ ? network_->routerNames() : relay::RouterNames {};
     const auto own = rankOf(environment_->identity().node_.name_);
@@ -122,15 +170,15 @@
     };
     const auto before = std::count_if(others.sameDataCentre_.begin(), others.sameDataCentre_.end(), ranksBefore)
         + std::count_if(others.elsewhere_.begin(), others.elsewhere_.end(), ranksBefore);
-    return before * routing::segmentTrialTime;
+    return std::size_t(before);
 }
 
 auto CrashingRequests::applyChange(TimePoint now) -> void
 {
-    auto refused = detector_.refusedSegments(now);
+    auto refused = detector_.refusedFeatures(now);
     if (refused != refused_) {
         environment_->log().warning(
-            "the refused prompt segments changed", {{"from", toText(refused_)}, {"to", toText(refused)}});
+            "the refused requests changed", {{"from", toText(refused_)}, {"to", toText(refused)}});
         refused_ = std::move(refused);
     }
     if (detector_.hasNews()) {
@@ -139,20 +187,24 @@
     }
 }
 
-auto CrashingRequests::makeReport(const routing::CrashEvidence &evidence) const -> wire::PromptCrashEvidence
+auto CrashingRequests::makeReport(const routing::CrashEvidence &evidence) const -> wire::RequestCrashEvidence
 {
-    auto segments = std::vector<wire::SegmentEvidence>();
-    for (const auto &segment : evidence) {
-        auto crashes = std::vector<wire::SegmentCrash>();
-        for (const auto &[crash, age] : segment.crashes_) {
-            crashes.push_back({.crash_ = crash, .age_ = age});
+    const auto limited = [](Milliseconds time) {
+        return std::min<Milliseconds>(time, wire::maximumDuration);
+    };
+    auto features = std::vector<wire::FeatureEvidence>();
+    for (const auto &[feature, depth, crashes, successAge] : evidence) {
+        auto reported = std::vector<wire::FeatureCrash>();
+        for (const auto &[crash, age] : crashes) {
+            reported.push_back({.crash_ = crash.id_, .age_ = limited(age), .previous_ = crash.previous_});
         }
-        segments.push_back({.segment_ = segment.segment_,
-            .depth_ = segment.depth_,
-            .crashes_ = crashes,
-            .startAge_ = segment.startAge_});
+        features.push_back({.isWholeRequest_ = std::holds_alternative<routing::WholeRequest>(feature),
+            .id_ = idOf(feature),
+            .depth_ = depth,
+            .crashes_ = reported,
+            .successAge_ = successAge ? std::optional(limited(*successAge)) : std::nullopt});
     }
-    return {.router_ = environment_->identity().node_, .segments_ = segments};
+    return {.router_ = environment_->identity().node_, .features_ = features};
 }
 
 auto CrashingRequests::nextRepeatAt() const -> TimePoint
@@ -169,7 +221,7 @@
             return stopping_ || detector_.hasNews();
         });
         lock.unlock();
-        environment_->contain("report crashing prompts to the other routers", [this] {
+        environment_->contain("report crashing requests to the other routers", [this] {
             sendReport(Clock::now());
         });
         lock.lock();
@@ -181,14 +233,14 @@
 
 auto CrashingRequests::sendReport(TimePoint now) -> void
 {
-    auto report = std::optional<wire::PromptCrashEvidence>();
+    auto report = std::optional<wire::RequestCrashEvidence>();
     {
         const auto lock = std::scoped_lock(mutex_);
         const auto isRepeat = now >= nextRepeatAt();
         repeatedAt_ = isRepeat ? now : repeatedAt_;
-        report.emplace(makeReport(isRepeat ? detector_.evidence(repeatedSegments, now) : detector_.takeNews(now)));
+        report.emplace(makeReport(isRepeat ? detector_.evidence(repeatedFeatures, now) : detector_.takeNews(now)));
     }
-    if (!report->segments_.empty()) {
+    if (!report->features_.empty()) {
         network_->broadcast(*report);
     }
 }
@@ -199,7 +251,7 @@
         greet(usage->router_);
         return;
     }
-    const auto *received = std::get_if<wire::PromptCrashEvidence>(&message);
+    const auto *received = std::get_if<wire::RequestCrashEvidence>(&message);
     if (received == nullptr) {
         return;
     }
@@ -211,7 +263,7 @@
 
 auto CrashingRequests::greet(const NodeId &router) -> void
 {
-    auto report = std::optional<wire::PromptCrashEvidence>();
+    auto report = std::optional<wire::RequestCrashEvidence>();
     {
         const auto lock = std::scoped_lock(mutex_);
         auto &incarnation = greeted_[router.name_];
@@ -220,7 +272,7 @@
         }
         incarnation = router.incarnation_;
         if (!detector_.isEmpty()) {
-            report.emplace(makeReport(detector_.evidence(repeatedSegments, Clock::now())));
+            report.emplace(makeReport(detector_.evidence(repeatedFeatures, Clock::now())));
         }
     }
     if (report) {
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -38,6 +38,9 @@
 constexpr Milliseconds maximumStartupWait = Milliseconds(500);
 // Hosts on the local network refuse a connection to a port without a listener within this time.
 constexpr Milliseconds crashProbeTimeout = Milliseconds(100);
+// A crash later than this after the first token does not accuse the request: many streams are lost in each crash, and
+// those that crash their upstream do so as they begin to run.
+constexpr Milliseconds maximumStartTime = Milliseconds(1'000);
 // How long a request that resumes a stream waits for the record of where it began: routers collect records for a while,
 // and the store feed delays them.
 constexpr Milliseconds maximumOriginWait = Milliseconds(300);
@@ -47,13 +50,13 @@
     return std::chrono::duration_cast<Milliseconds>(time).count();
 }
 
-auto sharedSegments(const std::optional<PromptInfo> &prompt) -> std::vector<std::uint64_t>
+auto sharedSegments(const std::optional<PromptInfo> &prompt) -> routing::RequestFeatures
 {
-    auto ids = std::vector<std::uint64_t>();
+    auto segments = routing::RequestFeatures();
     for (auto index = std::size_t(0); prompt && index + 1 < prompt->segments_.size(); ++index) {
-        ids.push_back(prompt->segments_[index].id_);
+        segments.emplace_back(routing::SharedSegment {.id_ = prompt->segments_[index].id_});
     }
-    return ids;
+    return segments;
 }
 
 auto accountOf(const AdmittedRequest &admitted) -> std::string
@@ -85,6 +88,7 @@
     , admittedAt_(BootClock::now())
     , requestMetadata_(frontend.protocolAdapter_.parseRequestMetadata_(request))
     , sharedSegments_(sharedSegments(requestMetadata_.prompt_))
+    , crashFeatures_(sharedSegments_)
     , routeTable_(frontend.configuration_->awaitCurrent(handledAt_ + maximumStartupWait))
 {
 }
@@ -109,10 +113,10 @@
             .message_ = "the timeout of the request has passed",
             .retryAfter_ = unavailableRetryAfter};
     }
-    if (const auto refusedFor = frontend_.crashingRequests_->admit(sharedSegments_)) {
+    if (const auto refusedFor = frontend_.crashingRequests_->admit(crashFeatures_)) {
         return Refusal {.status_ = serviceUnavailable,
-            .code_ = "crashing_prompt",
-            .message_ = "a segment of the prompt crashes the engines",
+            .code_ = "crashing_request",
+            .message_ = "such requests crash the upstreams",
             .retryAfter_ = *refusedFor};
     }
     const auto now = BootClock::now();
@@ -157,6 +161,7 @@
         return refuse(*refusal);
     }
     fingerprint_ = internal::requestFingerprint(request_, accountOf(admitted));
+    crashFeatures_.emplace_back(routing::WholeRequest {.fingerprint_ = fingerprint_});
     enginePriority_ = admitted.enginePriority_;
     resumable_ = isResumable(*admitted.route_);
     if (const auto refusal = chooseService(*admitted.route_)) {
@@ -366,6 +371,7 @@
     const auto response = http::BufferedResponse {
         .status_ = started.head_.status_, .headers_ = internal::endToEndFields(started.head_.fields_), .body_ = *body};
     if (started.head_.status_ >= firstServerErrorStatus && allowsRerun(*admitted.route_)) {
+        recordCompletion();
         return failAttempt({.step_ = "answer",
                                .peer_ = attempt_->assignment_.upstream_.address_,
                                .reason_ = fmt::format("status {}", started.head_.status_),
@@ -373,6 +379,7 @@
             AttemptResult::Responded, response);
     }
     recordFirstToken();
+    recordCompletion();
     endAttempt(AttemptResult::Responded);
     relayedBytes_ = body->size();
     recordOutcome("answered", started.head_.status_);
@@ -416,21 +423,37 @@
 
 auto RequestRun::recordFirstToken() -> void
 {
-    attempt_->hasFirstToken_ = true;
+    attempt_->firstTokenAt_ = Clock::now();
     if (!sharedSegments_.empty()) {
-        frontend_.crashingRequests_->recordStart(sharedSegments_);
+        frontend_.crashingRequests_->recordSuccess(sharedSegments_);
     }
 }
 
+auto RequestRun::recordCompletion() -> void
+{
+    frontend_.crashingRequests_->recordSuccess({routing::WholeRequest {.fingerprint_ = fingerprint_}});
+}
+
+auto RequestRun::accusedFeatures() const -> routing::RequestFeatures
+{
+    if (!attempt_->firstTokenAt_) {
+        return crashFeatures_;
+    }
+    const auto isStarting = Clock::now() - *attempt_->firstTokenAt_ < maximumStartTime;
+    return isStarting ? routing::RequestFeatures {routing::WholeRequest {.fingerprint_ = fingerprint_}}
+                      : routing::RequestFeatures();
+}
+
 auto RequestRun::recordCrash(const Failure &failure) -> void
 {
     const auto wasCutOff = failure.step_ == "receive" || failure.step_ == "send";
-    if (sharedSegments_.empty() || attempt_->hasFirstToken_ || !wasCutOff) {
+    const auto features = accusedFeatures();
+    if (!wasCutOff || features.empty()) {
         return;
     }
     const auto &upstream = attempt_->assignment_.upstream_;
     if (http::probeListener(upstream.address_, crashProbeTimeout) == http::ListenerState::Refused) {
-        frontend_.crashingRequests_->recordCrash(upstream, sharedSegments_);
+        lastCrash_ = frontend_.crashingRequests_->recordCrash(upstream, features, lastCrash_);
     }
 }
 
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -42,8 +42,7 @@
     const Assignment assignment_;
     std::unique_ptr<http::ClientRequest> request_ = nullptr;
     std::unique_ptr<http::Exchange> exchange_ = nullptr;
-    // Whether it has got its first token.
-    bool hasFirstToken_ = false;
+    std::optional<TimePoint> firstTokenAt_ = std::nullopt;
     // Whether its response is accepted as the caller's stream.
     bool isRelayed_ = false;
     // The progress of its stream; for one that resumes a stream, counted from its start.
@@ -117,7 +116,11 @@
     auto recordFailedAttempt(const FailedAttempt &failedAttempt) -> void;
     // Records the first token of the attempt in flight.
     auto recordFirstToken() -> void;
-    // Records a crash of the upstream if the failure shows that its process has ended before the first token.
+    // Records that an upstream has run the request to its end.
+    auto recordCompletion() -> void;
+    // Returns the features of the request that may be the cause if the upstream has crashed now.
+    auto accusedFeatures() const -> routing::RequestFeatures;
+    // Records a crash of the upstream if the failure shows that its process has ended.
     auto recordCrash(const Failure &failure) -> void;
     // Decides whether the request is retried. If so, acquires the retry from the budget and returns true.
     auto tryAcquireRetry(const AdmittedRequest &admitted) -> bool;
@@ -132,8 +135,8 @@
     auto endAttempt(AttemptResult result) -> void;
     auto refuse(const Refusal &refusal) -> http::Response;
     auto recordOutcome(const std::string &outcome, int status, const observe::Fields &extraFields = {}) -> void;
-    // Returns a refusal if the request may not be sent any more: its timeout has passed, its prompt crashes engines,
-    // its key or its route was taken away since it was admitted, or the keys are no longer confirmed.
+    // Returns a refusal if the request may not be sent any more: its timeout has passed, such requests crash the
+    // upstreams, its key or its route was taken away since it was admitted, or the keys are no longer confirmed.
     auto readmit() -> std::optional<Refusal>;
     auto remainingTime() const -> Milliseconds;
 
@@ -146,10 +149,13 @@
     // The total time that the request may take.
     Milliseconds timeout_ = Milliseconds(0);
     const RequestMetadata requestMetadata_;
-    // The ids of the segments of the prompt that other requests may share.
-    const std::vector<std::uint64_t> sharedSegments_;
-    // Equal for requests that a caller sends again; see internal::requestFingerprint().
+    // The segments of the prompt that other requests may share.
+    const routing::RequestFeatures sharedSegments_;
+    // These, and the whole request once it is admitted.
+    routing::RequestFeatures crashFeatures_;
     std::uint64_t fingerprint_ = 0;
+    // The last crash in which an attempt was lost.
+    routing::CrashId lastCrash_ = routing::noCrash;
     const std::shared_ptr<const routes::RouteTable> routeTable_;
     TimePoint deadline_;
     std::string service_;
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -72,7 +72,7 @@
         if (!unreadData) {
             progress.record(**chunk, Clock::now());
         }
-        if (progress.hasEvent() && !attempt_->hasFirstToken_) {
+        if (progress.hasEvent() && !attempt_->firstTokenAt_) {
             recordFirstToken();
             if (const auto failure = acceptFirstEvent()) {
                 return *failure;
@@ -160,6 +160,7 @@
     if (const auto partialEvent = eventSplitter_.takePartial(); !partialEvent.empty()) {
         return http::Chunk {.data_ = partialEvent};
     }
+    recordCompletion();
     endAttempt(AttemptResult::Responded);
     recordOutcome("answered", okStatus);
     return http::EndOfStream {};
--- a/packages/forward/tests/crashing_requests_test.cpp
+++ b/packages/forward/tests/crashing_requests_test.cpp
@@ -25,8 +25,6 @@
 constexpr auto deadlyBody = "deadly";
 constexpr auto soundBody = "sound";
 constexpr std::size_t engineCount = 6;
-// The crashes by the same request after which it is refused.
-constexpr std::size_t maximumRequestCrashes = 2;
 // How long callers wait before they send a request again.
 constexpr auto callerRetryTime = Milliseconds(1'050);
 // How long after its start a deadly request crashes its engine.
@@ -261,17 +259,18 @@
                         auto routers = startRouters({"router-0", "router-1", "router-2"}, *store);
                         for (auto index = std::size_t(0); index < routers.size(); ++index) {
                             const auto engine = "e" + std::to_string(index);
-                            routers[index]->crashingRequests().recordCrash({.id_ = engine}, {1, 66});
+                            routers[index]->crashingRequests().recordCrash({.id_ = engine},
+                                {routing::SharedSegment {1}, routing::SharedSegment {66}}, routing::noCrash);
                             std::this_thread::sleep_for(routing::commonCauseTime + 50ms);
                         }
                         routers.push_back(std::make_unique<RouterFixture>("router-3", store->port()));
                         for (const auto &router : routers) {
                             waitUntil(
                                 [&router] {
-                                    return router->crashingRequests().admit({66}).has_value();
+                                    return router->crashingRequests().admit({routing::SharedSegment {66}}).has_value();
                                 },
                                 "the router refuses the segment");
-                            check(!router->crashingRequests().admit({1}));
+                            check(!router->crashingRequests().admit({routing::SharedSegment {1}}));
                         }
                     }),
             }),
@@ -291,7 +290,7 @@
                             check(send(fixture.url("/once/"), "good" + id, soundBody).status_ == 200);
                             std::this_thread::sleep_for(callerRetryTime);
                         }
-                        check(crashedEngines(engines) == maximumRequestCrashes);
+                        check(crashedEngines(engines) == routing::crashesBeforeRequestRefusal);
                     }),
                 // Guards against a retry that crashes a third replica, and against a try at each router that crashes
                 // one there too.
@@ -302,7 +301,7 @@
                         const auto engines = startEngines(routers.front()->store());
                         waitForEngines(routers, engineCount);
                         check(send(urlOf(*routers.front()), "bad", deadlyBody).status_ == 502);
-                        check(crashedEngines(engines) == maximumRequestCrashes);
+                        check(crashedEngines(engines) == routing::crashesBeforeRequestRefusal);
                         routers.push_back(std::make_unique<RouterFixture>("router-3", store->port()));
                         waitForEngines(routers, engineCount);
                         // The operators' bound is 3 s.
@@ -310,7 +309,7 @@
                         for (const auto &router : routers) {
                             check(send(urlOf(*router), "again", deadlyBody).status_ == 503);
                         }
-                        check(crashedEngines(engines) == maximumRequestCrashes);
+                        check(crashedEngines(engines) == routing::crashesBeforeRequestRefusal);
                     }),
             }),
     }};
--- a/packages/routing/include/jasminewood/routing/crashing_request_detector.h
+++ b/packages/routing/include/jasminewood/routing/crashing_request_detector.h
@@ -7,83 +7,129 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <variant>
 #include <vector>
 
 #include "jasminewood/core/clock.h"
 
-// Finds the segments of prompts that crash each engine which begins to respond to them, whatever else the prompts hold.
+// Finds the requests that crash each upstream which runs them, by the features that they have in common: the segments
+// of their prompts, or all of the request if it comes again unchanged.
 //
-//     detector.recordCrash(crash, {0x5c, 0x91}, now);
-//     detector.recordStart({0x5c}, now);
-//     if (const auto wait = detector.admit({0x5c, 0x91}, turnOf, now)) { /* refuse, retry after *wait */ }
+//     const auto features = RequestFeatures {SharedSegment {.id_ = 0x5c}, WholeRequest {.fingerprint_ = 0x91}};
+//     detector.recordCrash({.id_ = crash}, features, now);
+//     detector.recordSuccess(features, now);
+//     if (const auto wait = detector.admit(features, rankOf, now)) { /* refuse, retry after *wait */ }
 //
-// No two such requests are alike, so the segment has to be found rather than the request. Each request that was lost in
-// a crash before its first token is evidence against all of its segments, and each request that got a first token is
-// evidence for its segments: it takes back what was held against them before. What remains is refused. The decision
+// Each request that was lost in a crash is evidence against all of its features, and each request that went well is
+// evidence for its features: it takes back what was held against them before. What remains is refused. The decision
 // depends on the evidence only, so routers that know the same decide the same.
 
 namespace jasminewood::routing
 {
 
-// The crashes, at different moments, after which a segment is refused.
+// A segment of a prompt that other requests may have too, whatever else they hold.
+struct SharedSegment
+{
+    const std::uint64_t id_ = 0;
+
+    auto operator<=>(const SharedSegment &) const = default;
+};
+
+// All that an upstream gets of a request, and the account of its caller.
+struct WholeRequest
+{
+    const std::uint64_t fingerprint_ = 0;
+
+    auto operator<=>(const WholeRequest &) const = default;
+};
+
+using RequestFeature = std::variant<SharedSegment, WholeRequest>;
+
+// The features of one request. The earlier one is in more requests than the later one.
+using RequestFeatures = std::vector<RequestFeature>;
+
+// The crashes, at different moments, after which a feature is refused.
 constexpr std::size_t crashesBeforeSegmentRefusal = 3;
-// Crashes of several engines within this time count once: they have a common cause, such as a power failure, and not
-// one request each.
+constexpr std::size_t crashesBeforeRequestRefusal = 2;
+// The crashes after which a whole request is refused even if something else explains them.
+constexpr std::size_t crashesOfCertainRequest = 3;
+// Crashes of several upstreams within this time count once, unless the later one ended a retry of what was lost in the
+// earlier one: they have a common cause, such as a power failure, and not one request each.
+// Longer for a whole request, since two crashes are enough and reports of them may be late.
 constexpr Milliseconds commonCauseTime = Milliseconds(250);
-// How long a segment is refused after its last crash. The time doubles with each crash that a later trial causes.
-constexpr Milliseconds minimumSegmentRefusal = Milliseconds(30'000);
+constexpr Milliseconds requestCommonCauseTime = Milliseconds(1'000);
+// How long a feature is refused after its last crash: the first time, the second time, and at most. From the second
+// time on, the time doubles with each crash that a trial causes. The first refusal of a whole request is short, since
+// the request may have been beside another one twice; what the trial shows then is nearly certain.
+constexpr Milliseconds firstSegmentRefusal = Milliseconds(30'000);
+constexpr Milliseconds secondSegmentRefusal = Milliseconds(60'000);
 constexpr Milliseconds maximumSegmentRefusal = Milliseconds(600'000);
-// How long a router that lets a request try a refused segment waits for the outcome before it lets another one.
+constexpr Milliseconds firstRequestRefusal = Milliseconds(5'000);
+constexpr Milliseconds secondRequestRefusal = Milliseconds(600'000);
+constexpr Milliseconds maximumRequestRefusal = std::chrono::hours(24);
+// How long a router that lets a request try a refused feature waits for the outcome before it lets another one.
 constexpr Milliseconds segmentTrialTime = Milliseconds(10'000);
-// How long evidence is kept. Longer than the longest refusal, so that a trial after it is judged by what came before.
+constexpr Milliseconds requestTrialTime = Milliseconds(3'000);
+// How long evidence is kept; evidence against a refused feature is kept for this time after its refusal, so that a
+// trial is judged by what came before.
 constexpr Milliseconds crashEvidenceExpiry = Milliseconds(900'000);
-// The maximum numbers of segments, and of crashes of each, that are kept as evidence.
-constexpr std::size_t maximumAccusedSegments = 256;
-constexpr std::size_t maximumCrashesPerSegment = 32;
+// The maximum numbers of features, and of crashes of each, that are kept as evidence.
+constexpr std::size_t maximumAccusedFeatures = 512;
+constexpr std::size_t maximumCrashesPerFeature = 32;
 
 // Identifies a crash; equal for all requests that were lost in it.
 using CrashId = std::uint64_t;
+constexpr CrashId noCrash = 0;
+
+// A crash in which a request was lost.
+struct RequestCrash
+{
+    const CrashId id_ = noCrash;
+    // The crash in which the attempt before was lost if this one was a retry, else noCrash.
+    const CrashId previous_ = noCrash;
+
+    auto operator<=>(const RequestCrash &) const = default;
+};
 
 // A crash with its age, so that it expires although routers keep passing it on.
-struct CrashReportOfSegment
+struct CrashOfFeature
 {
-    const CrashId crash_ = 0;
+    const RequestCrash crash_;
     const Milliseconds age_ = Milliseconds(0);
 
-    auto operator<=>(const CrashReportOfSegment &) const = default;
+    auto operator<=>(const CrashOfFeature &) const = default;
 };
 
-// What is known about one segment.
-struct SegmentEvidence
+// What is known about one feature.
+struct FeatureEvidence
 {
-    const std::uint64_t segment_ = 0;
-    // The last position at which it was seen in a prompt.
+    const RequestFeature feature_;
+    // The last position at which it was seen among the features of a request.
     const std::uint32_t depth_ = 0;
-    // Crashes in which requests with it were lost before their first token, since the last first token.
-    const std::vector<CrashReportOfSegment> crashes_;
-    // The age of the last first token of a request with it; empty if none is known.
-    const std::optional<Milliseconds> startAge_;
+    // Crashes in which requests with it were lost, since the last success.
+    const std::vector<CrashOfFeature> crashes_;
+    // The age of the last success of a request with it; empty if none is known.
+    const std::optional<Milliseconds> successAge_;
 
-    auto operator<=>(const SegmentEvidence &) const = default;
+    auto operator<=>(const FeatureEvidence &) const = default;
 };
 
-using CrashEvidence = std::vector<SegmentEvidence>;
+using CrashEvidence = std::vector<FeatureEvidence>;
 
-// Returns how long after the end of a segment's refusal this router may try it. It differs between the routers, so that
-// one of them tries while the others wait for what it reports.
-using TrialTurn = std::function<auto(std::uint64_t segment)->Milliseconds>;
+// Returns how many routers may try a feature before this one after the end of its refusal, so that one of them tries
+// while the others wait for what it reports.
+using TrialRank = std::function<auto(const RequestFeature &feature)->std::size_t>;
 
 // Merging is idempotent and, up to the precision of the ages, commutative, so reports may be lost, repeated, reordered
 // and passed on. Not thread-safe. Precondition: now does not go backwards.
 class CrashingRequestDetector
 {
 public:
-    // Records that a request was lost, before its first token, in the crash of an engine. The segments are those that
-    // other prompts may share, in order.
-    auto recordCrash(CrashId crash, const std::vector<std::uint64_t> &segments, TimePoint now) -> void;
+    // Records that a request was lost in a crash. The features are those that the crash accuses.
+    auto recordCrash(const RequestCrash &crash, const RequestFeatures &features, TimePoint now) -> void;
 
-    // Records the first token of a request.
-    auto recordStart(const std::vector<std::uint64_t> &segments, TimePoint now) -> void;
+    // Records that a request went so well that these features of it crash no upstream.
+    auto recordSuccess(const RequestFeatures &features, TimePoint now) -> void;
 
     // Merges the evidence of another router.
     auto merge(const CrashEvidence &evidence, TimePoint now) -> void;
@@ -97,48 +143,56 @@
     // Returns whether there is no evidence.
     auto isEmpty() const -> bool;
 
-    // Returns the evidence about at most this many segments, those with the most crashes first.
-    auto evidence(std::size_t maximumSegments, TimePoint now) const -> CrashEvidence;
+    // Returns the evidence about at most this many features, those with the most crashes first.
+    auto evidence(std::size_t maximumFeatures, TimePoint now) const -> CrashEvidence;
 
-    // Returns how long requests with these segments are still refused; empty if this one may be sent. It then is the
-    // trial of each of its segments whose refusal has ended.
-    auto admit(const std::vector<std::uint64_t> &segments, const TrialTurn &turn, TimePoint now)
-        -> std::optional<Milliseconds>;
+    // Returns how long requests with these features are still refused; empty if this one may be sent. It then is the
+    // trial of each of its features whose refusal has ended.
+    auto admit(const RequestFeatures &features, const TrialRank &rank, TimePoint now) -> std::optional<Milliseconds>;
 
-    // Returns the segments that are refused now.
-    auto refusedSegments(TimePoint now) const -> std::vector<std::uint64_t>;
+    // Returns the features that are refused now.
+    auto refusedFeatures(TimePoint now) const -> RequestFeatures;
 
 private:
+    struct Crash
+    {
+        // By the first report.
+        TimePoint crashedAt_;
+        CrashId previous_ = noCrash;
+    };
+
     struct Accusation
     {
         std::uint32_t depth_ = 0;
-        // By crash; the time is that of the first report.
-        std::map<CrashId, TimePoint> crashes_;
-        std::optional<TimePoint> startedAt_;
+        std::map<CrashId, Crash> crashes_;
+        std::optional<TimePoint> succeededAt_;
     };
 
-    using Accusations = std::map<std::uint64_t, Accusation>;
+    using Accusations = std::map<RequestFeature, Accusation>;
 
     // Returns whether the crash was not known yet.
-    auto accuse(std::uint64_t segment, std::uint32_t depth, CrashId crash, TimePoint crashedAt) -> bool;
+    auto accuse(const RequestFeature &feature, std::uint32_t depth, CrashId id, const Crash &crash) -> bool;
     // Returns whether there was anything to take back.
-    static auto takeBack(Accusation &accusation, TimePoint startedAt) -> bool;
-    static auto moments(const Accusation &accusation) -> std::vector<TimePoint>;
+    static auto takeBack(Accusation &accusation, TimePoint succeededAt) -> bool;
+    static auto moments(const RequestFeature &feature, const Accusation &accusation) -> std::vector<TimePoint>;
     static auto lastTime(const Accusation &accusation) -> TimePoint;
     static auto dropLeastTellingCrash(Accusation &accusation) -> void;
+    static auto refusalEnd(const RequestFeature &feature, const Accusation &accusation) -> std::optional<TimePoint>;
     static auto mostAccused(const Accusations &accusations) -> Accusations::const_iterator;
-    static auto findRefused(Accusations accusations) -> std::map<std::uint64_t, TimePoint>;
-    static auto makeEvidence(std::uint64_t segment, const Accusation &accusation, TimePoint now) -> SegmentEvidence;
+    static auto findRefused(const Accusations &allAccusations) -> std::map<RequestFeature, TimePoint>;
+    static auto makeEvidence(const RequestFeature &feature, const Accusation &accusation, TimePoint now)
+        -> FeatureEvidence;
+    static auto removeExplained(Accusations &accusations, const Accusation &refused) -> void;
     auto removeExpired(TimePoint now) -> void;
     auto decide(TimePoint now) -> void;
 
     Accusations accusations_;
-    // The segments about which this router has recorded something since takeNews().
-    std::set<std::uint64_t> news_;
-    // The decision: until when each segment is refused.
-    std::map<std::uint64_t, TimePoint> refusedUntil_;
-    // When the last trial of a refused segment began here.
-    std::map<std::uint64_t, TimePoint> trials_;
+    // The features about which this router has recorded something since takeNews().
+    std::set<RequestFeature> news_;
+    // The decision: until when each feature is refused.
+    std::map<RequestFeature, TimePoint> refusedUntil_;
+    // When the last trial of a refused feature began here.
+    std::map<RequestFeature, TimePoint> trials_;
 };
 
 } // namespace jasminewood::routing
--- a/packages/routing/src/crashing_request_detector.cpp
+++ b/packages/routing/src/crashing_request_detector.cpp
@@ -4,19 +4,56 @@
 #include <tuple>
 #include <utility>
 
+#include "jasminewood/core/overloaded.h"
+
 namespace jasminewood::routing
 {
 
 namespace
 {
 
-auto refusalTime(std::size_t crashes) -> Milliseconds
+// After how many crashes a feature is refused, which of them count once, and for how long it is refused.
+struct RefusalLimits
+{
+    const std::size_t crashes_ = 0;
+    const Milliseconds commonCauseTime_ = Milliseconds(0);
+    const Milliseconds firstTime_ = Milliseconds(0);
+    const Milliseconds secondTime_ = Milliseconds(0);
+    const Milliseconds maximumTime_ = Milliseconds(0);
+    const Milliseconds trialTime_ = Milliseconds(0);
+};
+
+auto limitsOf(const RequestFeature &feature) -> RefusalLimits
 {
-    auto time = minimumSegmentRefusal;
-    for (auto count = crashesBeforeSegmentRefusal; count < crashes && time < maximumSegmentRefusal; ++count) {
+    return std::visit(Overloaded {[](const SharedSegment & /*segment*/) {
+                                      return RefusalLimits {.crashes_ = crashesBeforeSegmentRefusal,
+                                          .commonCauseTime_ = commonCauseTime,
+                                          .firstTime_ = firstSegmentRefusal,
+                                          .secondTime_ = secondSegmentRefusal,
+                                          .maximumTime_ = maximumSegmentRefusal,
+                                          .trialTime_ = segmentTrialTime};
+                                  },
+                          [](const WholeRequest & /*request*/) {
+                              return RefusalLimits {.crashes_ = crashesBeforeRequestRefusal,
+                                  .commonCauseTime_ = requestCommonCauseTime,
+                                  .firstTime_ = firstRequestRefusal,
+                                  .secondTime_ = secondRequestRefusal,
+                                  .maximumTime_ = maximumRequestRefusal,
+                                  .trialTime_ = requestTrialTime};
+                          }},
+        feature);
+}
+
+auto refusalTime(const RefusalLimits &limits, std::size_t crashes) -> Milliseconds
+{
+    if (crashes <= limits.crashes_) {
+        return limits.firstTime_;
+    }
+    auto time = limits.secondTime_;
+    for (auto count = limits.crashes_ + 1; count < crashes && time < limits.maximumTime_; ++count) {
         time *= 2;
     }
-    return std::min(time, maximumSegmentRefusal);
+    return std::min(time, limits.maximumTime_);
 }
 
 auto ageOf(TimePoint time, TimePoint now) -> Milliseconds
@@ -26,24 +63,25 @@
 
 } // namespace
 
-auto CrashingRequestDetector::recordCrash(CrashId crash, const std::vector<std::uint64_t> &segments, TimePoint now)
+auto CrashingRequestDetector::recordCrash(const RequestCrash &crash, const RequestFeatures &features, TimePoint now)
     -> void
 {
-    for (auto depth = std::size_t(0); depth < segments.size(); ++depth) {
-        if (accuse(segments[depth], std::uint32_t(depth), crash, now)) {
-            news_.insert(segments[depth]);
+    for (auto depth = std::size_t(0); depth < features.size(); ++depth) {
+        if (accuse(
+                features[depth], std::uint32_t(depth), crash.id_, {.crashedAt_ = now, .previous_ = crash.previous_})) {
+            news_.insert(features[depth]);
         }
     }
     decide(now);
 }
 
-auto CrashingRequestDetector::recordStart(const std::vector<std::uint64_t> &segments, TimePoint now) -> void
+auto CrashingRequestDetector::recordSuccess(const RequestFeatures &features, TimePoint now) -> void
 {
     auto takesBack = false;
-    for (const auto segment : segments) {
-        const auto found = accusations_.find(segment);
+    for (const auto &feature : features) {
+        const auto found = accusations_.find(feature);
         if (found != accusations_.end() && takeBack(found->second, now)) {
-            news_.insert(segment);
+            news_.insert(feature);
             takesBack = true;
         }
     }
@@ -54,12 +92,12 @@
 
 auto CrashingRequestDetector::merge(const CrashEvidence &evidence, TimePoint now) -> void
 {
-    for (const auto &[segment, depth, crashes, startAge] : evidence) {
+    for (const auto &[feature, depth, crashes, successAge] : evidence) {
         for (const auto &[crash, age] : crashes) {
-            accuse(segment, depth, crash, now - age);
+            accuse(feature, depth, crash.id_, {.crashedAt_ = now - age, .previous_ = crash.previous_});
         }
-        if (startAge) {
-            takeBack(accusations_[segment], now - *startAge);
+        if (successAge) {
+            takeBack(accusations_[feature], now - *successAge);
         }
     }
     decide(now);
@@ -68,9 +106,9 @@
 auto CrashingRequestDetector::takeNews(TimePoint now) -> CrashEvidence
 {
     auto news = CrashEvidence();
-    for (const auto segment : std::exchange(news_, {})) {
-        if (const auto found = accusations_.find(segment); found != accusations_.end()) {
-            news.push_back(makeEvidence(segment, found->second, now));
+    for (const auto &feature : std::exchange(news_, {})) {
+        if (const auto found = accusations_.find(feature); found != accusations_.end()) {
+            news.push_back(makeEvidence(feature, found->second, now));
         }
     }
     return news;
@@ -86,98 +124,108 @@
     return accusations_.empty();
 }
 
-auto CrashingRequestDetector::evidence(std::size_t maximumSegments, TimePoint now) const -> CrashEvidence
+auto CrashingRequestDetector::evidence(std::size_t maximumFeatures, TimePoint now) const -> CrashEvidence
 {
-    auto ranked = std::vector<std::tuple<std::size_t, TimePoint, std::uint64_t>>();
-    for (const auto &[segment, accusation] : accusations_) {
-        ranked.emplace_back(accusation.crashes_.size(), lastTime(accusation), segment);
+    auto ranked = std::vector<std::tuple<std::size_t, TimePoint, Accusations::const_iterator>>();
+    for (auto entry = accusations_.begin(); entry != accusations_.end(); ++entry) {
+        ranked.emplace_back(entry->second.crashes_.size(), lastTime(entry->second), entry);
     }
-    std::sort(ranked.rbegin(), ranked.rend());
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return std::tie(std::get<0>(left), std::get<1>(left)) > std::tie(std::get<0>(right), std::get<1>(right));
+    });
     auto evidence = CrashEvidence();
-    for (const auto &[crashes, time, segment] : ranked) {
-        if (evidence.size() < maximumSegments) {
-            evidence.push_back(makeEvidence(segment, accusations_.at(segment), now));
+    for (const auto &[crashes, time, entry] : ranked) {
+        if (evidence.size() < maximumFeatures) {
+            evidence.push_back(makeEvidence(entry->first, entry->second, now));
         }
     }
     return evidence;
 }
 
-auto CrashingRequestDetector::admit(const std::vector<std::uint64_t> &segments, const TrialTurn &turn, TimePoint now)
+auto CrashingRequestDetector::admit(const RequestFeatures &features, const TrialRank &rank, TimePoint now)
     -> std::optional<Milliseconds>
 {
     auto longest = std::optional<Milliseconds>();
-    auto tried = std::vector<std::uint64_t>();
-    for (const auto segment : segments) {
-        const auto refused = refusedUntil_.find(segment);
+    auto tried = std::vector<const RequestFeature *>();
+    for (const auto &feature : features) {
+        const auto refused = refusedUntil_.find(feature);
         if (refused == refusedUntil_.end()) {
             continue;
         }
-        const auto trial = trials_.find(segment);
-        const auto turnAt = refused->second + turn(segment);
-        const auto until = trial == trials_.end() ? turnAt : std::max(turnAt, trial->second + segmentTrialTime);
+        const auto trial = trials_.find(feature);
+        const auto trialTime = limitsOf(feature).trialTime_;
+        const auto turnAt = refused->second + std::int64_t(rank(feature)) * trialTime;
+        const auto until = trial == trials_.end() ? turnAt : std::max(turnAt, trial->second + trialTime);
         if (now < until) {
             const auto rest = std::chrono::ceil<Milliseconds>(until - now);
             longest = std::max(longest.value_or(rest), rest);
         } else {
-            tried.push_back(segment);
+            tried.push_back(&feature);
         }
     }
-    for (const auto segment : tried) {
+    for (const auto *feature : tried) {
         if (!longest) {
-            trials_.insert_or_assign(segment, now);
+            trials_.insert_or_assign(*feature, now);
         }
     }
     return longest;
 }
 
-auto CrashingRequestDetector::refusedSegments(TimePoint now) const -> std::vector<std::uint64_t>
+auto CrashingRequestDetector::refusedFeatures(TimePoint now) const -> RequestFeatures
 {
-    auto segments = std::vector<std::uint64_t>();
-    for (const auto &[segment, until] : refusedUntil_) {
+    auto features = RequestFeatures();
+    for (const auto &[feature, until] : refusedUntil_) {
         if (now < until) {
-            segments.push_back(segment);
+            features.push_back(feature);
         }
     }
-    return segments;
+    return features;
 }
 
-auto CrashingRequestDetector::accuse(std::uint64_t segment, std::uint32_t depth, CrashId crash, TimePoint crashedAt)
+auto CrashingRequestDetector::accuse(const RequestFeature &feature, std::uint32_t depth, CrashId id, const Crash &crash)
     -> bool
 {
-    auto &accusation = accusations_[segment];
-    if (accusation.startedAt_ && *accusation.startedAt_ >= crashedAt) {
+    auto &accusation = accusations_[feature];
+    if (accusation.succeededAt_ && *accusation.succeededAt_ >= crash.crashedAt_) {
         return false;
     }
     accusation.depth_ = std::max(accusation.depth_, depth);
-    const auto [position, isNew] = accusation.crashes_.try_emplace(crash, crashedAt);
-    position->second = std::min(position->second, crashedAt);
-    if (accusation.crashes_.size() > maximumCrashesPerSegment) {
+    const auto [position, isNew] = accusation.crashes_.try_emplace(id, crash);
+    auto &known = position->second;
+    known.crashedAt_ = std::min(known.crashedAt_, crash.crashedAt_);
+    known.previous_ = std::max(known.previous_, crash.previous_);
+    if (accusation.crashes_.size() > maximumCrashesPerFeature) {
         dropLeastTellingCrash(accusation);
     }
     return isNew;
 }
 
-auto CrashingRequestDetector::takeBack(Accusation &accusation, TimePoint startedAt) -> bool
+auto CrashingRequestDetector::takeBack(Accusation &accusation, TimePoint succeededAt) -> bool
 {
-    accusation.startedAt_ = std::max(accusation.startedAt_.value_or(startedAt), startedAt);
-    const auto erased = std::erase_if(accusation.crashes_, [startedAt](const auto &crash) {
-        return crash.second <= startedAt;
+    accusation.succeededAt_ = std::max(accusation.succeededAt_.value_or(succeededAt), succeededAt);
+    const auto erased = std::erase_if(accusation.crashes_, [succeededAt](const auto &crash) {
+        return crash.second.crashedAt_ <= succeededAt;
     });
     return erased > 0;
 }
 
 // Returns the moments of the crashes; those of a common cause count as one.
-auto CrashingRequestDetector::moments(const Accusation &accusation) -> std::vector<TimePoint>
+auto CrashingRequestDetector::moments(const RequestFeature &feature, const Accusation &accusation)
+    -> std::vector<TimePoint>
 {
-    auto times = std::vector<TimePoint>();
-    for (const auto &[crash, time] : accusation.crashes_) {
-        times.push_back(time);
+    const auto commonCause = limitsOf(feature).commonCauseTime_;
+    auto crashes = std::vector<Crash>();
+    for (const auto &[id, crash] : accusation.crashes_) {
+        crashes.push_back(crash);
     }
-    std::sort(times.begin(), times.end());
+    std::sort(crashes.begin(), crashes.end(), [](const Crash &left, const Crash &right) {
+        return left.crashedAt_ < right.crashedAt_;
+    });
     auto moments = std::vector<TimePoint>();
-    for (const auto time : times) {
-        if (moments.empty() || time - moments.back() >= commonCauseTime) {
-            moments.push_back(time);
+    for (const auto &[crashedAt, previous] : crashes) {
+        const auto endedRetry = previous != noCrash && accusation.crashes_.contains(previous);
+        if (moments.empty() || crashedAt - moments.back() >= commonCause || endedRetry) {
+            moments.push_back(crashedAt);
         }
     }
     return moments;
@@ -185,9 +233,9 @@
 
 auto CrashingRequestDetector::lastTime(const Accusation &accusation) -> TimePoint
 {
-    auto last = accusation.startedAt_.value_or(TimePoint());
-    for (const auto &[crash, time] : accusation.crashes_) {
-        last = std::max(last, time);
+    auto last = accusation.succeededAt_.value_or(TimePoint());
+    for (const auto &[id, crash] : accusation.crashes_) {
+        last = std::max(last, crash.crashedAt_);
     }
     return last;
 }
@@ -196,8 +244,8 @@
 auto CrashingRequestDetector::dropLeastTellingCrash(Accusation &accusation) -> void
 {
     auto byTime = std::vector<std::pair<TimePoint, CrashId>>();
-    for (const auto &[crash, time] : accusation.crashes_) {
-        byTime.emplace_back(time, crash);
+    for (const auto &[id, crash] : accusation.crashes_) {
+        byTime.emplace_back(crash.crashedAt_, id);
     }
     std::sort(byTime.begin(), byTime.end());
     auto dropped = std::size_t(1);
@@ -208,13 +256,33 @@
     accusation.crashes_.erase(byTime[dropped].second);
 }
 
-// Returns the segment that explains the most crashes; the deepest one if several do, since it is in the fewest prompts.
+// Returns until when a feature is refused if no other one explains its crashes; empty if it has too few of them.
+auto CrashingRequestDetector::refusalEnd(const RequestFeature &feature, const Accusation &accusation)
+    -> std::optional<TimePoint>
+{
+    const auto limits = limitsOf(feature);
+    // Spares the work for the many features that were lost in one crash.
+    if (accusation.crashes_.size() < limits.crashes_) {
+        return std::nullopt;
+    }
+    const auto crashMoments = moments(feature, accusation);
+    return crashMoments.size() < limits.crashes_
+        ? std::nullopt
+        : std::optional(crashMoments.back() + refusalTime(limits, crashMoments.size()));
+}
+
+// Returns, of the features with enough crashes, the one that explains the most; the deepest one if several do, since it
+// is in the fewest requests.
 auto CrashingRequestDetector::mostAccused(const Accusations &accusations) -> Accusations::const_iterator
 {
     auto most = accusations.end();
     auto mostRank = std::tuple(std::size_t(0), std::uint32_t(0));
     for (auto entry = accusations.begin(); entry != accusations.end(); ++entry) {
-        const auto rank = std::tuple(moments(entry->second).size(), entry->second.depth_);
+        const auto &[feature, accusation] = *entry;
+        if (!refusalEnd(feature, accusation)) {
+            continue;
+        }
+        const auto rank = std::tuple(moments(feature, accusation).size(), accusation.depth_);
         if (most == accusations.end() || rank > mostRank) {
             most = entry;
             mostRank = rank;
@@ -223,51 +291,68 @@
     return most;
 }
 
-// Returns until when each segment is refused. The most accused one is judged first, and what it explains is not held
-// against the others.
-auto CrashingRequestDetector::findRefused(Accusations accusations) -> std::map<std::uint64_t, TimePoint>
+// Returns until when each feature is refused. The most accused one is judged first, and what it explains is not held
+// against the others, except for whole requests that were lost in so many crashes that they are refused in any case.
+auto CrashingRequestDetector::findRefused(const Accusations &allAccusations) -> std::map<RequestFeature, TimePoint>
 {
-    auto refusedUntil = std::map<std::uint64_t, TimePoint>();
-    for (auto accused = mostAccused(accusations); accused != accusations.end(); accused = mostAccused(accusations)) {
-        const auto [segment, accusation] = *accused;
-        const auto crashMoments = moments(accusation);
-        if (crashMoments.size() < crashesBeforeSegmentRefusal) {
-            break;
+    auto refusedUntil = std::map<RequestFeature, TimePoint>();
+    auto accusations = Accusations();
+    for (const auto &[feature, accusation] : allAccusations) {
+        const auto end = refusalEnd(feature, accusation);
+        if (!end) {
+            continue;
         }
-        refusedUntil.emplace(segment, crashMoments.back() + refusalTime(crashMoments.size()));
-        accusations.erase(accused);
-        for (auto &[other, otherAccusation] : accusations) {
-            std::erase_if(otherAccusation.crashes_, [&explained = accusation.crashes_](const auto &crash) {
-                return explained.contains(crash.first);
-            });
+        accusations.emplace(feature, accusation);
+        const auto isWholeRequest = std::holds_alternative<WholeRequest>(feature);
+        if (isWholeRequest && moments(feature, accusation).size() >= crashesOfCertainRequest) {
+            refusedUntil.emplace(feature, *end);
         }
     }
+    for (auto accused = mostAccused(accusations); accused != accusations.end(); accused = mostAccused(accusations)) {
+        const auto [feature, accusation] = *accused;
+        refusedUntil.emplace(feature, *refusalEnd(feature, accusation));
+        accusations.erase(accused);
+        removeExplained(accusations, accusation);
+    }
     return refusedUntil;
 }
 
-auto CrashingRequestDetector::makeEvidence(std::uint64_t segment, const Accusation &accusation, TimePoint now)
-    -> SegmentEvidence
+auto CrashingRequestDetector::removeExplained(Accusations &accusations, const Accusation &refused) -> void
 {
-    auto crashes = std::vector<CrashReportOfSegment>();
-    for (const auto &[crash, crashedAt] : accusation.crashes_) {
-        crashes.push_back({.crash_ = crash, .age_ = ageOf(crashedAt, now)});
+    for (auto &[feature, accusation] : accusations) {
+        std::erase_if(accusation.crashes_, [&refused](const auto &crash) {
+            return refused.crashes_.contains(crash.first);
+        });
     }
-    const auto startAge
-        = accusation.startedAt_ ? std::optional(ageOf(*accusation.startedAt_, now)) : std::optional<Milliseconds>();
-    return {.segment_ = segment, .depth_ = accusation.depth_, .crashes_ = crashes, .startAge_ = startAge};
+}
+
+auto CrashingRequestDetector::makeEvidence(const RequestFeature &feature, const Accusation &accusation, TimePoint now)
+    -> FeatureEvidence
+{
+    auto crashes = std::vector<CrashOfFeature>();
+    for (const auto &[id, crash] : accusation.crashes_) {
+        crashes.push_back({.crash_ = {.id_ = id, .previous_ = crash.previous_}, .age_ = ageOf(crash.crashedAt_, now)});
+    }
+    const auto successAge
+        = accusation.succeededAt_ ? std::optional(ageOf(*accusation.succeededAt_, now)) : std::optional<Milliseconds>();
+    return {.feature_ = feature, .depth_ = accusation.depth_, .crashes_ = crashes, .successAge_ = successAge};
 }
 
 auto CrashingRequestDetector::removeExpired(TimePoint now) -> void
 {
-    for (auto &[segment, accusation] : accusations_) {
+    for (auto &[feature, accusation] : accusations_) {
+        const auto refusedUntil = refusalEnd(feature, accusation);
+        if (refusedUntil && now - *refusedUntil < crashEvidenceExpiry) {
+            continue;
+        }
         std::erase_if(accusation.crashes_, [now](const auto &crash) {
-            return now - crash.second >= crashEvidenceExpiry;
+            return now - crash.second.crashedAt_ >= crashEvidenceExpiry;
         });
     }
     std::erase_if(accusations_, [now](const auto &entry) {
         return entry.second.crashes_.empty() && now - lastTime(entry.second) >= crashEvidenceExpiry;
     });
-    while (accusations_.size() > maximumAccusedSegments) {
+    while (accusations_.size() > maximumAccusedFeatures) {
         accusations_.erase(
             std::min_element(accusations_.begin(), accusations_.end(), [](const auto &left, const auto &right) {
                 return std::pair(left.second.crashes_.size(), lastTime(left.second))
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -368,37 +368,41 @@
     auto operator<=>(const CrashReports &) const = default;
 };
 
-// A crash in which a request was lost before its first token.
-struct SegmentCrash
+// A crash in which a request was lost.
+struct FeatureCrash
 {
     // Identifies the crash, not the request: a hash of the upstream's id and incarnation.
     const std::uint64_t crash_ = 0;
     // Time since the crash.
     const Milliseconds age_ = Milliseconds(0);
+    // The crash in which the attempt before was lost if this one was a retry, else 0.
+    const std::uint64_t previous_ = 0;
 
-    auto operator<=>(const SegmentCrash &) const = default;
+    auto operator<=>(const FeatureCrash &) const = default;
 };
 
-// What is held against a prompt segment.
-struct SegmentEvidence
+// What is held against a feature that requests share.
+struct FeatureEvidence
 {
-    const std::uint64_t segment_ = 0;
-    // Its position in a prompt.
+    // The fingerprint of a whole request, or the id of a segment of a prompt.
+    const bool isWholeRequest_ = false;
+    const std::uint64_t id_ = 0;
+    // Its position among the features of a request.
     const std::uint32_t depth_ = 0;
-    const std::vector<SegmentCrash> crashes_;
-    // Time since the last first token of a request with the segment, if one is known.
-    const std::optional<Milliseconds> startAge_;
+    const std::vector<FeatureCrash> crashes_;
+    // Time since a request with the feature last went well, if one is known.
+    const std::optional<Milliseconds> successAge_;
 
-    auto operator<=>(const SegmentEvidence &) const = default;
+    auto operator<=>(const FeatureEvidence &) const = default;
 };
 
-// Router to router: the evidence from which prompt segments that crash engines are found.
-struct PromptCrashEvidence
+// Router to router: the evidence from which requests that crash upstreams are found.
+struct RequestCrashEvidence
 {
     const NodeId router_;
-    const std::vector<SegmentEvidence> segments_;
+    const std::vector<FeatureEvidence> features_;
 
-    auto operator<=>(const PromptCrashEvidence &) const = default;
+    auto operator<=>(const RequestCrashEvidence &) const = default;
 };
 
 // Router to router, after the sender has read all entries of the store and after another router registered: the version
@@ -452,6 +456,6 @@
 
 using Message = std::variant<Hello, Heartbeat, Dispatch, Started, Frame, Finished, Failed, Cancel, Attach, Void,
     VoidReply, Leaving, ManifestUpdate, AccountUsageReport, CrashReports, Drain, TimelineQuery, TimelineReply,
-    EngineUsageReport, StoreFollow, StoreChanges, Fragment, PromptCrashEvidence, ConfigurationInForce, CallerReport>;
+    EngineUsageReport, StoreFollow, StoreChanges, Fragment, RequestCrashEvidence, ConfigurationInForce, CallerReport>;
 
 } // namespace jasminewood::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -182,19 +182,19 @@
         std::cref(value.messageId_), std::cref(value.index_), std::cref(value.count_), Body {value.data_});
 }
 
-inline auto fieldsOf(const SegmentCrash &value)
+inline auto fieldsOf(const FeatureCrash &value)
 {
-    return std::tie(value.crash_, value.age_);
+    return std::tie(value.crash_, value.age_, value.previous_);
 }
 
-inline auto fieldsOf(const SegmentEvidence &value)
+inline auto fieldsOf(const FeatureEvidence &value)
 {
-    return std::tie(value.segment_, value.depth_, value.crashes_, value.startAge_);
+    return std::tie(value.isWholeRequest_, value.id_, value.depth_, value.crashes_, value.successAge_);
 }
 
-inline auto fieldsOf(const PromptCrashEvidence &value)
+inline auto fieldsOf(const RequestCrashEvidence &value)
 {
-    return std::tie(value.router_, value.segments_);
+    return std::tie(value.router_, value.features_);
 }
 
 inline auto fieldsOf(const ConfigurationInForce &value)
@@ -282,7 +282,7 @@
 template <>
 inline constexpr std::uint32_t typeNumber<Fragment> = 22;
 template <>
-inline constexpr std::uint32_t typeNumber<PromptCrashEvidence> = 23;
+inline constexpr std::uint32_t typeNumber<RequestCrashEvidence> = 23;
 template <>
 inline constexpr std::uint32_t typeNumber<ConfigurationInForce> = 24;
 template <>
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -104,18 +104,21 @@
     return CrashReports {.reports_ = std::move(reports)};
 }
 
-inline auto anyPromptCrashEvidence() -> PromptCrashEvidence
+inline auto anyRequestCrashEvidence() -> RequestCrashEvidence
 {
-    auto segments = std::vector<SegmentEvidence>();
+    auto features = std::vector<FeatureEvidence>();
     const auto count = *rc::gen::inRange(0, 5);
     for (auto index = 0; index < count; ++index) {
-        const auto startAge = anyNumber<bool>() ? std::optional(anyDuration<Milliseconds>()) : std::nullopt;
-        segments.push_back({.segment_ = anyNumber<std::uint64_t>(),
+        const auto successAge = anyNumber<bool>() ? std::optional(anyDuration<Milliseconds>()) : std::nullopt;
+        features.push_back({.isWholeRequest_ = anyNumber<bool>(),
+            .id_ = anyNumber<std::uint64_t>(),
             .depth_ = anyNumber<std::uint32_t>(),
-            .crashes_ = {{.crash_ = anyNumber<std::uint64_t>(), .age_ = anyDuration<Milliseconds>()}},
-            .startAge_ = startAge});
+            .crashes_ = {{.crash_ = anyNumber<std::uint64_t>(),
+                .age_ = anyDuration<Milliseconds>(),
+                .previous_ = anyNumber<std::uint64_t>()}},
+            .successAge_ = successAge});
     }
-    return PromptCrashEvidence {.router_ = anyNodeId(), .segments_ = std::move(segments)};
+    return RequestCrashEvidence {.router_ = anyNodeId(), .features_ = std::move(features)};
 }
 
 inline auto anyAccountUsageReport() -> AccountUsageReport
@@ -226,7 +229,8 @@
             .index_ = anyNumber<std::uint32_t>(),
             .count_ = anyNumber<std::uint32_t>(),
             .data_ = anyBody()},
-        anyPromptCrashEvidence(), ConfigurationInForce {.router_ = anyNodeId(), .version_ = anyNumber<std::uint64_t>()},
+        anyRequestCrashEvidence(),
+        ConfigurationInForce {.router_ = anyNodeId(), .version_ = anyNumber<std::uint64_t>()},
         CallerReport {.router_ = anyNodeId(),
             .connections_ = anyNumber<std::uint32_t>(),
             .readyFor_ = anyNumber<bool>() ? std::optional(anyDuration<Milliseconds>()) : std::nullopt}};
