--- a/packages/routing/tests/upstream_rate_limits_test.cpp
+++ b/packages/routing/tests/upstream_rate_limits_test.cpp
@@ -22,6 +22,11 @@
 const auto start = TimePoint(Milliseconds(1'000'000'000));
 const auto upstream = NodeId {.name_ = "u", .incarnation_ = 7};
 const auto alone = RouterFleet {.self_ = "r0"};
+constexpr auto stepTime = 10ms;
+// The operators' bound holds in each such window, from the reaction time on, for routers that were told so long before.
+constexpr auto window = 4'000ms;
+constexpr auto reactionTime = 3'000ms;
+constexpr auto toldTime = 500ms;
 
 // Returns limits that the upstream has named at the given time.
 auto named(double perSecond, TimePoint now) -> UpstreamRateLimits
@@ -73,11 +78,6 @@
     }
 
 private:
-    static constexpr auto stepTime = 10ms;
-    static constexpr auto window = 4'000ms;
-    static constexpr auto reactionTime = 3'000ms;
-    static constexpr auto toldTime = 500ms;
-
     struct Response
     {
         TimePoint dueAt_;
