Begin a stream only at a version of which all routers know

Cause: where no upstream of an agreed version was eligible, a stream began at any other version at once. A router that was cut off took the older version for the only one for up to 2 s, and resumed the stream there. Change: such streams are refused as not run until the version has been agreed on for 2 s (AllowedVersions in place of PreferredVersions, which had the exception). Why it works: a router that has not heard of a version for 2 s believes in no single one, and no stream begins there sooner.

--- a/packages/forward/include/jasminewood/forward/stream_origins.h
+++ b/packages/forward/include/jasminewood/forward/stream_origins.h
@@ -56,7 +56,7 @@
 
     // Returns the versions at which new streams of the service should begin: those of which all routers know, otherwise
     // those that are agreed on; empty if there are none.
-    auto preferredVersions(const std::string &service) const -> std::set<std::string>;
+    auto allowedVersions(const std::string &service) const -> std::set<std::string>;
 
     // Records that the first event of a new stream was passed on, which this request brought. An empty version stands
     // for an unknown one.
--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -58,12 +58,12 @@
     auto operator<=>(const AnyVersion &) const = default;
 };
 
-// Upstreams of these versions are chosen, or others if none of these is eligible.
-struct PreferredVersions
+// Only upstreams of these versions may be chosen, or of any version if there are none of them.
+struct AllowedVersions
 {
     const std::set<std::string> versions_;
 
-    auto operator<=>(const PreferredVersions &) const = default;
+    auto operator<=>(const AllowedVersions &) const = default;
 };
 
 // Only upstreams of this version may be chosen, because it began the stream that is resumed. No upstream matches an
@@ -75,7 +75,7 @@
     auto operator<=>(const RequiredVersion &) const = default;
 };
 
-using VersionCriterion = std::variant<AnyVersion, PreferredVersions, RequiredVersion>;
+using VersionCriterion = std::variant<AnyVersion, AllowedVersions, RequiredVersion>;
 
 // The properties of a request by which its upstream is chosen.
 struct SelectionCriteria
@@ -264,8 +264,7 @@
         -> routing::AvailabilityState;
     // Returns the routers that share the rate limits; only this one if there are no limits.
     auto fleet(TimePoint now) const -> routing::RouterFleet;
-    // Returns the upstreams of the service that may be chosen. Ejected ones are returned only if all are ejected, and
-    // ones of other than the preferred versions only if there are no others.
+    // Returns the upstreams of the service that may be chosen. Ejected ones are returned only if all are ejected.
     auto eligibleUpstreams(const SelectionCriteria &criteria, TimePoint now) const -> std::vector<const Upstream *>;
     auto chooseUpstream(const std::vector<const Upstream *> &eligible, TimePoint now) -> Result<std::string>;
     auto chooseEngine(const SelectionCriteria &criteria, const std::vector<const Upstream *> &eligible, TimePoint now)
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -242,7 +242,7 @@
 auto RequestRun::versionCriterion() const -> VersionCriterion
 {
     return streamVersion_.criterion(resumable_
-            ? VersionCriterion(PreferredVersions {.versions_ = frontend_.streamOrigins_->preferredVersions(service_)})
+            ? VersionCriterion(AllowedVersions {.versions_ = frontend_.streamOrigins_->allowedVersions(service_)})
             : VersionCriterion(AnyVersion {}));
 }
 
--- a/packages/forward/src/stream_origins.cpp
+++ b/packages/forward/src/stream_origins.cpp
@@ -119,7 +119,7 @@
             }});
 }
 
-auto StreamOrigins::preferredVersions(const std::string &service) const -> std::set<std::string>
+auto StreamOrigins::allowedVersions(const std::string &service) const -> std::set<std::string>
 {
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -59,8 +59,8 @@
     return std::visit(Overloaded {[](const AnyVersion &) {
                                       return true;
                                   },
-                          [&version](const PreferredVersions &preferred) {
-                              return preferred.versions_.contains(version);
+                          [&version](const AllowedVersions &allowed) {
+                              return allowed.versions_.empty() || allowed.versions_.contains(version);
                           },
                           [&version](const RequiredVersion &required) {
                               return !version.empty() && required.version_ == version;
@@ -201,9 +201,7 @@
     const auto isAvailable = [now](const Upstream *upstream) {
         return !upstream->ejectedUntil_ || now >= *upstream->ejectedUntil_;
     };
-    const auto ofVersion = filter(eligible, hasVersion);
-    const auto versionIsRequired = std::holds_alternative<RequiredVersion>(criteria.versions_);
-    const auto &candidates = ofVersion.empty() && !versionIsRequired ? eligible : ofVersion;
+    const auto candidates = filter(eligible, hasVersion);
     const auto available = filter(candidates, isAvailable);
     return available.empty() ? candidates : available;
 }
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -71,6 +71,7 @@
     auto configuration() -> ConfigurationWatcher &;
     auto upstreams() -> UpstreamWatcher &;
     auto probes() -> ProbeServer &;
+    auto streamOrigins() -> StreamOrigins &;
     auto store() -> testbench::FakeKv &;
     // Returns the metrics in Prometheus's text format.
     auto metrics() const -> std::string;
@@ -83,6 +84,7 @@
     std::shared_ptr<platform::KeyValueClient> client_;
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
+    std::shared_ptr<StreamOrigins> streamOrigins_;
     std::shared_ptr<Frontend> frontend_;
     std::shared_ptr<ProbeServer> probes_;
     kernel::ServiceRegistry registry_;
--- a/packages/forward/tests/resumed_version_test.cpp
+++ b/packages/forward/tests/resumed_version_test.cpp
@@ -100,6 +100,16 @@
             "the upstream is asked");
     }
 
+    // Waits until streams may begin at the version, because all routers know of it.
+    auto awaitAllowed(const std::string &version) -> void
+    {
+        waitUntil(
+            [this, &version] {
+                return fixture_.streamOrigins().allowedVersions("pool").contains(version);
+            },
+            "streams may begin at the version");
+    }
+
     auto requests(const std::string &id) -> int
     {
         return requests_[id];
@@ -316,6 +326,7 @@
                     [] {
                         auto streams = Streams({.events_ = 0, .ending_ = Ending::BreaksOff});
                         streams.add("b", newer, "ready 1 v2");
+                        streams.awaitAllowed("v2");
                         check(streams.receive() == event(1, "v2") + event(2, "v2") + event(3, "v2"));
                     }),
                 // Guards against the version of a stalled upstream that sent nothing.
