--- a/packages/forward/include/jasminewood/forward/stream_origins.h
+++ b/packages/forward/include/jasminewood/forward/stream_origins.h
@@ -54,8 +54,8 @@
     auto start(const kernel::ServiceRegistry &services) -> Status;
     auto stop() -> void;
 
-    // Returns the versions at which new streams of the service should begin: those of which all routers know, otherwise
-    // those that are agreed on; empty if there are none.
+    // Returns the versions at which new streams of the service may begin: those of which all routers know, otherwise
+    // those that are agreed on; empty if there are none, and streams may begin at any.
     auto allowedVersions(const std::string &service) const -> std::set<std::string>;
 
     // Records that the first event of a new stream was passed on, which this request brought. An empty version stands
--- a/packages/forward/tests/crashing_requests_test.cpp
+++ b/packages/forward/tests/crashing_requests_test.cpp
@@ -183,36 +183,6 @@
     });
 }
 
-using Routers = std::vector<std::unique_ptr<RouterFixture>>;
-
-// Starts routers and waits until they know each other.
-auto startRouters(const std::vector<std::string> &names, const testbench::FakeKv &store) -> Routers
-{
-    auto routers = Routers();
-    for (const auto &name : names) {
-        routers.push_back(std::make_unique<RouterFixture>(name, store.port()));
-    }
-    waitUntil(
-        [&routers] {
-            return std::all_of(routers.begin(), routers.end(), [&routers](const auto &router) {
-                return router->network().peerCount() + 1 == routers.size();
-            });
-        },
-        "the routers know each other");
-    return routers;
-}
-
-auto waitForEngines(const Routers &routers, std::size_t count) -> void
-{
-    waitUntil(
-        [&routers, count] {
-            return std::all_of(routers.begin(), routers.end(), [count](const auto &router) {
-                return router->pool().size() == count && router->configuration().current() != nullptr;
-            });
-        },
-        "the routers know the engines and the configuration");
-}
-
 // Returns the URL of the idempotent route at a router.
 auto urlOf(RouterFixture &router) -> std::string
 {
@@ -256,7 +226,7 @@
                 test("are refused by all of them, also by one that starts later",
                     [] {
                         const auto store = *testbench::FakeKv::start({});
-                        auto routers = startRouters({"router-0", "router-1", "router-2"}, *store);
+                        auto routers = startRouters(3, *store);
                         for (auto index = std::size_t(0); index < routers.size(); ++index) {
                             const auto engine = "e" + std::to_string(index);
                             routers[index]->crashingRequests().recordCrash({.id_ = engine},
@@ -297,13 +267,13 @@
                 test("are refused by all routers once one of them has retried, also by one that starts later",
                     [] {
                         const auto store = *testbench::FakeKv::start({});
-                        auto routers = startRouters({"router-0", "router-1", "router-2"}, *store);
+                        auto routers = startRouters(3, *store);
                         const auto engines = startEngines(routers.front()->store());
-                        waitForEngines(routers, engineCount);
+                        waitForUpstreams(routers, engineCount);
                         check(send(urlOf(*routers.front()), "bad", deadlyBody).status_ == 502);
                         check(crashedEngines(engines) == routing::crashesBeforeRequestRefusal);
                         routers.push_back(std::make_unique<RouterFixture>("router-3", store->port()));
-                        waitForEngines(routers, engineCount);
+                        waitForUpstreams(routers, engineCount);
                         // The operators' bound is 3 s.
                         std::this_thread::sleep_for(1s);
                         for (const auto &router : routers) {
--- a/packages/forward/tests/rate_limited_upstream_test.cpp
+++ b/packages/forward/tests/rate_limited_upstream_test.cpp
@@ -89,29 +89,15 @@
     std::shared_ptr<http::Server> server_;
 };
 
-using Routers = std::vector<std::unique_ptr<RouterFixture>>;
-
-// Starts routers that know each other and these upstreams, in this order "u0", "u1" and so on.
-auto startRouters(const testbench::FakeKv &store, const std::vector<const LimitedUpstream *> &upstreams) -> Routers
+// Registers the upstreams as "u0", "u1" and so on, and waits until the routers know them.
+auto registerUpstreams(const Routers &routers, const std::vector<const LimitedUpstream *> &upstreams) -> void
 {
-    auto routers = Routers();
-    for (auto index = std::size_t(0); index < routerCount; ++index) {
-        routers.push_back(std::make_unique<RouterFixture>("router-" + std::to_string(index), store.port()));
-    }
     auto &client = routers.front()->store();
     check(bool(client.put(configurationKey, "1")));
     for (auto index = std::size_t(0); index < upstreams.size(); ++index) {
         check(bool(client.put(upstreamPrefix + ("u" + std::to_string(index)), upstreams[index]->address() + " ready")));
     }
-    waitUntil(
-        [&routers, &upstreams] {
-            return std::all_of(routers.begin(), routers.end(), [&](const auto &router) {
-                return router->pool().size() == upstreams.size() && router->configuration().current() != nullptr
-                    && router->pool().routerCount(Clock::now()) == routerCount;
-            });
-        },
-        "the routers know each other and the upstreams");
-    return routers;
+    waitForUpstreams(routers, upstreams.size());
 }
 
 // Sends requests to all routers at a steady rate for the given time. Returns how many were answered with another status
@@ -150,12 +136,28 @@
                         const auto store = *testbench::FakeKv::start({});
                         auto limited = LimitedUpstream("1");
                         const auto other = LimitedUpstream("");
-                        const auto routers = startRouters(*store, {&limited, &other});
+                        const auto routers = startRouters(routerCount, *store);
+                        registerUpstreams(routers, {&limited, &other});
                         const auto start = Clock::now();
                         check(sendRequests(routers, 7'000ms) == 0);
                         const auto most = limited.mostInWindow(start + 1'000ms);
                         check(most <= boundFor1PerSecond, std::to_string(most));
                     }),
+                // Guards against an upstream that is spared although it is no longer in need.
+                test("gets its part of all requests again once it names none",
+                    [] {
+                        const auto store = *testbench::FakeKv::start({});
+                        auto limited = LimitedUpstream("1");
+                        const auto other = LimitedUpstream("");
+                        const auto routers = startRouters(routerCount, *store);
+                        registerUpstreams(routers, {&limited, &other});
+                        check(sendRequests(routers, 1'000ms) == 0);
+                        limited.setLimit("");
+                        const auto end = Clock::now();
+                        check(sendRequests(routers, 8'000ms) == 0);
+                        const auto most = limited.mostInWindow(end);
+                        check(most > boundFor1PerSecond, std::to_string(most));
+                    }),
             }),
     }};
 
--- a/packages/forward/tests/router_fixture.cpp
+++ b/packages/forward/tests/router_fixture.cpp
@@ -1,5 +1,7 @@
 #include "router_fixture.h"
 
+#include <algorithm>
+
 #include "jasminewood/testkit/test_suite.h"
 
 namespace jasminewood::forward
@@ -91,4 +93,32 @@
     registry_.stopAll();
 }
 
+auto startRouters(std::size_t count, const testbench::FakeKv &store) -> Routers
+{
+    auto routers = Routers();
+    for (auto index = std::size_t(0); index < count; ++index) {
+        routers.push_back(std::make_unique<RouterFixture>("router-" + std::to_string(index), store.port()));
+    }
+    waitUntil(
+        [&routers] {
+            return std::all_of(routers.begin(), routers.end(), [&routers](const auto &router) {
+                return router->network().peerCount() + 1 == routers.size()
+                    && router->pool().routerCount(Clock::now()) == routers.size();
+            });
+        },
+        "the routers know each other");
+    return routers;
+}
+
+auto waitForUpstreams(const Routers &routers, std::size_t count) -> void
+{
+    waitUntil(
+        [&routers, count] {
+            return std::all_of(routers.begin(), routers.end(), [count](const auto &router) {
+                return router->pool().size() == count && router->configuration().current() != nullptr;
+            });
+        },
+        "the routers know the upstreams and the configuration");
+}
+
 } // namespace jasminewood::forward
--- a/packages/forward/tests/router_fixture.h
+++ b/packages/forward/tests/router_fixture.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "frontend_fixture.h"
 #include "jasminewood/forward/caller_balance.h"
@@ -56,4 +57,12 @@
     kernel::ServiceRegistry registry_;
 };
 
+using Routers = std::vector<std::unique_ptr<RouterFixture>>;
+
+// Starts routers "router-0", "router-1" and so on, and waits until they know each other.
+auto startRouters(std::size_t count, const testbench::FakeKv &store) -> Routers;
+
+// Waits until all routers know a configuration and so many upstreams.
+auto waitForUpstreams(const Routers &routers, std::size_t count) -> void;
+
 } // namespace jasminewood::forward
