Keep evidence against segments beside that against many lost requests

What would be seen: a deadly segment crashes more engines than it needs to, since its first crash is forgotten. Cause: each crash accuses every request that was lost in it, and most never come again; they shared one limit of 512 entries with the segments, and the oldest of those with one crash went first. Why it works: requests displace only requests.

--- a/packages/routing/include/jasminewood/routing/crashing_request_detector.h
+++ b/packages/routing/include/jasminewood/routing/crashing_request_detector.h
@@ -73,8 +73,10 @@
 // How long evidence is kept; evidence against a refused feature is kept for this time after its refusal, so that a
 // trial is judged by what came before.
 constexpr Milliseconds crashEvidenceExpiry = Milliseconds(900'000);
-// The maximum numbers of features, and of crashes of each, that are kept as evidence.
-constexpr std::size_t maximumAccusedFeatures = 512;
+// The maximum numbers of segments, of whole requests, and of crashes of each, that are kept as evidence. Each crash
+// accuses many whole requests that never come again, which must not displace what is known of segments.
+constexpr std::size_t maximumAccusedSegments = 256;
+constexpr std::size_t maximumAccusedRequests = 512;
 constexpr std::size_t maximumCrashesPerFeature = 32;
 
 // Identifies a crash; equal for all requests that were lost in it.
@@ -143,8 +145,8 @@
     // Returns whether there is no evidence.
     auto isEmpty() const -> bool;
 
-    // Returns the evidence about at most this many features, those with the most crashes first.
-    auto evidence(std::size_t maximumFeatures, TimePoint now) const -> CrashEvidence;
+    // Returns the evidence about at most this many segments and as many whole requests, those with the most crashes.
+    auto evidence(std::size_t maximumOfEachKind, TimePoint now) const -> CrashEvidence;
 
     // Returns how long requests with these features are still refused; empty if this one may be sent. It then is the
     // trial of each of its features whose refusal has ended.
@@ -184,6 +186,9 @@
         -> FeatureEvidence;
     static auto removeExplained(Accusations &accusations, const Accusation &refused) -> void;
     auto removeExpired(TimePoint now) -> void;
+    // Removes the least accused features of a kind beyond the maximum number.
+    template <typename Kind>
+    auto limit(std::size_t maximum) -> void;
     auto decide(TimePoint now) -> void;
 
     Accusations accusations_;
--- a/packages/routing/src/crashing_request_detector.cpp
+++ b/packages/routing/src/crashing_request_detector.cpp
@@ -56,6 +56,14 @@
     return std::min(time, limits.maximumTime_);
 }
 
+// Orders features with their number of crashes and their last time; the latest is the most telling of equals.
+template <typename Entry>
+auto isLessAccused(const std::tuple<std::size_t, TimePoint, Entry> &left,
+    const std::tuple<std::size_t, TimePoint, Entry> &right) -> bool
+{
+    return std::pair(std::get<0>(left), std::get<1>(left)) < std::pair(std::get<0>(right), std::get<1>(right));
+}
+
 auto ageOf(TimePoint time, TimePoint now) -> Milliseconds
 {
     return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(now - time));
@@ -124,18 +132,17 @@
     return accusations_.empty();
 }
 
-auto CrashingRequestDetector::evidence(std::size_t maximumFeatures, TimePoint now) const -> CrashEvidence
+auto CrashingRequestDetector::evidence(std::size_t maximumOfEachKind, TimePoint now) const -> CrashEvidence
 {
     auto ranked = std::vector<std::tuple<std::size_t, TimePoint, Accusations::const_iterator>>();
     for (auto entry = accusations_.begin(); entry != accusations_.end(); ++entry) {
         ranked.emplace_back(entry->second.crashes_.size(), lastTime(entry->second), entry);
     }
-    std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
-        return std::tie(std::get<0>(left), std::get<1>(left)) > std::tie(std::get<0>(right), std::get<1>(right));
-    });
+    std::sort(ranked.rbegin(), ranked.rend(), &isLessAccused<Accusations::const_iterator>);
     auto evidence = CrashEvidence();
+    auto countByKind = std::map<std::size_t, std::size_t>();
     for (const auto &[crashes, time, entry] : ranked) {
-        if (evidence.size() < maximumFeatures) {
+        if (++countByKind[entry->first.index()] <= maximumOfEachKind) {
             evidence.push_back(makeEvidence(entry->first, entry->second, now));
         }
     }
@@ -352,12 +359,25 @@
     std::erase_if(accusations_, [now](const auto &entry) {
         return entry.second.crashes_.empty() && now - lastTime(entry.second) >= crashEvidenceExpiry;
     });
-    while (accusations_.size() > maximumAccusedFeatures) {
-        accusations_.erase(
-            std::min_element(accusations_.begin(), accusations_.end(), [](const auto &left, const auto &right) {
-                return std::pair(left.second.crashes_.size(), lastTime(left.second))
-                    < std::pair(right.second.crashes_.size(), lastTime(right.second));
-            }));
+    limit<SharedSegment>(maximumAccusedSegments);
+    limit<WholeRequest>(maximumAccusedRequests);
+}
+
+template <typename Kind>
+auto CrashingRequestDetector::limit(std::size_t maximum) -> void
+{
+    auto ranked = std::vector<std::tuple<std::size_t, TimePoint, Accusations::iterator>>();
+    for (auto entry = accusations_.begin(); entry != accusations_.end(); ++entry) {
+        if (std::holds_alternative<Kind>(entry->first)) {
+            ranked.emplace_back(entry->second.crashes_.size(), lastTime(entry->second), entry);
+        }
+    }
+    if (ranked.size() <= maximum) {
+        return;
+    }
+    std::sort(ranked.begin(), ranked.end(), &isLessAccused<Accusations::iterator>);
+    for (auto index = std::size_t(0); index < ranked.size() - maximum; ++index) {
+        accusations_.erase(std::get<2>(ranked[index]));
     }
 }
 
--- a/packages/routing/tests/crashing_request_detector_test.cpp
+++ b/packages/routing/tests/crashing_request_detector_test.cpp
@@ -196,6 +196,19 @@
                         check(detector.refusedFeatures(now) == segments({deadly}));
                         check(detector.evidence(1, now).front().crashes_.size() <= maximumCrashesPerFeature);
                     }),
+                // Guards against a deadly segment that is forgotten because each crash accuses many requests that never
+                // come again.
+                test("keeps what is held against a segment beside many lost requests",
+                    [] {
+                        auto detector = CrashingRequestDetector();
+                        auto now = crash(detector, segments({deadly}), 1, start);
+                        for (auto id = CrashId(0); id < 2 * maximumAccusedRequests; ++id) {
+                            now += 1ms;
+                            detector.recordCrash({.id_ = 1 + id / 50}, request(1'000 + id), now);
+                        }
+                        now = crash(detector, segments({deadly}), 2, now);
+                        check(isRefused(detector, segments({deadly}), now));
+                    }),
                 // Guards against earlier crashes that are forgotten because many engines crash at once.
                 test("keeps crashes at other moments",
                     [] {
