Do not blame a segment for crashes that a whole request explains as well

What callers would see: beside a request that crashes each engine, a quarter of all prompts is refused for minutes, those that share a segment with what was lost beside it. Cause: of several features with enough crashes the one with most is judged first. Crashes of whole requests count once a second and those of segments once in 0.25 s, so that of the same six crashes a segment seemed to have six and the request three. With equal numbers the segment came first too. Its refusal then kept it from completing, which would have cleared it. Change: for the order all crashes are counted in the same way, and of equals a whole request goes first, as the feature that is in the fewest requests, which was the rule for segments already.

--- a/packages/routing/include/jasminewood/routing/crashing_request_detector.h
+++ b/packages/routing/include/jasminewood/routing/crashing_request_detector.h
@@ -176,7 +176,7 @@
     auto accuse(const RequestFeature &feature, std::uint32_t depth, CrashId id, const Crash &crash) -> bool;
     // Returns whether there was anything to take back.
     static auto takeBack(Accusation &accusation, TimePoint succeededAt) -> bool;
-    static auto moments(const RequestFeature &feature, const Accusation &accusation) -> std::vector<TimePoint>;
+    static auto moments(const Accusation &accusation, Milliseconds commonCause) -> std::vector<TimePoint>;
     static auto lastTime(const Accusation &accusation) -> TimePoint;
     static auto dropLeastTellingCrash(Accusation &accusation) -> void;
     static auto refusalEnd(const RequestFeature &feature, const Accusation &accusation) -> std::optional<TimePoint>;
--- a/packages/routing/src/crashing_request_detector.cpp
+++ b/packages/routing/src/crashing_request_detector.cpp
@@ -44,6 +44,11 @@
         feature);
 }
 
+auto isWholeRequest(const RequestFeature &feature) -> bool
+{
+    return std::holds_alternative<WholeRequest>(feature);
+}
+
 auto refusalTime(const RefusalLimits &limits, std::size_t crashes) -> Milliseconds
 {
     if (crashes <= limits.crashes_) {
@@ -216,11 +221,9 @@
     return erased > 0;
 }
 
-// Returns the moments of the crashes; those of a common cause count as one.
-auto CrashingRequestDetector::moments(const RequestFeature &feature, const Accusation &accusation)
-    -> std::vector<TimePoint>
+// Returns the moments of the crashes; those that came sooner than this after the one before count as one with it.
+auto CrashingRequestDetector::moments(const Accusation &accusation, Milliseconds commonCause) -> std::vector<TimePoint>
 {
-    const auto commonCause = limitsOf(feature).commonCauseTime_;
     auto crashes = std::vector<Crash>();
     for (const auto &[id, crash] : accusation.crashes_) {
         crashes.push_back(crash);
@@ -272,24 +275,25 @@
     if (accusation.crashes_.size() < limits.crashes_) {
         return std::nullopt;
     }
-    const auto crashMoments = moments(feature, accusation);
+    const auto crashMoments = moments(accusation, limits.commonCauseTime_);
     return crashMoments.size() < limits.crashes_
         ? std::nullopt
         : std::optional(crashMoments.back() + refusalTime(limits, crashMoments.size()));
 }
 
-// Returns, of the features with enough crashes, the one that explains the most; the deepest one if several do, since it
-// is in the fewest requests.
+// Returns, of the features with enough crashes, the one that explains the most; if several do, a whole request, then
+// the deepest segment, since it is in the fewest requests. The crashes of both kinds are counted in the same way.
 auto CrashingRequestDetector::mostAccused(const Accusations &accusations) -> Accusations::const_iterator
 {
     auto most = accusations.end();
-    auto mostRank = std::tuple(std::size_t(0), std::uint32_t(0));
+    auto mostRank = std::tuple(std::size_t(0), false, std::uint32_t(0));
     for (auto entry = accusations.begin(); entry != accusations.end(); ++entry) {
         const auto &[feature, accusation] = *entry;
         if (!refusalEnd(feature, accusation)) {
             continue;
         }
-        const auto rank = std::tuple(moments(feature, accusation).size(), accusation.depth_);
+        const auto rank
+            = std::tuple(moments(accusation, commonCauseTime).size(), isWholeRequest(feature), accusation.depth_);
         if (most == accusations.end() || rank > mostRank) {
             most = entry;
             mostRank = rank;
@@ -310,8 +314,7 @@
             continue;
         }
         accusations.emplace(feature, accusation);
-        const auto isWholeRequest = std::holds_alternative<WholeRequest>(feature);
-        if (isWholeRequest && moments(feature, accusation).size() >= crashesOfCertainRequest) {
+        if (isWholeRequest(feature) && moments(accusation, requestCommonCauseTime).size() >= crashesOfCertainRequest) {
             refusedUntil.emplace(feature, *end);
         }
     }
--- a/packages/routing/tests/crashing_request_detector_test.cpp
+++ b/packages/routing/tests/crashing_request_detector_test.cpp
@@ -274,6 +274,19 @@
                         }
                         check(detector.refusedFeatures(now) == request(deadly));
                     }),
+                // Guards against a segment of many prompts that is refused since its crashes, sooner after each other
+                // than those of a whole request may count, seem to be more.
+                test("does not refuse a segment that was lost beside it each time",
+                    [] {
+                        auto detector = CrashingRequestDetector();
+                        auto now = start;
+                        for (auto id = CrashId(0); id < 5; ++id) {
+                            now += 600ms;
+                            detector.recordCrash({.id_ = id}, request(deadly), now);
+                            detector.recordCrash({.id_ = id}, segments({sharedByAll}), now);
+                        }
+                        check(detector.refusedFeatures(now) == request(deadly));
+                    }),
                 // Guards against a deadly segment that is missed because each prompt with it is refused for itself.
                 test("blames the segment that several such requests share",
                     [] {
