--- a/packages/forward/src/error_responses.h
+++ b/packages/forward/src/error_responses.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "jasminewood/core/clock.h"
 #include "jasminewood/forward/admission.h"
 #include "jasminewood/http/server.h"
 
@@ -11,6 +12,10 @@
 namespace jasminewood::forward::internal
 {
 
+constexpr int serviceUnavailable = 503;
+// Retry delay sent if there is no configuration or no upstream, or if no upstream ran the request.
+constexpr Milliseconds unavailableRetryAfter = Milliseconds(500);
+
 // Returns a JSON error with run state not_run.
 auto refusalResponse(const Refusal &refusal, const std::string &requestId) -> http::Response;
 
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "jasminewood/core/overloaded.h"
+#include "upstream_node_id.h"
 
 namespace jasminewood::forward
 {
@@ -23,11 +24,6 @@
 // The share of an engine's KV cache that is assumed to hold reusable prompt prefixes. Running requests use the rest.
 constexpr double prefixCacheShare = 0.6;
 
-auto nodeIdOf(const membership::UpstreamRecord &record) -> NodeId
-{
-    return {.name_ = record.id_, .incarnation_ = std::uint64_t(record.incarnation_)};
-}
-
 auto promptTokens(const PromptInfo &prompt) -> std::uint64_t
 {
     const auto add = [](std::uint64_t sum, const routing::PromptSegment &segment) {
@@ -136,30 +132,7 @@
 {
     const auto age = std::chrono::duration<double>(now - upstream.reportedAt_) / slownessHalfLife;
     const auto decayedSlowness = 1 + std::max(0.0, upstream.reportedSlowness_ - 1) * std::exp2(-age);
-    return decayedSlowness * health_[upstream.record_->service_].slowness(nodeIdOf(*upstream.record_), now);
-}
-
-auto UpstreamPool::isRoutable(const Upstream &upstream, TimePoint now) -> bool
-{
-    return !upstream.misdirected_ && (!upstream.routableUntil_ || now < *upstream.routableUntil_);
-}
-
-auto UpstreamPool::availability(const Upstream &upstream, const routing::RouterFleet &fleet, TimePoint now) const
-    -> routing::AvailabilityState
-{
-    const auto node = nodeIdOf(*upstream.record_);
-    const auto state = availability_.stateOf(node, now);
-    const auto wait = rateLimits_.timeUntilAllowed(node, fleet, now);
-    if (!std::holds_alternative<routing::Available>(state) || wait == Milliseconds(0)) {
-        return state;
-    }
-    // This router has no part of the limit as long as it does not change.
-    return wait ? routing::AvailabilityState(routing::BackingOff {.until_ = now + *wait}) : routing::Leaving {};
-}
-
-auto UpstreamPool::fleet(TimePoint now) const -> routing::RouterFleet
-{
-    return {.self_ = routerName_, .others_ = rateLimits_.isEmpty() ? std::set<std::string>() : peerLoads_.peers(now)};
+    return decayedSlowness * health_[upstream.record_->service_].slowness(internal::nodeIdOf(*upstream.record_), now);
 }
 
 auto UpstreamPool::setRouterName(const std::string &name) -> void
@@ -168,19 +141,6 @@
     routerName_ = name;
 }
 
-auto UpstreamPool::timeUntilAvailable(const std::string &service, TimePoint now) const -> std::optional<Milliseconds>
-{
-    const auto lock = std::scoped_lock(mutex_);
-    const auto routers = fleet(now);
-    auto states = std::vector<routing::AvailabilityState>();
-    for (const auto &[id, upstream] : upstreams_) {
-        if (upstream.record_->service_ == service && isRoutable(upstream, now)) {
-            states.push_back(availability(upstream, routers, now));
-        }
-    }
-    return routing::timeUntilAvailable(states, now);
-}
-
 auto UpstreamPool::eligibleUpstreams(const SelectionCriteria &criteria, TimePoint now) const
     -> std::vector<const Upstream *>
 {
@@ -212,7 +172,7 @@
     for (const auto *upstream : eligible) {
         const auto load = requestsAtUpstream(*upstream);
         const auto slots = upstream->record_->slots_;
-        candidates.push_back({.node_ = nodeIdOf(*upstream->record_),
+        candidates.push_back({.node_ = internal::nodeIdOf(*upstream->record_),
             .dataCentre_ = upstream->record_->dataCentre_,
             .inFlight_ = load,
             .reportedAhead_ = upstream->reportedWaiting_,
@@ -313,7 +273,7 @@
     auto &upstream = upstreams_.at(*chosenId);
     const auto loadBefore = estimatedLoad(upstream, now);
     ++upstream.inFlight_;
-    rateLimits_.recordRequest(nodeIdOf(*upstream.record_), fleet(now), now);
+    rateLimits_.recordRequest(internal::nodeIdOf(*upstream.record_), fleet(now), now);
     auto prefillTokens = std::uint64_t(0);
     if (criteria.prompt_) {
         prefillTokens = promptTokens(*criteria.prompt_)
@@ -354,7 +314,7 @@
     removePendingPrefill(found->second, assignment);
     notifyLoadChange();
     health_[assignment.upstream_.service_].recordTimeToFirstToken(
-        nodeIdOf(assignment.upstream_), normalisedTimeToFirstToken(assignment, now), now);
+        internal::nodeIdOf(assignment.upstream_), normalisedTimeToFirstToken(assignment, now), now);
     if (assignment.pendingPrefillTokens_ == 0) {
         prefillRates_[assignment.upstream_.service_].record(
             assignment.prefillTokens_, std::max(1.0, found->second.reportedSlowness_), now - assignment.startedAt_);
@@ -381,50 +341,12 @@
             = std::min(maximumEjectionTime, minimumEjectionTime * (1 << std::min(upstream.consecutiveFailures_, 3U)));
         ++upstream.consecutiveFailures_;
         upstream.ejectedUntil_ = now + ejectionTime;
-        health_[upstream.record_->service_].recordFailure(nodeIdOf(*upstream.record_), now);
+        health_[upstream.record_->service_].recordFailure(internal::nodeIdOf(*upstream.record_), now);
     } else if (result == AttemptResult::Misdirected) {
         upstream.misdirected_ = true;
     }
 }
 
-auto UpstreamPool::recordLeaving(const Assignment &assignment) -> bool
-{
-    const auto lock = std::scoped_lock(mutex_);
-    return availability_.recordLeaving(nodeIdOf(assignment.upstream_));
-}
-
-auto UpstreamPool::recordRetryAfter(const Assignment &assignment, Milliseconds retryAfter, TimePoint now) -> bool
-{
-    const auto lock = std::scoped_lock(mutex_);
-    return availability_.recordRetryAfter(nodeIdOf(assignment.upstream_), retryAfter, now);
-}
-
-auto UpstreamPool::recordRateLimit(
-    const Assignment &assignment, const routing::RateLimitStatement &statement, TimePoint now) -> bool
-{
-    const auto lock = std::scoped_lock(mutex_);
-    const auto node = nodeIdOf(assignment.upstream_);
-    if (!rateLimits_.recordStatement(node, statement, assignment.startedAt_, now)) {
-        return false;
-    }
-    rateLimitsChanged_ = true;
-    notifyLoadChange();
-    return true;
-}
-
-auto UpstreamPool::takeRateLimitReports(bool all, TimePoint now) -> std::vector<routing::RateLimitReport>
-{
-    const auto lock = std::scoped_lock(mutex_);
-    const auto changed = std::exchange(rateLimitsChanged_, false);
-    return all || changed ? rateLimits_.reports(now) : std::vector<routing::RateLimitReport>();
-}
-
-auto UpstreamPool::applyRateLimitReports(const std::vector<routing::RateLimitReport> &reports, TimePoint now) -> void
-{
-    const auto lock = std::scoped_lock(mutex_);
-    rateLimits_.merge(reports, now);
-}
-
 auto UpstreamPool::recordLoadReport(const std::string &id, const LoadReport &report, TimePoint now) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
