--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -67,13 +67,10 @@
 
 
 def reset(connection):
-    """Closes a connection with a reset."""
+    """Closes a connection with a reset. A thread that waits for data is woken first, since it keeps the socket open."""
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    except OSError:
-        pass
-    try:
-        connection.shutdown(socket.SHUT_RDWR)
+        connection.shutdown(socket.SHUT_RD)
     except OSError:
         pass
     connection.close()
