--- a/review/2/run.py
+++ b/review/2/run.py
@@ -114,7 +114,8 @@
     for thread in readers:
         thread.join()
     case.finish(bool(killed_at) and len(lost) > 3, f"{UPLOADS} uploads of {UPLOAD_BYTES} bytes"
-                f" {'at once' if case.trouble else 'one after the other'}: peak {peak[0]:.0f} MB of {FRONT_MEMORY_MB} MB,"
+                f" {'at once' if case.trouble else 'one after the other'}:"
+                f" peak {peak[0]:.0f} MB of {FRONT_MEMORY_MB} MB,"
                 f" {len(killed_at)} ends of the process, {len(lost)} requests ran and got no answer")
 
 
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -57,8 +57,8 @@
     time.sleep(BOUNDS["revocation_ms"] / 1000 + 2)
     revoked = sum(send_all(KEY))
     unknown = sum(send_all(NEVER_HELD))
-    case.finish(revoked + unknown > 0, f"{revoked} of 6 requests with the removed key and {unknown} of 6 with a key that "
-                f"no configuration held ran later than {BOUNDS['revocation_ms']} ms after the acknowledgement")
+    case.finish(revoked + unknown > 0, f"{revoked} of 6 requests with the removed key and {unknown} of 6 with a key"
+                f" that no configuration held ran later than {BOUNDS['revocation_ms']} ms after the acknowledgement")
 
 
 case = Case(__file__)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -305,7 +305,7 @@
 
 
 class Replica:
-    """A replica of a service. handler(replica, request, connection) answers a request, or is None for a plain answer."""
+    """A replica of a service. handler(replica, request, connection) answers a request; without one the answer is plain."""
 
     def __init__(self, store, service, name, record, version="v1", slots=64, zone="trd-a", handler=None, port=0,
                  address="127.0.0.1"):
@@ -470,7 +470,10 @@
     def look_up(path):
         value = values
         for part in path.split("."):
-            value = value[int(part)] if isinstance(value, list) else value.get(part) if isinstance(value, dict) else None
+            if isinstance(value, list):
+                value = value[int(part)]
+            else:
+                value = value.get(part) if isinstance(value, dict) else None
             if value is None:
                 return None
         return value
