--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -305,7 +305,7 @@
 
 
 class Replica:
-    """A replica of a service. handler(replica, request, connection) answers a request; without one the answer is plain."""
+    """A replica of a service. handler(replica, request, connection) answers a request; by default plainly."""
 
     def __init__(self, store, service, name, record, version="v1", slots=64, zone="trd-a", handler=None, port=0,
                  address="127.0.0.1"):
