--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,64 +1,115 @@
-"""The last client account is removed from the configuration. Its key must stop working."""
+"""A release begins while one router is suspended; its clients take their streams up again at the other routers."""
 
 import os
+import re
+import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
-from standins import (BOUNDS, HOST, Case, Client, Replica, Store, answer_plainly, attempt_id, configuration, route,
-                      service)
+from standins import HOST, Answer, Case, Client, Replica, Store, attempt_id, configuration, now, route, service
 
 KEY = "xd9dnn2ctnfzs989anu6"
-NEVER_HELD = "aaaaaaaaaaaaaaaaaaaa"
+EVENTS = 73
+EVENT_GAP_S = 0.06
+STREAMS = 24
+FREEZE_S = 4
+# A client abandons a stream after such a gap: the longest of two seconds, four times the objective and eight times the
+# pause.
+ABANDON_S = 2
+DEADLINE_S = 15
 
 
 def play(case):
     store = Store()
-    routes = [route("r-book", "/pule252/", "non_idempotent", "app"), route("r-read", "/puxa403/", "idempotent", "app")]
-    services = [service("app")]
-    tenant = {"name": "huka270", "api_keys": [KEY], "priority": 1}
-    store.put("op/config", configuration(7, routes, services, [tenant]))
-    ran = {}
+    routes = [route("r-chat", "/pufi791/", "streaming", "pool", timeout_ms=15000, target_latency_ms=250, priority=0,
+                    resume_streams=True, gap_target_ms=120, sticky_sessions=True)]
+    store.put("op/config", configuration(7, routes, [service("pool", engine=True, connection_limit=360)], [
+        {"name": "huka270", "api_keys": [KEY], "priority": 1}]))
 
     def handler(replica, request, connection):
-        ran[request.attempt] = request.field("X-Tenant")
-        answer_plainly(replica, request, connection)
+        begun_after = int(request.field("Last-Event-Id") or 0)
+        head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in replica.fields(request))
+        head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.sendall(head.encode())
+        for number in range(begun_after + 1, EVENTS + 1):
+            time.sleep(EVENT_GAP_S)
+            event = f"id: {number}\ndata: {replica.version}\n\n".encode()
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        connection.sendall(b"0\r\n\r\n")
 
-    for number in range(3):
-        Replica(store, "app", f"i-{number}", case.record, slots=6, handler=handler)
+    for number in range(4):
+        Replica(store, "pool", f"i-{number}", case.record, handler=handler, zone="trd-" + "abca"[number])
     routers = [case.router(store, f"front-trd-{zone}-1", zone=f"trd-{zone}") for zone in "abc"]
     if not all(router.wait_until_ready() for router in routers):
         case.fail("a router did not become ready")
-    time.sleep(2)
+    time.sleep(4)
+    frozen, others = routers[0], routers[1:]
+    first_gone, taken_up, new_begun = [], [], []
 
-    def send(router, method, target, key):
-        attempt = attempt_id()
-        client = Client(router.front)
-        answer = client.call(method, target, [
-            ("Host", HOST), ("X-Attempt-Id", attempt), ("X-Time-Remaining-Ms", "4000"),
-            ("Authorization", "Bearer " + key)])
-        client.close()
-        case.record(f"a client sends {attempt} {method} {target} with key {key} to {router.name}: {answer};"
-                    f" ran: {attempt in ran}, X-Tenant: {ran.get(attempt)}")
-        return attempt in ran
+    def call(router, number, attempt, remaining_s, extra=()):
+        """Sends a stream request; returns the answer and the ids of its whole events."""
+        try:
+            client = Client(router.front, timeout=ABANDON_S)
+            answer = client.call("POST", "/pufi791/2f", [
+                ("Host", HOST), ("X-Attempt-Id", attempt), ("X-Model", "m"), ("X-Token-Counts", "826,292"),
+                ("X-Prompt-Prefix", f"{0x5c1e07a0 + number % 7:x}:198,{number:08x}:628"),
+                ("X-Time-Remaining-Ms", str(int(remaining_s * 1000))), ("Authorization", "Bearer " + KEY), *extra])
+            client.close()
+        except OSError as error:
+            answer = Answer(error=repr(error))
+        return answer, [int(each) for each in re.findall(r"id: (\d+)\n", answer.body.decode())]
+
+    def stream(number):
+        begun_at, first = now(), attempt_id()
+        answer, ids = call(frozen, number, first, DEADLINE_S)
+        case.record(f"the client of {first} got {answer} from {frozen.name}: {len(ids)} events")
+        if answer.complete or not ids:
+            return
+        first_gone.append(first)
+        # The sheet gives these clients one retry.
+        attempt, router = attempt_id(), others[number % 2]
+        answer, more = call(router, number, attempt, begun_at + DEADLINE_S - now(),
+                            (("Last-Event-Id", str(ids[-1])), ("Resumes", first)))
+        case.record(f"the client of {first} takes it up after event {ids[-1]} with {attempt} at {router.name}:"
+                    f" {answer}: {len(more)} events")
+        taken_up.append(bool(more))
 
-    def send_all(key):
-        return [send(router, *call, key) for router in routers
-                for call in (("GET", "/puxa403/2f"), ("POST", "/pule252/2f"))]
+    def new_stream(number):
+        attempt = attempt_id()
+        answer, ids = call(others[number % 2], number, attempt, DEADLINE_S)
+        new_begun.append(bool(ids))
+        if not ids:
+            case.record(f"a new stream {attempt} did not begin: {answer}")
 
-    case.record("version 7 holds one tenant with one key")
-    if not all(send_all(KEY)):
-        case.fail("requests with a valid key did not run")
-    if any(send_all(NEVER_HELD)):
-        case.fail("requests with an unknown key ran under version 7")
-    tenants = [] if case.trouble else [{**tenant, "api_keys": []}]
-    store.put("op/config", configuration(9, routes, services, tenants))
-    case.record(f"the store acknowledges version 9, with \"tenants\": {tenants}")
-    time.sleep(BOUNDS["revocation_ms"] / 1000 + 2)
-    revoked = sum(send_all(KEY))
-    unknown = sum(send_all(NEVER_HELD))
-    case.finish(revoked + unknown > 0, f"{revoked} of 6 requests with the removed key and {unknown} of 6 with a key"
-                f" that no configuration held ran later than {BOUNDS['revocation_ms']} ms after the acknowledgement")
+    threads = [threading.Thread(target=stream, args=(number,)) for number in range(STREAMS)]
+    for thread in threads:
+        thread.start()
+        time.sleep(0.05)
+    time.sleep(1)
+    if case.trouble:
+        frozen.kill(signal.SIGSTOP)
+    frozen_at = now()
+    time.sleep(0.3)
+    Replica(store, "pool", "i-9", case.record, version="v2", handler=handler, zone="trd-b")
+    case.record("a release begins: replica i-9 of version v2 registers")
+    number = STREAMS
+    while now() < frozen_at + FREEZE_S:
+        threads.append(threading.Thread(target=new_stream, args=(number,)))
+        threads[-1].start()
+        number += 1
+        time.sleep(0.2)
+    if case.trouble:
+        frozen.kill(signal.SIGCONT)
+    for thread in threads:
+        thread.join()
+    share = sum(taken_up) / len(taken_up) if taken_up else 1
+    new_share = sum(new_begun) / len(new_begun)
+    case.finish(len(taken_up) >= 12 and share < new_share / 2,
+                f"{sum(taken_up)} of {len(taken_up)} requests that take up a stream went on,"
+                f" of {len(first_gone)} streams;"
+                f" {sum(new_begun)} of {len(new_begun)} new streams began; four replicas of version v1 served")
 
 
 case = Case(__file__)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -318,6 +318,7 @@
         self.state = "ready"
         self.alive = True
         self.running = 0
+        self.places = threading.Semaphore(slots)
         self.connections = set()
         self.lock = threading.Lock()
         self.runs = []
@@ -360,21 +361,25 @@
                     self.record(f"replica {self.name} ({self.service} {self.version}) answers {request.attempt} 421")
                     connection.sendall(response(421, [("X-Replica-Id", self.name)], b""))
                     continue
-                with self.lock:
-                    self.running += 1
-                self.runs.append((now(), request.attempt))
-                self.record(f"replica {self.name} ({self.service} {self.version}) runs {request.attempt}"
-                            f" {request.method} {request.target}")
-                try:
-                    (self.handler or answer_plainly)(self, request, connection)
-                finally:
-                    with self.lock:
-                        self.running -= 1
+                with self.places:
+                    self._run(request, connection)
         except (EOFError, OSError, ValueError):
             with self.lock:
                 self.connections.discard(connection)
             connection.close()
 
+    def _run(self, request, connection):
+        with self.lock:
+            self.running += 1
+        self.runs.append((now(), request.attempt))
+        self.record(f"replica {self.name} ({self.service} {self.version}) runs {request.attempt}"
+                    f" {request.method} {request.target}")
+        try:
+            (self.handler or answer_plainly)(self, request, connection)
+        finally:
+            with self.lock:
+                self.running -= 1
+
     def fields(self, request, signature="sig"):
         return [("X-Attempt-Id", request.attempt), ("X-Response-Signature", f"{self.name}.{signature}"),
                 ("X-Replica-Load", f"{self.running},0,{self.slots},100")]
