Let streams without a record go on at the version that was alone

Cause: while one version is agreed on nothing is recorded of streams; once a second is added each router has to write afterwards what it began, and a stream without a record has an unknown origin. A router that is suspended, cut off or killed in that moment takes its streams with it. Suspension is not needed: a router that is only cut off from the store shows it.

Change: the agreed versions have a base version, the one that was alone. A stream without a record began there. A stream at any other version is passed on only after its record is in the store, and a router believes that there is no record only after it has read the store since the request arrived. Records that contradict each other count as unknown. Where records cannot be written, streams begin at the base version as long as it has an upstream.

Why it works: what had to be written after the event by a router that may not be able to is now known without it, and what must be written is written by the router that wants to pass the stream on, before it does.

--- a/packages/forward/include/jasminewood/forward/store_feed.h
+++ b/packages/forward/include/jasminewood/forward/store_feed.h
@@ -85,6 +85,10 @@
     // Stops and joins the thread and cancels a running watch.
     auto stop() -> void;
 
+    // Returns up to where all changes have been passed to the listeners; revision 0 before the first snapshot. Must not
+    // be called by a listener's callback.
+    auto position() const -> platform::StorePosition;
+
 private:
     auto run() -> void;
     // Returns the router to follow; empty to read the store.
--- a/packages/forward/include/jasminewood/forward/stream_origins.h
+++ b/packages/forward/include/jasminewood/forward/stream_origins.h
@@ -14,6 +14,7 @@
 #include "jasminewood/core/boot_clock.h"
 #include "jasminewood/core/clock.h"
 #include "jasminewood/forward/configuration_watcher.h"
+#include "jasminewood/forward/store_feed.h"
 #include "jasminewood/forward/upstream_watcher.h"
 #include "jasminewood/kernel/service_registry.h"
 #include "jasminewood/membership/backoff.h"
@@ -24,7 +25,8 @@
 // Service "stream-origins": at which software version of a service each stream began that may be resumed.
 //
 // routing::StreamVersions decides; this service tells it what the store feed, the configuration and the upstreams say,
-// and writes to the store what the routers have to agree on or may have to know. No call waits for a write.
+// and writes to the store what the routers have to agree on or may have to know. It reads the store itself where a
+// record that the feed has not brought yet would decide.
 
 namespace jasminewood::forward
 {
@@ -58,9 +60,14 @@
     // those that are agreed on; empty if there are none, and streams may begin at any.
     auto allowedVersions(const std::string &service) const -> std::set<std::string>;
 
-    // Records that the first event of a new stream was passed on, which this request brought. An empty version stands
-    // for an unknown one.
-    auto recordBegin(const std::string &requestId, const routing::StreamOrigin &origin) -> void;
+    // Returns the only version at which streams may begin without a record while records cannot be written; empty while
+    // they can, and if there is no such version.
+    auto versionWithoutRecord(const std::string &service) const -> std::optional<std::string>;
+
+    // Records that the first event of a new stream is to be passed on, which this request brought. An empty version
+    // stands for an unknown one. Waits for the write if the stream counted as one of another version without it; fails
+    // if that could not be done before the deadline.
+    auto recordBegin(const std::string &requestId, const routing::StreamOrigin &origin, TimePoint deadline) -> Status;
 
     // Returns where the stream began whose first event this request brought, on a route to this service. Waits until
     // the deadline while it is unknown.
@@ -96,19 +103,24 @@
     auto applyEvent(const platform::WatchEvent &event) -> void;
     // Takes over what the configuration and the upstreams say, once all changes have been passed on.
     auto applyProgress(BootTime upToDateAt) -> void;
-    auto run() -> void;
+    // Writes whenever something is due. Run by a thread of its own.
+    auto runWrites() -> void;
 
     // These require mutex_.
     // Returns the age of what the store said; the longest time if it said nothing.
     auto storeAge() const -> Milliseconds;
     auto applyEntry(const platform::KeyValue &entry, routing::HeardChanges heard, TimePoint now) -> void;
     auto applyVersions(const platform::KeyValue &entry, routing::HeardChanges heard, TimePoint now) -> void;
+    auto applyChange(const platform::WatchEvent &event, TimePoint now) -> void;
     auto applyDeletion(const platform::KeyDeleted &deletion, TimePoint now) -> void;
     // Handles an entry of agreed versions that is missing or cannot be read: it has to be written again.
     auto applyLostVersions(const std::string &key, TimePoint now) -> void;
     auto applyConfiguration(const std::shared_ptr<const routes::RouteTable> &table) -> void;
     auto scheduleProposals(TimePoint now) -> void;
-    auto scheduleRecords(TimePoint now) -> void;
+    auto scheduleRecords(TimePoint now, routing::RecordNeed need) -> void;
+    auto canRecord(TimePoint now) const -> bool;
+    // Puts off all writes of records.
+    auto delayRecords(TimePoint now) -> void;
     auto proposals(TimePoint now) const -> std::vector<Proposal>;
     auto recordInterval() const -> Milliseconds;
     auto nextDueAt() const -> std::optional<TimePoint>;
@@ -120,6 +132,11 @@
     auto writeProposals(std::unique_lock<std::mutex> &lock) -> void;
     auto writeRecords(std::unique_lock<std::mutex> &lock) -> void;
 
+    // Reads and applies what changed in the store since the feed's last report.
+    auto readRecords(std::unique_lock<std::mutex> &lock) -> Status;
+    // Reads the records whenever a request needs them. Run by a thread of its own.
+    auto runReads() -> void;
+
     // These must be called without mutex_, by the thread that writes.
     auto writeProposal(const Proposal &proposal) -> void;
     auto writeBatch(const Batch &batch, Milliseconds memory) -> Status;
@@ -134,11 +151,15 @@
     std::shared_ptr<node::Environment> environment_;
     std::shared_ptr<ConfigurationWatcher> configuration_;
     std::shared_ptr<UpstreamWatcher> upstreams_;
+    std::shared_ptr<StoreFeed> feed_;
     std::shared_ptr<PeerNetwork> network_;
     std::optional<observe::Counter> writtenCounter_;
+    std::optional<observe::Counter> readCounter_;
     mutable std::mutex mutex_;
-    // Notified when the writing thread has something to do, and when an origin may have become known.
+    // Notified when the writing thread has something to do, when the reading thread has, and when an origin may have
+    // become known or a record may have been written.
     std::condition_variable workCondition_;
+    std::condition_variable readCondition_;
     std::condition_variable originCondition_;
     bool stopping_ = false;
     // Empty until the first snapshot.
@@ -157,12 +178,20 @@
     // Neither agreed versions nor records are written before.
     TimePoint nextProposalAt_;
     TimePoint nextRecordsAt_;
+    // Not even records that a stream waits for are written before.
+    TimePoint recordsDelayedUntil_;
+    // The newest request that needs the records, and up to when all of them have been read.
+    std::optional<BootTime> recordsNeededAt_;
+    std::optional<BootTime> recordsReadAt_;
+    // The read in progress.
+    std::shared_ptr<platform::WatchCall> recordsCall_;
     membership::Backoff proposalDelay_;
     std::optional<Batch> batch_;
     std::uint64_t batchCount_ = 0;
     // Used by the writing thread only.
     std::optional<WriterLease> lease_;
-    std::thread thread_;
+    std::thread writeThread_;
+    std::thread readThread_;
 };
 
 } // namespace jasminewood::forward
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -232,9 +232,25 @@
 
 auto RequestRun::versionCriterion() const -> VersionCriterion
 {
-    return streamVersion_.criterion(resumable_
-            ? VersionCriterion(AllowedVersions {.versions_ = frontend_.streamOrigins_->allowedVersions(service_)})
-            : VersionCriterion(AnyVersion {}));
+    return streamVersion_.criterion(
+        resumable_ ? VersionCriterion(newStreamVersions()) : VersionCriterion(AnyVersion {}));
+}
+
+auto RequestRun::newStreamVersions() const -> AllowedVersions
+{
+    const auto &origins = *frontend_.streamOrigins_;
+    const auto withoutRecord = origins.versionWithoutRecord(service_);
+    return withoutRecord && hasUpstreamOf(*withoutRecord)
+        ? AllowedVersions {.versions_ = {*withoutRecord}}
+        : AllowedVersions {.versions_ = origins.allowedVersions(service_)};
+}
+
+auto RequestRun::hasUpstreamOf(const std::string &version) const -> bool
+{
+    return frontend_.upstreams_->pool().hasEligibleUpstream({.service_ = service_,
+                                                                .excludedUpstreams_ = triedUpstreams_,
+                                                                .versions_ = RequiredVersion {.version_ = version}},
+        Clock::now());
 }
 
 auto RequestRun::selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria
@@ -297,7 +313,7 @@
 
 auto RequestRun::failAttempt(const Failure &failure) -> FailedAttempt
 {
-    const auto cancelled = failure.step_ == "caller" || failure.step_ == "wait";
+    const auto cancelled = failure.step_ == "caller" || failure.step_ == "wait" || failure.step_ == "record";
     return failAttempt(failure, cancelled ? AttemptResult::Cancelled : AttemptResult::Failed);
 }
 
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -70,6 +70,10 @@
     // that is not known, or if the route does not lead there or allow resumption any more.
     auto chooseService(const routes::Route &route) -> std::optional<Refusal>;
     auto versionCriterion() const -> VersionCriterion;
+    // Returns the software versions at which a stream may begin that may be resumed.
+    auto newStreamVersions() const -> AllowedVersions;
+    // Returns whether an upstream of the version may run the next attempt.
+    auto hasUpstreamOf(const std::string &version) const -> bool;
     auto selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria;
     // Chooses an upstream and sends the request to it; sets attempt_. Fails if there is no upstream.
     auto startAttempt(const AdmittedRequest &admitted) -> Status;
@@ -86,8 +90,9 @@
     // Fixes the software version of the stream with the first event of an attempt. Fails if the event may be of another
     // version than the events before it.
     auto acceptFirstEvent() -> Status;
-    // Called with the first event of a new stream, which the attempt in flight brought.
-    auto recordStreamBegin() -> void;
+    // Called with the first event of a new stream, which the attempt in flight brought. Fails if the stream is to begin
+    // anew at another version, since where it began could not be recorded.
+    auto recordStreamBegin() -> Status;
     auto endStream() -> http::StreamEvent;
     // Returns why no upstream may resume the stream; empty if there is one.
     auto findUpstreamShortage(const AdmittedRequest &admitted) -> std::optional<std::string>;
@@ -110,8 +115,8 @@
     // Ends the attempt without a usable response.
     auto failAttempt(const Failure &failure, AttemptResult result,
         const std::optional<http::BufferedResponse> &response = std::nullopt) -> FailedAttempt;
-    // Ends the attempt without a usable response: as Cancelled if the caller disconnected (step "caller") or the
-    // deadline passed (step "wait"), otherwise as Failed.
+    // Ends the attempt without a usable response: as Cancelled if the caller disconnected (step "caller"), the deadline
+    // passed (step "wait") or the stream could not be recorded (step "record"), otherwise as Failed.
     auto failAttempt(const Failure &failure) -> FailedAttempt;
     auto recordFailedAttempt(const FailedAttempt &failedAttempt) -> void;
     // Records the first token of the attempt in flight.
@@ -180,6 +185,8 @@
     Clock::duration longestChunkGap_ = Clock::duration::zero();
     internal::EventSplitter eventSplitter_;
     internal::StreamVersion streamVersion_;
+    // Whether a first event was not passed on because its stream could not be recorded.
+    bool recordFailed_ = false;
     // Body bytes that were passed to the caller.
     std::size_t relayedBytes_ = 0;
     bool outcomeRecorded_ = false;
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -21,6 +21,9 @@
 // start of the replacement and the end of the other one; the rest is for the way of the close.
 constexpr auto maximumOverlap = Milliseconds(250);
 
+// How long the first event of a stream waits until the software version at which it began is in the store.
+constexpr auto maximumRecordWait = Milliseconds(500);
+
 } // namespace
 
 auto RequestRun::relayStream(const StartedResponse &started, const AdmittedRequest &admitted) -> http::Response
@@ -87,8 +90,7 @@
     const auto &upstream = attempt_->assignment_.upstream_;
     const auto present = frontend_.upstreams_->pool().recordOf(upstream.id_);
     return std::visit(Overloaded {[this](const internal::StreamBegins &) -> Status {
-                                      recordStreamBegin();
-                                      return std::nullopt;
+                                      return recordStreamBegin();
                                   },
                           [](const internal::StreamGoesOn &) -> Status {
                               return std::nullopt;
@@ -102,16 +104,37 @@
         streamVersion_.recordFirstEvent(upstream, present));
 }
 
-auto RequestRun::recordStreamBegin() -> void
+auto RequestRun::recordStreamBegin() -> Status
 {
+    const auto &upstream = attempt_->assignment_.upstream_;
     if (!streamVersion_.version()) {
         frontend_.environment_->log().info("a stream began at an unknown software version",
-            {{"request", requestMetadata_.requestId_}, {"upstream", attempt_->assignment_.upstream_.id_}});
+            {{"request", requestMetadata_.requestId_}, {"upstream", upstream.id_}});
+    }
+    if (!resumable_) {
+        return std::nullopt;
     }
-    if (resumable_) {
-        frontend_.streamOrigins_->recordBegin(
-            requestMetadata_.requestId_, {.service_ = service_, .version_ = streamVersion_.version().value_or("")});
+    auto &origins = *frontend_.streamOrigins_;
+    const auto failure = origins.recordBegin(requestMetadata_.requestId_,
+        {.service_ = service_, .version_ = streamVersion_.version().value_or("")},
+        std::min(deadline_, Clock::now() + maximumRecordWait));
+    if (!failure || recordFailed_) {
+        return std::nullopt;
+    }
+    recordFailed_ = true;
+    const auto withoutRecord = origins.versionWithoutRecord(service_);
+    if (!withoutRecord || !hasUpstreamOf(*withoutRecord)) {
+        // The stream can begin nowhere else. It may go on as one of another version if its caller resumes it.
+        frontend_.environment_->log().warning("a stream began without a record of its software version",
+            {{"request", requestMetadata_.requestId_}, {"upstream", upstream.id_},
+                {"software_version", upstream.version_}});
+        return std::nullopt;
     }
+    streamVersion_.withdraw();
+    return Failure {.step_ = failure->step_,
+        .peer_ = upstream.address_,
+        .reason_ = failure->reason_,
+        .runState_ = RunState::MayHaveRun};
 }
 
 auto RequestRun::nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent
--- a/packages/forward/src/store_feed.cpp
+++ b/packages/forward/src/store_feed.cpp
@@ -73,6 +73,12 @@
     }
 }
 
+auto StoreFeed::position() const -> platform::StorePosition
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return state_->applied();
+}
+
 auto StoreFeed::stopping() const -> bool
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/forward/src/stream_origin_codec.cpp
+++ b/packages/forward/src/stream_origin_codec.cpp
@@ -18,6 +18,8 @@
 {
 
 constexpr auto format = std::string_view("1");
+// Of agreed versions with a base version. Those of format 1 have none, unless there is a single version.
+constexpr auto formatWithBase = std::string_view("2");
 constexpr auto emptyName = std::string_view("*");
 // Keys of the store have at most 200 bytes, of which the prefix and a sequence number need some.
 constexpr std::size_t maximumKeyPartBytes = 80;
@@ -134,8 +136,10 @@
 
 auto formatVersions(const ServiceVersions &versions) -> std::string
 {
-    auto text = fmt::format("{} {} {}", format, versions.agreed_.era_, encodeName(versions.service_));
-    for (const auto &version : versions.agreed_.versions_) {
+    const auto &agreed = versions.agreed_;
+    auto text = fmt::format(
+        "{} {} {} {}", formatWithBase, agreed.era_, encodeName(versions.service_), encodeName(agreed.base_));
+    for (const auto &version : agreed.versions_) {
         text += " " + encodeName(version);
     }
     return text + "\n";
@@ -143,11 +147,14 @@
 
 auto parseVersions(const std::string &value) -> Result<ServiceVersions>
 {
-    constexpr std::size_t wordsBeforeVersions = 3;
+    constexpr std::size_t wordsBeforeBase = 3;
     const auto lines = splitLines(value);
+    const auto hasBase = lines.size() == 1 && lines.front().front() == formatWithBase;
+    const auto wordsBeforeVersions = wordsBeforeBase + (hasBase ? 1 : 0);
     if (lines.size() != 1 || lines.front().size() <= wordsBeforeVersions
-        || lines.front().size() > wordsBeforeVersions + maximumVersionsOfEntry || lines.front().front() != format) {
-        return malformed("not one line of format, era, service and versions");
+        || lines.front().size() > wordsBeforeVersions + maximumVersionsOfEntry
+        || (!hasBase && lines.front().front() != format)) {
+        return malformed("not one line of format, era, service, base version and versions");
     }
     const auto &words = lines.front();
     const auto era = parseNumber<std::uint64_t>(words[1], 10);
@@ -163,7 +170,12 @@
         }
         versions.insert(*version);
     }
-    return ServiceVersions {.service_ = *service, .agreed_ = {.era_ = *era, .versions_ = versions}};
+    const auto only = versions.size() == 1 ? *versions.begin() : routing::unrecordedVersion;
+    const auto base = hasBase ? decodeName(words[wordsBeforeBase]) : std::optional(only);
+    if (!base || (*base != routing::unrecordedVersion && !versions.contains(*base))) {
+        return malformed("the base version is not one of the versions");
+    }
+    return ServiceVersions {.service_ = *service, .agreed_ = {.era_ = *era, .versions_ = versions, .base_ = *base}};
 }
 
 auto formatStreams(const std::vector<routing::StreamRecord> &records) -> std::string
--- a/packages/forward/src/stream_origin_codec.h
+++ b/packages/forward/src/stream_origin_codec.h
@@ -8,10 +8,11 @@
 
 // The entries of the store about the versions of streams: words separated by spaces, each line ending with a line feed.
 //
-//     jasminewood/versions/chat    1 ERA chat v1 v2
+//     jasminewood/versions/chat    2 ERA chat v1 v1 v2
 //     jasminewood/streams/a/17-0   1 chat v1 00f3c2d1a0b49e58 1a2b3c4d5e6f7081
 //
-// The first word of an entry, or of each line of streams, is the format. Bytes of names other than letters, digits and
+// The first word of an entry, or of each line of streams, is the format. The base version stands before the versions;
+// entries of versions in format 1 lack it. Bytes of names other than letters, digits and
 // "-_." are percent-encoded, and "*" stands for an empty name. Parsers fail with step "decode".
 
 namespace jasminewood::forward::internal
--- a/packages/forward/src/stream_origins.cpp
+++ b/packages/forward/src/stream_origins.cpp
@@ -33,6 +33,11 @@
 // Beyond the memory, for the time between the grant of a lease and the write.
 constexpr Milliseconds leaseMargin = Milliseconds(5'000);
 constexpr Milliseconds maximumLeaseTime = Milliseconds(600'000);
+// How long a read of the records waits for further ones. The store responds at once if there are any.
+constexpr Milliseconds recordsWait = Milliseconds(20);
+constexpr Milliseconds readRetryInterval = Milliseconds(100);
+// Records count as writable for this time after the store was last heard of.
+constexpr Milliseconds maximumSilence = Milliseconds(2'000);
 
 auto streamIdOf(const std::string &requestId) -> routing::StreamId
 {
@@ -73,8 +78,7 @@
     if (auto failure = services.require("upstreams", upstreams_)) {
         return failure;
     }
-    auto feed = std::shared_ptr<StoreFeed>();
-    if (auto failure = services.require("store-feed", feed)) {
+    if (auto failure = services.require("store-feed", feed_)) {
         return failure;
     }
     if (const auto network = services.find<PeerNetwork>("peer-network")) {
@@ -82,9 +86,14 @@
     }
     writtenCounter_.emplace(environment_->metrics().counter(
         "jasminewood_forward_stream_record_writes_total", "Writes of the versions of streams to the store"));
-    subscribe(*feed);
-    thread_ = std::thread([this] {
-        run();
+    readCounter_.emplace(environment_->metrics().counter("jasminewood_forward_stream_record_reads_total",
+        "Reads of the versions of streams that the feed had not brought yet"));
+    subscribe(*feed_);
+    writeThread_ = std::thread([this] {
+        runWrites();
+    });
+    readThread_ = std::thread([this] {
+        runReads();
     });
     return std::nullopt;
 }
@@ -94,11 +103,17 @@
     {
         const auto lock = std::scoped_lock(mutex_);
         stopping_ = true;
+        if (recordsCall_) {
+            recordsCall_->cancel();
+        }
     }
     workCondition_.notify_all();
+    readCondition_.notify_all();
     originCondition_.notify_all();
-    if (thread_.joinable()) {
-        thread_.join();
+    for (auto *thread : {&writeThread_, &readThread_}) {
+        if (thread->joinable()) {
+            thread->join();
+        }
     }
 }
 
@@ -131,29 +146,64 @@
     return admitted.empty() ? versions_->agreedVersions(service) : admitted;
 }
 
-auto StreamOrigins::recordBegin(const std::string &requestId, const routing::StreamOrigin &origin) -> void
+auto StreamOrigins::versionWithoutRecord(const std::string &service) const -> std::optional<std::string>
+{
+    const auto now = Clock::now();
+    const auto lock = std::scoped_lock(mutex_);
+    return versions_ && !canRecord(now) ? versions_->baseVersion(service) : std::nullopt;
+}
+
+auto StreamOrigins::canRecord(TimePoint now) const -> bool
+{
+    return now >= recordsDelayedUntil_ && storeAge() <= maximumSilence;
+}
+
+auto StreamOrigins::delayRecords(TimePoint now) -> void
+{
+    recordsDelayedUntil_ = now + options_.retryInterval_;
+    nextRecordsAt_ = std::max(nextRecordsAt_, recordsDelayedUntil_);
+}
+
+auto StreamOrigins::recordBegin(const std::string &requestId, const routing::StreamOrigin &origin, TimePoint deadline)
+    -> Status
 {
     if (requestId.empty()) {
-        return;
+        return std::nullopt;
     }
     const auto version = internal::isWritable(origin.version_) ? origin.version_ : routing::unrecordedVersion;
     const auto record = routing::StreamRecord {
         .stream_ = streamIdOf(requestId), .origin_ = {.service_ = origin.service_, .version_ = version}};
     const auto now = Clock::now();
-    const auto lock = std::scoped_lock(mutex_);
-    if (versions_ && versions_->recordBegin(record, now)) {
-        scheduleRecords(now);
+    auto lock = std::unique_lock(mutex_);
+    const auto need = versions_ ? versions_->recordBegin(record, storeAge(), now) : routing::RecordNeed::Never;
+    if (need == routing::RecordNeed::Never) {
+        return std::nullopt;
     }
+    scheduleRecords(now, need);
+    if (need == routing::RecordNeed::Later) {
+        return std::nullopt;
+    }
+    originCondition_.wait_until(lock, deadline, [this, &record] {
+        return stopping_ || versions_->isWritten(record.stream_) || Clock::now() < recordsDelayedUntil_;
+    });
+    if (versions_->isWritten(record.stream_)) {
+        return std::nullopt;
+    }
+    delayRecords(Clock::now());
+    return Failure {.step_ = "record", .reason_ = "the software version of the stream could not be written"};
 }
 
 auto StreamOrigins::awaitOrigin(const std::string &requestId, const std::string &service, TimePoint deadline)
     -> routing::OriginDecision
 {
     const auto stream = streamIdOf(requestId);
+    const auto arrivedAt = BootClock::now();
     auto lock = std::unique_lock(mutex_);
     while (true) {
         const auto now = Clock::now();
-        const auto decision = versions_ ? versions_->originOf(stream, service, storeAge(), now)
+        const auto view = routing::StoreView {
+            .age_ = storeAge(), .includesRecords_ = recordsReadAt_ && *recordsReadAt_ >= arrivedAt};
+        const auto decision = versions_ ? versions_->originOf(stream, service, view, now)
                                         : routing::OriginDecision(routing::UnknownOrigin {});
         if (isKnown(decision)) {
             return decision;
@@ -161,10 +211,65 @@
         if (stopping_ || now >= deadline) {
             return routing::UnknownOrigin {};
         }
+        if (std::holds_alternative<routing::RecordsNeeded>(decision)) {
+            recordsNeededAt_ = std::max(recordsNeededAt_.value_or(arrivedAt), arrivedAt);
+            readCondition_.notify_all();
+        }
         originCondition_.wait_until(lock, deadline);
     }
 }
 
+auto StreamOrigins::runReads() -> void
+{
+    auto lock = std::unique_lock(mutex_);
+    while (true) {
+        readCondition_.wait(lock, [this] {
+            return stopping_ || (recordsNeededAt_ && (!recordsReadAt_ || *recordsReadAt_ < *recordsNeededAt_));
+        });
+        if (stopping_) {
+            return;
+        }
+        if (const auto failure = readRecords(lock)) {
+            environment_->log().warning("the versions of streams could not be read", observe::fieldsOf(*failure));
+            // Requests that still wait ask again.
+            recordsNeededAt_.reset();
+            readCondition_.wait_for(lock, readRetryInterval, [this] {
+                return stopping_;
+            });
+        }
+        originCondition_.notify_all();
+    }
+}
+
+auto StreamOrigins::readRecords(std::unique_lock<std::mutex> &lock) -> Status
+{
+    const auto startedAt = BootClock::now();
+    const auto call = std::make_shared<platform::WatchCall>();
+    recordsCall_ = call;
+    lock.unlock();
+    auto events = std::vector<platform::WatchEvent>();
+    const auto end = store_->watch(
+        {.key_ = options_.keyPrefix_, .isPrefix_ = true, .after_ = feed_->position(), .timeout_ = recordsWait}, *call,
+        [&events](const platform::WatchEvent &event) {
+            events.push_back(event);
+        });
+    readCounter_->add();
+    lock.lock();
+    recordsCall_.reset();
+    if (!end) {
+        return end.failure();
+    }
+    if (end->era_ != era_) {
+        return Failure {.step_ = "read", .reason_ = "the store came back from an older copy"};
+    }
+    const auto now = Clock::now();
+    for (const auto &event : events) {
+        applyChange(event, now);
+    }
+    recordsReadAt_ = startedAt;
+    return std::nullopt;
+}
+
 auto StreamOrigins::storeAge() const -> Milliseconds
 {
     return upToDateAt_ ? std::chrono::ceil<Milliseconds>(BootClock::now() - *upToDateAt_) : Milliseconds::max();
@@ -208,11 +313,7 @@
 {
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
-    if (const auto *put = std::get_if<platform::KeyPut>(&event)) {
-        applyEntry(put->entry_, routing::HeardChanges::All, now);
-    } else {
-        applyDeletion(std::get<platform::KeyDeleted>(event), now);
-    }
+    applyChange(event, now);
     originCondition_.notify_all();
 }
 
@@ -262,7 +363,8 @@
     versions_->setAgreed(parsed->service_, parsed->agreed_, now, heard);
     environment_->log().info("read the agreed versions of a service",
         {{"service", parsed->service_}, {"versions", toText(parsed->agreed_.versions_)},
-            {"agreed_era", std::int64_t(parsed->agreed_.era_)}, {"era", era_}, {"revision", entry.modRevision_}});
+            {"base", parsed->agreed_.base_}, {"agreed_era", std::int64_t(parsed->agreed_.era_)}, {"era", era_},
+            {"revision", entry.modRevision_}});
 }
 
 auto StreamOrigins::applyLostVersions(const std::string &key, TimePoint now) -> void
@@ -280,6 +382,15 @@
         {{"key", entry.key_}, {"revision", entry.modRevision_}, {"reason", failure.reason_}});
 }
 
+auto StreamOrigins::applyChange(const platform::WatchEvent &event, TimePoint now) -> void
+{
+    if (const auto *put = std::get_if<platform::KeyPut>(&event)) {
+        applyEntry(put->entry_, routing::HeardChanges::All, now);
+    } else {
+        applyDeletion(std::get<platform::KeyDeleted>(event), now);
+    }
+}
+
 auto StreamOrigins::applyProgress(BootTime upToDateAt) -> void
 {
     const auto registered = upstreams_->registeredVersions();
@@ -307,7 +418,7 @@
     originCondition_.notify_all();
     scheduleProposals(now);
     if (versions_->hasUnwritten()) {
-        scheduleRecords(now);
+        scheduleRecords(now, routing::RecordNeed::Later);
     }
 }
 
@@ -354,10 +465,12 @@
     workCondition_.notify_all();
 }
 
-auto StreamOrigins::scheduleRecords(TimePoint now) -> void
+auto StreamOrigins::scheduleRecords(TimePoint now, routing::RecordNeed need) -> void
 {
-    if (!recordsDueAt_) {
-        recordsDueAt_ = std::max(now, nextRecordsAt_);
+    const auto isAwaited = need == routing::RecordNeed::BeforeFirstEvent;
+    const auto dueAt = std::max(now, isAwaited ? recordsDelayedUntil_ : nextRecordsAt_);
+    if (!recordsDueAt_ || dueAt < *recordsDueAt_) {
+        recordsDueAt_ = dueAt;
         workCondition_.notify_all();
     }
 }
@@ -376,7 +489,7 @@
     return proposalsDueAt_ ? proposalsDueAt_ : recordsDueAt_;
 }
 
-auto StreamOrigins::run() -> void
+auto StreamOrigins::runWrites() -> void
 {
     auto lock = std::unique_lock(mutex_);
     while (!stopping_) {
@@ -411,8 +524,9 @@
 {
     const auto written = store_->compareAndSwap(versionsKey(proposal.service_), proposal.expectedRevision_,
         internal::formatVersions({.service_ = proposal.service_, .agreed_ = proposal.agreed_}));
-    const auto fields = observe::Fields {{"service", proposal.service_},
-        {"versions", toText(proposal.agreed_.versions_)}, {"expected_revision", proposal.expectedRevision_}};
+    const auto fields
+        = observe::Fields {{"service", proposal.service_}, {"versions", toText(proposal.agreed_.versions_)},
+            {"base", proposal.agreed_.base_}, {"expected_revision", proposal.expectedRevision_}};
     if (!written) {
         environment_->log().warning("the agreed versions of a service could not be written",
             observe::concatenate(fields, observe::fieldsOf(written.failure())));
@@ -452,16 +566,20 @@
     lock.unlock();
     const auto failure = writeBatch(batch, memory);
     lock.lock();
-    nextRecordsAt_ = Clock::now() + (failure ? options_.retryInterval_ : recordInterval());
+    nextRecordsAt_ = Clock::now() + recordInterval();
     if (failure) {
         // The lost write may still be performed. Its key is not written again, since it could undo that.
         batch_.reset();
         versions_->putBack(records);
+        delayRecords(Clock::now());
         environment_->log().warning("the versions of streams could not be written",
             observe::concatenate({{"streams", std::int64_t(records.size())}}, observe::fieldsOf(*failure)));
+    } else {
+        versions_->confirmWritten(records);
     }
+    originCondition_.notify_all();
     if (versions_->hasUnwritten()) {
-        scheduleRecords(Clock::now());
+        scheduleRecords(Clock::now(), routing::RecordNeed::Later);
     }
 }
 
--- a/packages/forward/src/stream_version.cpp
+++ b/packages/forward/src/stream_version.cpp
@@ -45,6 +45,12 @@
         state_);
 }
 
+auto StreamVersion::withdraw() -> void
+{
+    state_.emplace<NotBegun>();
+    firstUpstream_.reset();
+}
+
 auto StreamVersion::firstUpstream() const -> std::optional<membership::UpstreamRecord>
 {
     return firstUpstream_;
--- a/packages/forward/src/stream_version.h
+++ b/packages/forward/src/stream_version.h
@@ -55,6 +55,9 @@
     auto recordFirstEvent(const membership::UpstreamRecord &chosen,
         const std::optional<membership::UpstreamRecord> &present) -> EventDecision;
 
+    // Takes back that the stream began: its first event is not passed on.
+    auto withdraw() -> void;
+
     // Returns the upstream that brought the first event of the stream; empty if none did in this answer.
     auto firstUpstream() const -> std::optional<membership::UpstreamRecord>;
 
--- a/packages/routing/include/jasminewood/routing/stream_versions.h
+++ b/packages/routing/include/jasminewood/routing/stream_versions.h
@@ -18,13 +18,16 @@
 // Upstreams of several versions may serve side by side. What two versions write does not fit together, so a stream is
 // resumed only at the version that began it. Any router may be asked to resume any stream, also after all routers were
 // killed. So the routers agree, in the store, on the versions at which they begin streams (AgreedVersions), and a
-// router begins a stream at another version only after that version was added. While one version is agreed on, each
-// stream without a record began there, and nothing is recorded. While there are several, each router records the
-// version of each stream that it begins. A stream whose version is not known is not resumed.
+// router begins a stream at another version only after that version was added. One of them may be the base version: the
+// one that was alone before the others were added. Each stream without a record began there, whoever began it and
+// whatever became of that router, because a stream at any other version is passed on only after its record was written.
+// While there are several versions, streams of the base version are recorded too, but afterwards: that is of use only
+// while the store cannot be read. A stream whose version is not known is not resumed.
 //
-//     versions.setAgreed("chat", {.era_ = 1, .versions_ = {"v1", "v2"}}, now);
-//     versions.recordBegin({.stream_ = 7, .origin_ = {.service_ = "chat", .version_ = "v1"}}, now);
-//     const auto decision = versions.originOf(7, "chat", ageOfStoreState, now);
+//     versions.setAgreed("chat", {.era_ = 1, .versions_ = {"v1", "v2"}, .base_ = "v1"}, now);
+//     const auto need = versions.recordBegin(
+//         {.stream_ = 7, .origin_ = {.service_ = "chat", .version_ = "v2"}}, ageOfStoreState, now);
+//     const auto decision = versions.originOf(7, "chat", {.age_ = ageOfStoreState}, now);
 
 namespace jasminewood::routing
 {
@@ -51,7 +54,35 @@
     auto operator<=>(const UnknownOrigin &) const = default;
 };
 
-using OriginDecision = std::variant<StreamOrigin, UnknownOrigin>;
+// The stream began at the base version unless the store has a record of it that was not read yet.
+struct RecordsNeeded
+{
+    auto operator<=>(const RecordsNeeded &) const = default;
+};
+
+using OriginDecision = std::variant<StreamOrigin, UnknownOrigin, RecordsNeeded>;
+
+// When the record of a stream that begins has to be written to the store.
+enum class RecordNeed : std::uint8_t
+{
+    // Not at all: without a record the stream counts as what it is.
+    Never,
+    // Some time later.
+    Later,
+    // Before its first event is passed on: without a record the stream counts as one of the base version.
+    BeforeFirstEvent,
+};
+
+// How much of what the store accepted was passed to a StreamVersions.
+struct StoreView
+{
+    // The time since all that the store had accepted then was passed on.
+    const Milliseconds age_ = Milliseconds(0);
+    // Whether that includes all that it accepted before the caller's request arrived.
+    const bool includesRecords_ = false;
+
+    auto operator<=>(const StoreView &) const = default;
+};
 
 struct StreamRecord
 {
@@ -69,6 +100,8 @@
     const std::uint64_t era_ = 0;
     // May include unrecordedVersion.
     const std::set<std::string> versions_;
+    // The base version, at which each stream without a record began; unrecordedVersion if there is none.
+    const std::string base_ = unrecordedVersion;
 
     auto operator<=>(const AgreedVersions &) const = default;
 };
@@ -115,17 +148,20 @@
     // Sets the versions of all registered upstreams, including those that are leaving.
     auto setRegistered(const VersionsByService &registered, TimePoint now) -> void;
 
-    // Records a stream that this router began. Returns whether the record has to be written to the store now.
-    auto recordBegin(const StreamRecord &record, TimePoint now) -> bool;
+    // Records a stream that this router begins. storeAge as in StoreView. A stream that was recorded with another
+    // origin before has an unknown one from then on.
+    auto recordBegin(const StreamRecord &record, Milliseconds storeAge, TimePoint now) -> RecordNeed;
 
     // Records a stream of which the store tells.
     auto recordReported(const StreamRecord &record, TimePoint now) -> void;
 
-    // Returns where a stream began that a caller wants to resume on a route to this service. storeAge is the time since
-    // all that the store had then was passed to this object.
-    auto originOf(StreamId stream, const std::string &service, Milliseconds storeAge, TimePoint now) const
+    // Returns where a stream began that a caller wants to resume on a route to this service.
+    auto originOf(StreamId stream, const std::string &service, const StoreView &view, TimePoint now) const
         -> OriginDecision;
 
+    // Returns the base version of the service; empty if there is none.
+    auto baseVersion(const std::string &service) const -> std::optional<std::string>;
+
     // Returns the agreed versions of which all routers know that read the store; empty if there are none.
     auto admittedVersions(const std::string &service, TimePoint now) const -> std::set<std::string>;
 
@@ -135,13 +171,20 @@
     // Returns what should replace the agreed versions of the service; empty if they need no change.
     auto proposal(const std::string &service, TimePoint now) const -> std::optional<AgreedVersions>;
 
-    // Returns streams that this router began and that have to be written to the store, and counts them as written.
+    // Returns streams that this router began and that have to be written to the store. Each call is followed by
+    // confirmWritten() or putBack().
     auto takeUnwritten(TimePoint now, std::size_t maximumCount = std::numeric_limits<std::size_t>::max())
         -> std::vector<StreamRecord>;
 
+    // Counts the streams as written.
+    auto confirmWritten(const std::vector<StreamRecord> &records) -> void;
+
     // Counts the streams as not written, because the write failed.
     auto putBack(const std::vector<StreamRecord> &records) -> void;
 
+    // Returns whether the record of a stream that this router began is in the store.
+    auto isWritten(StreamId stream) const -> bool;
+
     // Returns whether takeUnwritten() would return anything.
     auto hasUnwritten() const -> bool;
 
@@ -167,9 +210,11 @@
     auto findService(const std::string &service) const -> const Service *;
     // Returns whether the agreed versions are complete: none can have been lost with an era of the store.
     auto isComplete(const Service &service) const -> bool;
-    // Returns the only version at which a stream without a record can have begun.
-    auto onlyVersion(const Service &service) const -> std::optional<std::string>;
-    auto needsRecord(const StreamOrigin &origin) const -> bool;
+    auto baseOf(const Service &service) const -> std::optional<std::string>;
+    // Returns the base version to propose with these versions.
+    auto proposedBase(const Service &service, const std::set<std::string> &versions, TimePoint now) const
+        -> std::string;
+    auto recordNeed(const StreamOrigin &origin) const -> RecordNeed;
     auto record(const StreamRecord &record, TimePoint now, bool isOwn) -> void;
     auto forgetOldStreams(TimePoint now) -> void;
 
@@ -181,8 +226,11 @@
     std::optional<TimePoint> registeredAt_;
     std::map<std::string, Service> services_;
     std::map<StreamId, Stream> streams_;
-    // The streams that this router began and whose records are not in the store.
+    // The streams that this router began and whose records are not in the store, and those that are being written.
     std::set<StreamId> unwritten_;
+    std::set<StreamId> writing_;
+    // Streams were forgotten before the memory had passed. Until then, a missing record says nothing.
+    std::optional<TimePoint> recordsMissingUntil_;
     // The streams by the time at which they were recorded.
     std::multimap<TimePoint, StreamId> streamsByAge_;
 };
--- a/packages/routing/src/stream_versions.cpp
+++ b/packages/routing/src/stream_versions.cpp
@@ -92,25 +92,38 @@
     return service.agreed_ && era_ && service.agreed_->era_ == *era_;
 }
 
-auto StreamVersions::onlyVersion(const Service &service) const -> std::optional<std::string>
+auto StreamVersions::baseOf(const Service &service) const -> std::optional<std::string>
 {
-    if (!isComplete(service) || service.agreed_->versions_.size() != 1) {
-        return std::nullopt;
-    }
-    const auto &version = *service.agreed_->versions_.begin();
-    return version == unrecordedVersion ? std::nullopt : std::optional(version);
+    const auto hasBase = isComplete(service) && service.agreed_->base_ != unrecordedVersion;
+    return hasBase ? std::optional(service.agreed_->base_) : std::nullopt;
+}
+
+auto StreamVersions::baseVersion(const std::string &service) const -> std::optional<std::string>
+{
+    const auto *known = findService(service);
+    return known == nullptr ? std::nullopt : baseOf(*known);
 }
 
-auto StreamVersions::needsRecord(const StreamOrigin &origin) const -> bool
+auto StreamVersions::recordNeed(const StreamOrigin &origin) const -> RecordNeed
 {
-    const auto *service = findService(origin.service_);
-    return service == nullptr || onlyVersion(*service) != origin.version_;
+    const auto base = baseVersion(origin.service_);
+    if (!base) {
+        return RecordNeed::Later;
+    }
+    if (*base != origin.version_) {
+        return RecordNeed::BeforeFirstEvent;
+    }
+    return services_.at(origin.service_).agreed_->versions_.size() == 1 ? RecordNeed::Never : RecordNeed::Later;
 }
 
-auto StreamVersions::recordBegin(const StreamRecord &record, TimePoint now) -> bool
+auto StreamVersions::recordBegin(const StreamRecord &record, Milliseconds storeAge, TimePoint now) -> RecordNeed
 {
     this->record(record, now, true);
-    return unwritten_.contains(record.stream_) && needsRecord(record.origin_);
+    if (!unwritten_.contains(record.stream_)) {
+        return RecordNeed::Never;
+    }
+    // The base version that this router knows may have been replaced since.
+    return storeAge > memory_ ? RecordNeed::BeforeFirstEvent : recordNeed(streams_.at(record.stream_).origin_);
 }
 
 auto StreamVersions::recordReported(const StreamRecord &record, TimePoint now) -> void
@@ -121,12 +134,23 @@
 auto StreamVersions::record(const StreamRecord &record, TimePoint now, bool isOwn) -> void
 {
     forgetOldStreams(now);
-    const auto added
-        = streams_.try_emplace(record.stream_, Stream {.origin_ = record.origin_, .recordedAt_ = now, .isOwn_ = isOwn});
-    if (!added.second) {
+    const auto known = streams_.find(record.stream_);
+    if (known == streams_.end()) {
+        streams_.emplace(record.stream_, Stream {.origin_ = record.origin_, .recordedAt_ = now, .isOwn_ = isOwn});
+        streamsByAge_.emplace(now, record.stream_);
+        if (isOwn) {
+            unwritten_.insert(record.stream_);
+        }
         return;
     }
-    streamsByAge_.emplace(now, record.stream_);
+    if (known->second.origin_ == record.origin_) {
+        return;
+    }
+    const auto contradicted = Stream {.origin_ = {.service_ = record.origin_.service_, .version_ = unrecordedVersion},
+        .recordedAt_ = known->second.recordedAt_,
+        .isOwn_ = known->second.isOwn_ || isOwn};
+    streams_.erase(known);
+    streams_.emplace(record.stream_, contradicted);
     if (isOwn) {
         unwritten_.insert(record.stream_);
     }
@@ -134,28 +158,41 @@
 
 auto StreamVersions::forgetOldStreams(TimePoint now) -> void
 {
-    const auto isOld = [this, now](const auto &entry) {
-        return now - entry.first > memory_ || streams_.size() >= options_.maximumStreams_;
+    const auto isOld = [this, now](TimePoint recordedAt) {
+        return now - recordedAt > memory_;
     };
-    while (!streamsByAge_.empty() && isOld(*streamsByAge_.begin())) {
-        unwritten_.erase(streamsByAge_.begin()->second);
-        streams_.erase(streamsByAge_.begin()->second);
+    while (!streamsByAge_.empty()
+        && (isOld(streamsByAge_.begin()->first) || streams_.size() >= options_.maximumStreams_)) {
+        const auto [recordedAt, stream] = *streamsByAge_.begin();
+        if (!isOld(recordedAt)) {
+            recordsMissingUntil_ = recordedAt + memory_;
+        }
+        unwritten_.erase(stream);
+        writing_.erase(stream);
+        streams_.erase(stream);
         streamsByAge_.erase(streamsByAge_.begin());
     }
 }
 
-auto StreamVersions::originOf(StreamId stream, const std::string &service, Milliseconds storeAge, TimePoint now) const
+auto StreamVersions::originOf(StreamId stream, const std::string &service, const StoreView &view, TimePoint now) const
     -> OriginDecision
 {
     const auto found = streams_.find(stream);
     if (found != streams_.end() && now - found->second.recordedAt_ <= memory_) {
         return found->second.origin_;
     }
-    const auto *known = findService(service);
-    const auto isCurrent = storeAge <= options_.propagationTime_;
-    const auto version = known != nullptr && isCurrent ? onlyVersion(*known) : std::nullopt;
-    return version ? OriginDecision(StreamOrigin {.service_ = service, .version_ = *version})
-                   : OriginDecision(UnknownOrigin {});
+    const auto base = baseVersion(service);
+    if (!base || view.age_ > options_.propagationTime_) {
+        return UnknownOrigin {};
+    }
+    const auto isAlone = services_.at(service).agreed_->versions_.size() == 1;
+    if (!isAlone && recordsMissingUntil_ && now <= *recordsMissingUntil_) {
+        return UnknownOrigin {};
+    }
+    if (!isAlone && !view.includesRecords_) {
+        return RecordsNeeded {};
+    }
+    return StreamOrigin {.service_ = service, .version_ = *base};
 }
 
 auto StreamVersions::admittedVersions(const std::string &service, TimePoint now) const -> std::set<std::string>
@@ -191,13 +228,28 @@
         }
     }
     const auto firstAgreement = !known->agreed_ && options_.isFirstStart_ && !eraChanged_;
-    if (versions.empty() || (complete && versions == known->agreed_->versions_)) {
+    if (versions.empty()) {
         return std::nullopt;
     }
     if (!complete && !firstAgreement) {
         versions.insert(unrecordedVersion);
     }
-    return AgreedVersions {.era_ = *era_, .versions_ = versions};
+    const auto proposed
+        = AgreedVersions {.era_ = *era_, .versions_ = versions, .base_ = proposedBase(*known, versions, now)};
+    return known->agreed_ == proposed ? std::nullopt : std::optional(proposed);
+}
+
+auto StreamVersions::proposedBase(const Service &service, const std::set<std::string> &versions, TimePoint now) const
+    -> std::string
+{
+    if (versions.size() == 1) {
+        return *versions.begin();
+    }
+    const auto base = baseOf(service);
+    // Streams of a version that has left cannot be resumed anyway, and without a base version those of the others need
+    // not be recorded before they are passed on. Entries may be missing for a while after an outage of the store.
+    const auto hasLeft = base && now - service.lastRegisteredAt_.at(*base) > options_.propagationTime_;
+    return base && !hasLeft ? *base : unrecordedVersion;
 }
 
 auto StreamVersions::takeUnwritten(TimePoint now, std::size_t maximumCount) -> std::vector<StreamRecord>
@@ -208,29 +260,43 @@
         if (records.size() >= maximumCount) {
             break;
         }
-        if (const auto &origin = streams_.at(id).origin_; needsRecord(origin)) {
+        if (const auto &origin = streams_.at(id).origin_; recordNeed(origin) != RecordNeed::Never) {
             records.push_back({.stream_ = id, .origin_ = origin});
         }
     }
     for (const auto &record : records) {
         unwritten_.erase(record.stream_);
+        writing_.insert(record.stream_);
     }
     return records;
 }
 
+auto StreamVersions::confirmWritten(const std::vector<StreamRecord> &records) -> void
+{
+    for (const auto &record : records) {
+        writing_.erase(record.stream_);
+    }
+}
+
 auto StreamVersions::putBack(const std::vector<StreamRecord> &records) -> void
 {
     for (const auto &record : records) {
+        writing_.erase(record.stream_);
         if (streams_.contains(record.stream_)) {
             unwritten_.insert(record.stream_);
         }
     }
 }
 
+auto StreamVersions::isWritten(StreamId stream) const -> bool
+{
+    return streams_.contains(stream) && !unwritten_.contains(stream) && !writing_.contains(stream);
+}
+
 auto StreamVersions::hasUnwritten() const -> bool
 {
     return std::any_of(unwritten_.begin(), unwritten_.end(), [this](StreamId id) {
-        return needsRecord(streams_.at(id).origin_);
+        return recordNeed(streams_.at(id).origin_) != RecordNeed::Never;
     });
 }
 
