Take no empty API key for that of an account

A configuration with an empty text among an account's keys admitted requests without a key as that account's, since a request without a key has the empty one. Found while looking for what else tells absent and empty apart by a value. route_table_test "finds none by an empty key, even if an account holds it" guards it; it failed without the change. The table leaves empty keys out, whatever the adapter passes on.

--- a/packages/routes/src/route_table.cpp
+++ b/packages/routes/src/route_table.cpp
@@ -58,7 +58,10 @@
     }
     for (const auto &account : accountsOf(configuration_.access_)) {
         for (const auto &key : account.keys_) {
-            accountsByKey_.emplace(key, &account);
+            // An empty key is that of a request without one.
+            if (!key.empty()) {
+                accountsByKey_.emplace(key, &account);
+            }
         }
     }
     priorityPairs_ = priorityPairsOf(configuration_);
--- a/packages/routes/tests/route_table_test.cpp
+++ b/packages/routes/tests/route_table_test.cpp
@@ -51,6 +51,13 @@
                         check(table.findAccount("k2")->name_ == "installer");
                         check(table.findAccount("k3") == nullptr && table.findAccount("") == nullptr);
                     }),
+                // Guards against requests without a key that are taken for those of an account.
+                test("finds none by an empty key, even if an account holds it",
+                    [] {
+                        const auto table = RouteTable(
+                            {.access_ = AccountAccess {.accounts_ = {{.name_ = "installer", .keys_ = {"", "k1"}}}}});
+                        check(table.findAccount("") == nullptr && table.findAccount("k1") != nullptr);
+                    }),
             }),
         section("with priorities of accounts and routes",
             {
