Bound what all responses of upstreams hold in memory together

Cause: each response is limited (8 MB, 1 MB for an event) and their sum is not.

Evidence: three tests of forward_test, "an upstream in trouble", failed on: many large responses at once, many large events at once, and a stated length above the limit, which was read all the same.

Half is open to all; beyond it the upstream that holds most gets no more. Memory is given back when the response has been sent. A response that states a length above its limit is refused at its head.

Why it works: the sum is bounded by decision, and the one that fills it is the one that is cut off, so that sound large responses of other upstreams pass beside it.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -12,6 +12,7 @@
 #include "jasminewood/forward/configuration_watcher.h"
 #include "jasminewood/forward/crashing_requests.h"
 #include "jasminewood/forward/protocol_adapter.h"
+#include "jasminewood/forward/response_hold.h"
 #include "jasminewood/forward/stop_schedule.h"
 #include "jasminewood/forward/stream_origins.h"
 #include "jasminewood/forward/upstream_watcher.h"
@@ -43,6 +44,8 @@
     const Milliseconds retryLearningTime_ = Milliseconds(0);
     // Longest response that is not a stream; a longer one counts as a failure of the upstream.
     const std::size_t maximumResponseBytes_ = std::size_t(8) << 20U;
+    // What all responses together may hold in memory; those of the upstream that holds most, half of it.
+    const std::size_t maximumHeldBytes_ = std::size_t(32) << 20U;
     // Longest event of a stream.
     const std::size_t maximumEventBytes_ = std::size_t(1) << 20U;
     // A stream that cannot be resumed ends if it brings no event for this time.
@@ -108,6 +111,7 @@
 
     const FrontendOptions options_;
     const ProtocolAdapter protocolAdapter_;
+    const std::shared_ptr<SharedResponseMemory> responseMemory_;
     // Set at the start.
     std::optional<routing::RetryBudgetOptions> retryBudgetOptions_;
     std::shared_ptr<node::Environment> environment_;
--- a/packages/forward/src/event_splitter.cpp
+++ b/packages/forward/src/event_splitter.cpp
@@ -87,6 +87,11 @@
     return std::exchange(partialEvent_, {});
 }
 
+auto EventSplitter::partialBytes() const -> std::size_t
+{
+    return partialEvent_.size();
+}
+
 auto EventSplitter::lastEventId() const -> const std::string &
 {
     return lastEventId_;
--- a/packages/forward/src/event_splitter.h
+++ b/packages/forward/src/event_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,9 @@
     // Returns and clears the incomplete event that remains at the end of the stream.
     auto takePartial() -> std::string;
 
+    // Returns the size of the incomplete event.
+    auto partialBytes() const -> std::size_t;
+
     // Returns the id of the last complete event that had one; empty if none had.
     auto lastEventId() const -> const std::string &;
 
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -37,6 +37,7 @@
 Frontend::Frontend(const FrontendOptions &options, const ProtocolAdapter &protocolAdapter)
     : options_(options)
     , protocolAdapter_(protocolAdapter)
+    , responseMemory_(std::make_shared<SharedResponseMemory>(options.maximumHeldBytes_))
 {
 }
 
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -1,6 +1,9 @@
 #include "request_run.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <limits>
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -68,6 +71,15 @@
                                             : std::optional<std::string>("the answer belongs to another request");
 }
 
+// Returns the length of the body that the head states; 0 if it states none that can be read.
+auto declaredLength(const http::ResponseHead &head) -> std::uint64_t
+{
+    const auto field = http::findHeader(head.fields_, "Content-Length").value_or("");
+    auto length = std::uint64_t(0);
+    const auto parsed = std::from_chars(field.data(), field.data() + field.size(), length);
+    return parsed.ec == std::errc::result_out_of_range ? std::numeric_limits<std::uint64_t>::max() : length;
+}
+
 } // namespace
 
 RequestRun::RequestRun(Frontend &frontend, const http::Request &request)
@@ -298,6 +310,7 @@
         .requestTarget_ = request_.requestTarget_,
         .watchedDescriptor_ = request_.callerDescriptor_});
     attempt_->exchange_ = std::make_unique<http::Exchange>(*attempt_->request_);
+    attempt_->hold_ = std::make_shared<ResponseHold>(frontend_.responseMemory_, upstream.id_);
     return std::nullopt;
 }
 
@@ -371,12 +384,14 @@
     if (started.metadata_.isEventStream_) {
         return relayStream(started, admitted);
     }
-    const auto body = readBody();
+    const auto body = readBody(started.head_);
     if (!body) {
         return failAttempt(body.failure());
     }
-    const auto response = http::BufferedResponse {
-        .status_ = started.head_.status_, .headers_ = internal::endToEndFields(started.head_.fields_), .body_ = *body};
+    const auto response = http::BufferedResponse {.status_ = started.head_.status_,
+        .headers_ = internal::endToEndFields(started.head_.fields_),
+        .body_ = *body,
+        .resource_ = attempt_->hold_};
     if (started.head_.status_ >= firstServerErrorStatus && allowsRerun(*admitted.route_)) {
         recordCompletion();
         return failAttempt({.step_ = "answer",
@@ -393,8 +408,23 @@
     return response;
 }
 
-auto RequestRun::readBody() -> Result<std::string>
+auto RequestRun::responseFailure(const std::string &reason) const -> Failure
+{
+    return {.step_ = "answer",
+        .peer_ = attempt_->assignment_.upstream_.address_,
+        .reason_ = reason,
+        .runState_ = RunState::MayHaveRun};
+}
+
+auto RequestRun::readBody(const http::ResponseHead &head) -> Result<std::string>
 {
+    const auto limit = frontend_.options_.maximumResponseBytes_;
+    const auto tooLong = [this] {
+        return responseFailure("the response exceeds the limit");
+    };
+    if (request_.method_ != "HEAD" && declaredLength(head) > limit) {
+        return tooLong();
+    }
     auto body = std::string();
     while (true) {
         const auto chunk = attempt_->exchange_->next(deadline_);
@@ -404,11 +434,16 @@
         if (!*chunk) {
             return body;
         }
-        if (body.size() + (*chunk)->size() > frontend_.options_.maximumResponseBytes_) {
-            return Failure {.step_ = "answer",
-                .peer_ = attempt_->assignment_.upstream_.address_,
-                .reason_ = "the response exceeds the limit",
-                .runState_ = RunState::MayHaveRun};
+        const auto size = body.size() + (*chunk)->size();
+        if (size > limit) {
+            return tooLong();
+        }
+        if (size > body.capacity()) {
+            const auto capacity = std::max(size, std::min(2 * body.capacity(), limit));
+            if (!attempt_->hold_->tryResize(capacity)) {
+                return responseFailure("the responses of all upstreams exceed their memory");
+            }
+            body.reserve(capacity);
         }
         body += **chunk;
     }
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -42,6 +42,8 @@
     const Assignment assignment_;
     std::unique_ptr<http::ClientRequest> request_ = nullptr;
     std::unique_ptr<http::Exchange> exchange_ = nullptr;
+    // The memory of its response. Shared with the response that is sent to the caller.
+    std::shared_ptr<ResponseHold> hold_ = nullptr;
     std::optional<TimePoint> firstTokenAt_ = std::nullopt;
     // Whether its response is accepted as the caller's stream.
     bool isRelayed_ = false;
@@ -81,10 +83,15 @@
     auto checkResponseHead(const http::ResponseHead &head) -> std::variant<StartedResponse, FailedAttempt>;
     auto relayResponse(const StartedResponse &started, const AdmittedRequest &admitted)
         -> std::variant<http::Response, FailedAttempt>;
-    auto readBody() -> Result<std::string>;
+    // Reads the body of a response with this head. Fails if it exceeds a limit.
+    auto readBody(const http::ResponseHead &head) -> Result<std::string>;
+    // Makes a failure of the attempt in flight whose response broke a rule.
+    auto responseFailure(const std::string &reason) const -> Failure;
     auto streamLimits(const AdmittedRequest &admitted) const -> internal::StreamLimits;
     auto relayStream(const StartedResponse &started, const AdmittedRequest &admitted) -> http::Response;
     auto nextStreamEvent(const AdmittedRequest &admitted) -> http::StreamEvent;
+    // Returns the complete events of the stream with further data. Fails if the incomplete one takes too much memory.
+    auto splitEvents(const std::string &data) -> Result<std::string>;
     // Waits for data of the stream. Fails with step "stall" if the stream makes no progress.
     auto awaitChunk() -> Result<std::optional<std::string>>;
     // Fixes the software version of the stream with the first event of an attempt. Fails if the event may be of another
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -170,14 +170,28 @@
         const auto now = Clock::now();
         longestChunkGap_ = std::max(longestChunkGap_, now - lastChunkAt_.value_or(now));
         lastChunkAt_ = now;
-        const auto output = allowsRerun(*admitted.route_) ? eventSplitter_.split(**chunk) : **chunk;
-        relayedBytes_ += output.size();
-        if (!output.empty()) {
-            return http::Chunk {.data_ = output};
+        const auto output = allowsRerun(*admitted.route_) ? splitEvents(**chunk) : Result<std::string>(**chunk);
+        if (!output) {
+            static_cast<void>(failAttempt(output.failure()));
+            continue;
+        }
+        relayedBytes_ += output->size();
+        if (!output->empty()) {
+            return http::Chunk {.data_ = *output};
         }
     }
 }
 
+auto RequestRun::splitEvents(const std::string &data) -> Result<std::string>
+{
+    if (!attempt_->hold_->tryResize(eventSplitter_.partialBytes() + data.size())) {
+        return responseFailure("the responses of all upstreams exceed their memory");
+    }
+    auto events = eventSplitter_.split(data);
+    static_cast<void>(attempt_->hold_->tryResize(eventSplitter_.partialBytes()));
+    return events;
+}
+
 auto RequestRun::endStream() -> http::StreamEvent
 {
     if (const auto partialEvent = eventSplitter_.takePartial(); !partialEvent.empty()) {
--- /dev/null
+++ b/packages/forward/src/response_hold.cpp
@@ -0,0 +1,49 @@
+#include "jasminewood/forward/response_hold.h"
+
+#include <utility>
+
+namespace jasminewood::forward
+{
+
+SharedResponseMemory::SharedResponseMemory(std::size_t maximumBytes)
+    : memory_(maximumBytes)
+{
+}
+
+auto SharedResponseMemory::tryHold(const std::string &upstream, std::size_t bytes) -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return memory_.tryHold(upstream, bytes);
+}
+
+auto SharedResponseMemory::release(const std::string &upstream, std::size_t bytes) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    memory_.release(upstream, bytes);
+}
+
+ResponseHold::ResponseHold(std::shared_ptr<SharedResponseMemory> memory, const std::string &upstream)
+    : memory_(std::move(memory))
+    , upstream_(upstream)
+{
+}
+
+ResponseHold::~ResponseHold()
+{
+    static_cast<void>(tryResize(0));
+}
+
+auto ResponseHold::tryResize(std::size_t bytes) -> bool
+{
+    const auto counted = bytes > uncountedResponseBytes ? bytes : 0;
+    if (counted > heldBytes_ && !memory_->tryHold(upstream_, counted - heldBytes_)) {
+        return false;
+    }
+    if (counted < heldBytes_) {
+        memory_->release(upstream_, heldBytes_ - counted);
+    }
+    heldBytes_ = counted;
+    return true;
+}
+
+} // namespace jasminewood::forward
--- a/packages/forward/tests/hostile_upstream_test.cpp
+++ b/packages/forward/tests/hostile_upstream_test.cpp
@@ -1,5 +1,8 @@
+#include <algorithm>
 #include <atomic>
+#include <future>
 #include <thread>
+#include <vector>
 
 #include "frontend_fixture.h"
 #include "jasminewood/forward/frontend.h"
@@ -87,6 +90,84 @@
     return server;
 }
 
+// Callers that wait, all at once, for responses of an upstream that sends so much to each and then falls silent.
+class CallersOfEndlessResponses
+{
+public:
+    CallersOfEndlessResponses(
+        FrontendFixture &fixture, int count, const std::string &path, const std::string &type, std::size_t bytes)
+    {
+        fixture.addUpstream("a", [this, count, type, bytes](const http::Request &request) -> http::Response {
+            auto fields = authenticResponse(request, 200, "").headers_;
+            fields.push_back({.name_ = "Content-Type", .value_ = type});
+            ++asked_;
+            return http::StreamResponse {
+                .status_ = 200, .headers_ = fields, .nextEvent_ = [this, count, left = bytes]() mutable {
+                    return next(count, left);
+                }};
+        });
+        for (auto index = 0; index < count; ++index) {
+            callers_.push_back(std::async(std::launch::async, [url = fixture.url(path)] {
+                const auto response = http::fetch({.url_ = url,
+                    .headers_ = FrontendFixture::requestFields("r1"),
+                    .retryable_ = false,
+                    .ownConnection_ = true});
+                return response && response->status_ == 200;
+            }));
+        }
+    }
+
+    ~CallersOfEndlessResponses()
+    {
+        released_ = true;
+    }
+
+    CallersOfEndlessResponses(const CallersOfEndlessResponses &) = delete;
+    auto operator=(const CallersOfEndlessResponses &) -> CallersOfEndlessResponses & = delete;
+
+    // Waits until at most so many callers still wait, long before the timeout of their requests.
+    auto awaitWaiting(std::ptrdiff_t maximum) -> void
+    {
+        const auto startedAt = Clock::now();
+        waitUntil(
+            [this, maximum] {
+                return std::count_if(callers_.begin(), callers_.end(), [](const auto &caller) {
+                    return caller.wait_for(0s) != std::future_status::ready;
+                }) <= maximum;
+            },
+            "responses are cut off");
+        check(Clock::now() - startedAt < 10s, "the requests have not reached their timeout");
+    }
+
+    // Lets the responses that were not cut off end. Returns how many there were.
+    auto complete() -> std::ptrdiff_t
+    {
+        released_ = true;
+        return std::count_if(callers_.begin(), callers_.end(), [](auto &caller) {
+            return caller.get();
+        });
+    }
+
+private:
+    auto next(int count, std::size_t &left) -> http::StreamEvent
+    {
+        constexpr std::size_t chunkBytes = 32U << 10U;
+        while (!released_ && (asked_ < count || left == 0)) {
+            std::this_thread::sleep_for(5ms);
+        }
+        if (left == 0) {
+            return http::EndOfStream {};
+        }
+        const auto size = std::min(left, chunkBytes);
+        left -= size;
+        return http::Chunk {.data_ = std::string(size, 'x')};
+    }
+
+    std::atomic<bool> released_ = false;
+    std::atomic<int> asked_ = 0;
+    std::vector<std::future<bool>> callers_;
+};
+
 const testkit::TestSuite suite = {"an upstream in trouble",
     {
         section("whose responses end with their connection",
@@ -221,6 +302,54 @@
                         check(counts->bytes_ < manyBytes / 2, std::to_string(counts->bytes_) + " bytes were sent");
                     }),
             }),
+        section("that sends bytes to many callers at once",
+            {
+                // Guards against responses that together fill the memory of the router although none exceeds its limit.
+                test("in responses has all but a few cut off, and another upstream has none",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        auto callers = CallersOfEndlessResponses(fixture, 12, "/once/", "text/plain", 7U << 20U);
+                        callers.awaitWaiting(2);
+                        const auto address = fixture.upstreams().pool().recordOf("a")->address_;
+                        fixture.registerUpstream("a", address, "leaving");
+                        const auto large = std::string(1U << 20U, 'y');
+                        fixture.addUpstream("b", [&large](const http::Request &request) -> http::Response {
+                            return authenticResponse(request, 200, large);
+                        });
+                        const auto response = get(fixture, "/once/");
+                        check(response && response->status_ == 200 && response->body_ == large);
+                        check(callers.complete() >= 1, "one of the large responses is passed on");
+                    }),
+                // Guards against the same in the events of streams.
+                test("in events has all but a few streams broken off",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        auto callers
+                            = CallersOfEndlessResponses(fixture, 40, "/resumable/", "text/event-stream", 1'000'000);
+                        callers.awaitWaiting(16);
+                    }),
+            }),
+        section("that states a length above the limit",
+            {
+                // Guards against reading a response that cannot be passed on.
+                test("has its response refused before it is read",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        const auto server = testbench::RawServer([](int socket) {
+                            static_cast<void>(testbench::readUntil(socket, "\r\n\r\n"));
+                            testbench::sendText(socket,
+                                "HTTP/1.1 200 OK\r\nGenuine: 1\r\nRequest-Id: r1\r\n"
+                                "Content-Length: 1099511627776\r\n\r\nx");
+                            // Returns when the router closes the connection.
+                            static_cast<void>(testbench::readUntil(socket, "\r\n\r\n"));
+                        });
+                        fixture.registerUpstream("a", server.url().substr(std::string("http://").size()), "ready");
+                        const auto startedAt = Clock::now();
+                        const auto response = get(fixture, "/once/");
+                        check(response && response->status_ == 502);
+                        check(Clock::now() - startedAt < 5s, "the response is refused at once");
+                    }),
+            }),
         section("that sends a second copy of a response, late, on a kept connection",
             {
                 // Guards against a caller that gets the response to another request, and against a good request that
--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -79,6 +79,8 @@
     const int status_ = 200;
     const std::vector<HeaderField> headers_;
     const std::string body_;
+    // Kept until the response has been sent, or cannot be sent any more. May be empty.
+    const std::shared_ptr<const void> resource_ = nullptr;
 
     auto operator<=>(const BufferedResponse &) const = default;
 };
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -34,6 +34,8 @@
     bool responseDecided_ = false;
     // Whether the request has been read to its end.
     bool complete_ = false;
+    // BufferedResponse::resource_ of its response.
+    std::shared_ptr<const void> responseResource_ = nullptr;
     std::shared_ptr<ResponseProgress> progress_ = std::make_shared<ResponseProgress>();
 };
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -377,6 +377,9 @@
         // A slow handler or a pause in a stream must not count towards the idle timeout of the caller.
         MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
         const auto response = callHandler(internal::makeRequest(connection, method, path, pending), *pending.progress_);
+        if (const auto *buffered = std::get_if<BufferedResponse>(&response)) {
+            pending.responseResource_ = buffered->resource_;
+        }
         return internal::queueResponse(connection, response, persistence(connection), pending.progress_);
     }
 
