Await records again after an outage, and count no ejected upstream as a way out

Callers would have seen: streams joined over two versions after an outage of the store in which only the added version served.

Cause: a stream whose record could not be written put off the writes of records for another second, so a steady flow of streams at the added version was never awaited again. Beside it, a base version whose upstreams are all ejected counted as one at which streams can begin, so that they were sent there in vain.

Evidence: adapter_test "goes on at the added version if it began soon after an outage in which nothing else served" failed without the change of stream_origins.cpp. The change of the pool has no test of its own.

Change: a delay is not extended while it lasts and ends with a successful write; UpstreamPool::hasWorkingUpstream leaves ejected upstreams out.

Measured: all 17 tests of "a stream that a caller resumes" pass.

--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -163,6 +163,9 @@
     // Returns whether there is an upstream that choose() may choose.
     auto hasEligibleUpstream(const SelectionCriteria &criteria, TimePoint now) const -> bool;
 
+    // Returns whether an eligible upstream is not ejected. choose() falls back to ejected ones.
+    auto hasWorkingUpstream(const SelectionCriteria &criteria, TimePoint now) const -> bool;
+
     // Chooses an upstream of the service and counts the attempt as in flight. Fails with step "choose" if there is
     // none.
     auto choose(const SelectionCriteria &criteria, TimePoint now) -> Result<Assignment>;
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -259,9 +259,9 @@
 
 auto RequestRun::hasUpstreamOf(const std::string &version) const -> bool
 {
-    return frontend_.upstreams_->pool().hasEligibleUpstream({.service_ = service_,
-                                                                .excludedUpstreams_ = triedUpstreams_,
-                                                                .versions_ = RequiredVersion {.version_ = version}},
+    return frontend_.upstreams_->pool().hasWorkingUpstream({.service_ = service_,
+                                                               .excludedUpstreams_ = triedUpstreams_,
+                                                               .versions_ = RequiredVersion {.version_ = version}},
         Clock::now());
 }
 
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -74,7 +74,7 @@
     auto versionCriterion() const -> VersionCriterion;
     // Returns the software versions at which a stream may begin that may be resumed.
     auto newStreamVersions() const -> AllowedVersions;
-    // Returns whether an upstream of the version may run the next attempt.
+    // Returns whether an upstream of the version that is not ejected may run the next attempt.
     auto hasUpstreamOf(const std::string &version) const -> bool;
     auto selectionCriteria(const AdmittedRequest &admitted) const -> SelectionCriteria;
     // Chooses an upstream and sends the request to it; sets attempt_. Fails if there is no upstream.
--- a/packages/forward/src/stream_origins.cpp
+++ b/packages/forward/src/stream_origins.cpp
@@ -189,7 +189,9 @@
     if (versions_->isWritten(record.stream_)) {
         return std::nullopt;
     }
-    delayRecords(Clock::now());
+    if (const auto failedAt = Clock::now(); failedAt >= recordsDelayedUntil_) {
+        delayRecords(failedAt);
+    }
     return Failure {.step_ = "record", .reason_ = "the software version of the stream could not be written"};
 }
 
@@ -576,6 +578,7 @@
             observe::concatenate({{"streams", std::int64_t(records.size())}}, observe::fieldsOf(*failure)));
     } else {
         versions_->confirmWritten(records);
+        recordsDelayedUntil_ = TimePoint();
     }
     originCondition_.notify_all();
     if (versions_->hasUnwritten()) {
--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -257,6 +257,15 @@
     return !eligibleUpstreams(criteria, now).empty();
 }
 
+auto UpstreamPool::hasWorkingUpstream(const SelectionCriteria &criteria, TimePoint now) const -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto eligible = eligibleUpstreams(criteria, now);
+    return std::any_of(eligible.begin(), eligible.end(), [now](const auto *upstream) {
+        return !upstream->ejectedUntil_ || now >= *upstream->ejectedUntil_;
+    });
+}
+
 auto UpstreamPool::choose(const SelectionCriteria &criteria, TimePoint now) -> Result<Assignment>
 {
     const auto lock = std::scoped_lock(mutex_);
