Let a response that is refused more memory make room for the next one at once

Callers would have seen: of several large responses that arrive together, all cut off where some could have passed.

Cause: a refused response kept its memory until its attempt had ended, log line included. Others that asked in the meantime were refused as well.

Evidence: forward_test "the memory of one response / that is refused more / makes room for the next one at once" fails if the memory is not given back with the refusal.

Change: SharedResponseMemory::tryGrow gives back what a refused response holds, under the same lock.

--- a/packages/forward/include/jasminewood/forward/response_hold.h
+++ b/packages/forward/include/jasminewood/forward/response_hold.h
@@ -24,7 +24,9 @@
 public:
     explicit SharedResponseMemory(std::size_t maximumBytes);
 
-    auto tryHold(const std::string &upstream, std::size_t bytes) -> bool;
+    // Takes further memory for a response of the upstream that has heldBytes. If it may not have it, returns false and
+    // gives the others back at once: of several responses that are refused, the first makes room for the next.
+    auto tryGrow(const std::string &upstream, std::size_t heldBytes, std::size_t furtherBytes) -> bool;
     auto release(const std::string &upstream, std::size_t bytes) -> void;
 
 private:
@@ -42,8 +44,8 @@
     ResponseHold(const ResponseHold &) = delete;
     auto operator=(const ResponseHold &) -> ResponseHold & = delete;
 
-    // Changes the size that the response has in memory. Returns false, and changes nothing, if the responses of its
-    // upstream may not have so much; a smaller size is always possible.
+    // Changes the size that the response has in memory. Returns false if the responses of its upstream may not have so
+    // much: then all memory is given back, and the response has to be dropped. A smaller size is always possible.
     auto tryResize(std::size_t bytes) -> bool;
 
 private:
--- a/packages/forward/src/response_hold.cpp
+++ b/packages/forward/src/response_hold.cpp
@@ -10,10 +10,14 @@
 {
 }
 
-auto SharedResponseMemory::tryHold(const std::string &upstream, std::size_t bytes) -> bool
+auto SharedResponseMemory::tryGrow(const std::string &upstream, std::size_t heldBytes, std::size_t furtherBytes) -> bool
 {
     const auto lock = std::scoped_lock(mutex_);
-    return memory_.tryHold(upstream, bytes);
+    if (memory_.tryHold(upstream, furtherBytes)) {
+        return true;
+    }
+    memory_.release(upstream, heldBytes);
+    return false;
 }
 
 auto SharedResponseMemory::release(const std::string &upstream, std::size_t bytes) -> void
@@ -36,7 +40,8 @@
 auto ResponseHold::tryResize(std::size_t bytes) -> bool
 {
     const auto counted = bytes > uncountedResponseBytes ? bytes : 0;
-    if (counted > heldBytes_ && !memory_->tryHold(upstream_, counted - heldBytes_)) {
+    if (counted > heldBytes_ && !memory_->tryGrow(upstream_, heldBytes_, counted - heldBytes_)) {
+        heldBytes_ = 0;
         return false;
     }
     if (counted < heldBytes_) {
