Write the fake booking app's history to the folder for temporary files

The test named an absolute path, so it could not run where that folder is another one or not writable.

--- a/packages/testbench/tests/fake_booking_test.cpp
+++ b/packages/testbench/tests/fake_booking_test.cpp
@@ -1,9 +1,11 @@
 #include "jasminewood/testbench/fake_booking.h"
 
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <string>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -45,7 +47,8 @@
                 // Guards against a fake that deduplicates calls, which would make every at-most-once test pass.
                 test("runs twice and records both runs",
                     [] {
-                        const auto path = "/tmp/jasminewood-history-" + std::to_string(getpid());
+                        const auto path
+                            = (std::filesystem::temp_directory_path() / fmt::format("history-{}", getpid())).string();
                         const auto booking = FakeBooking::start({.historyPath_ = path});
                         const auto first = book(**booking, "k-1", "{\"slot\":1}");
                         const auto second = book(**booking, "k-1", "{\"slot\":1}");
