--- a/packages/forward/tests/stream_version_test.cpp
+++ b/packages/forward/tests/stream_version_test.cpp
@@ -124,6 +124,11 @@
                 pool.recordAttemptEnd(*failed, AttemptResult::Failed, now);
                 check(choose(required, {}) == "c" && choose(allowed, {}) == "c");
                 check(choose(required, {"c"}) == "a" && choose(allowed, {"c"}) == "a");
+                const auto hasWorking = [&pool, &required](const std::string &excluded, TimePoint time) {
+                    return pool.hasWorkingUpstream(
+                        {.service_ = "pool", .excludedUpstreams_ = {excluded}, .versions_ = required}, time);
+                };
+                check(hasWorking("a", now) && !hasWorking("c", now) && hasWorking("c", now + minimumEjectionTime));
                 check(pool.recordOf("b")->version_ == "v2" && !pool.recordOf("e"));
             }),
     }};
