--- a/packages/forward/src/stream_origin_codec.cpp
+++ b/packages/forward/src/stream_origin_codec.cpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <xxhash.h>
 
 namespace jasminewood::forward::internal
@@ -134,6 +135,11 @@
     return isUsual ? name : fmt::format("~{:016x}", XXH3_64bits(name.data(), name.size()));
 }
 
+auto versionsText(const std::set<std::string> &versions) -> std::string
+{
+    return fmt::format("{}", fmt::join(versions, ","));
+}
+
 auto formatVersions(const ServiceVersions &versions) -> std::string
 {
     const auto &agreed = versions.agreed_;
--- a/packages/forward/src/stream_origin_codec.h
+++ b/packages/forward/src/stream_origin_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,9 @@
 // Returns a name as part of a key: itself, or its hash if it is long or holds other characters than names usually do.
 auto keyPart(const std::string &name) -> std::string;
 
+// Returns versions as a text for the log.
+auto versionsText(const std::set<std::string> &versions) -> std::string;
+
 auto formatVersions(const ServiceVersions &versions) -> std::string;
 auto parseVersions(const std::string &value) -> Result<ServiceVersions>;
 
--- a/packages/forward/src/stream_origins.cpp
+++ b/packages/forward/src/stream_origins.cpp
@@ -4,8 +4,6 @@
 #include <limits>
 #include <utility>
 
-#include <fmt/format.h>
-#include <fmt/ranges.h>
 #include <xxhash.h>
 
 #include "jasminewood/forward/peer_network.h"
@@ -26,13 +24,6 @@
 constexpr int memoryTimeouts = 2;
 // How long a router waits for the first agreed versions before it writes records, which then are seldom needed.
 constexpr Milliseconds firstAgreementTime = Milliseconds(2'000);
-// The streams in one key: those of about this time.
-constexpr Milliseconds batchTime = Milliseconds(2'000);
-// Each router has its share of the writes of all.
-constexpr Milliseconds recordIntervalOfRouter = Milliseconds(10);
-// Beyond the memory, for the time between the grant of a lease and the write.
-constexpr Milliseconds leaseMargin = Milliseconds(5'000);
-constexpr Milliseconds maximumLeaseTime = Milliseconds(600'000);
 // How long a read of the records waits for further ones. The store responds at once if there are any.
 constexpr Milliseconds recordsWait = Milliseconds(20);
 constexpr Milliseconds readRetryInterval = Milliseconds(100);
@@ -50,12 +41,6 @@
     return origin != nullptr && origin->version_ != routing::unrecordedVersion;
 }
 
-// Returns the versions as a text for the log.
-auto toText(const std::set<std::string> &versions) -> std::string
-{
-    return fmt::format("{}", fmt::join(versions, ","));
-}
-
 } // namespace
 
 StreamOrigins::StreamOrigins(std::shared_ptr<platform::KeyValueClient> store, const StreamOriginsOptions &options)
@@ -364,7 +349,7 @@
     }
     versions_->setAgreed(parsed->service_, parsed->agreed_, now, heard);
     environment_->log().info("read the agreed versions of a service",
-        {{"service", parsed->service_}, {"versions", toText(parsed->agreed_.versions_)},
+        {{"service", parsed->service_}, {"versions", internal::versionsText(parsed->agreed_.versions_)},
             {"base", parsed->agreed_.base_}, {"agreed_era", std::int64_t(parsed->agreed_.era_)}, {"era", era_},
             {"revision", entry.modRevision_}});
 }
@@ -443,179 +428,4 @@
     }
 }
 
-auto StreamOrigins::proposals(TimePoint now) const -> std::vector<Proposal>
-{
-    auto proposals = std::vector<Proposal>();
-    for (const auto &service : services_) {
-        const auto agreed = versions_->proposal(service, now);
-        if (agreed && agreed->versions_.size() <= internal::maximumVersionsOfEntry) {
-            const auto known = revisions_.find(versionsKey(service));
-            proposals.push_back({.service_ = service,
-                .agreed_ = *agreed,
-                .expectedRevision_ = known == revisions_.end() ? 0 : known->second});
-        }
-    }
-    return proposals;
-}
-
-auto StreamOrigins::scheduleProposals(TimePoint now) -> void
-{
-    if (proposalsDueAt_ || now < nextProposalAt_ || proposals(now).empty()) {
-        return;
-    }
-    proposalsDueAt_ = now + proposalDelay_.nextDelay();
-    workCondition_.notify_all();
-}
-
-auto StreamOrigins::scheduleRecords(TimePoint now, routing::RecordNeed need) -> void
-{
-    const auto isAwaited = need == routing::RecordNeed::BeforeFirstEvent;
-    const auto dueAt = std::max(now, isAwaited ? recordsDelayedUntil_ : nextRecordsAt_);
-    if (!recordsDueAt_ || dueAt < *recordsDueAt_) {
-        recordsDueAt_ = dueAt;
-        workCondition_.notify_all();
-    }
-}
-
-auto StreamOrigins::recordInterval() const -> Milliseconds
-{
-    const auto routers = network_ ? std::int64_t(network_->peerCount()) + 1 : 1;
-    return std::max(options_.recordInterval_, routers * recordIntervalOfRouter);
-}
-
-auto StreamOrigins::nextDueAt() const -> std::optional<TimePoint>
-{
-    if (proposalsDueAt_ && recordsDueAt_) {
-        return std::min(*proposalsDueAt_, *recordsDueAt_);
-    }
-    return proposalsDueAt_ ? proposalsDueAt_ : recordsDueAt_;
-}
-
-auto StreamOrigins::runWrites() -> void
-{
-    auto lock = std::unique_lock(mutex_);
-    while (!stopping_) {
-        const auto dueAt = nextDueAt();
-        if (!dueAt) {
-            workCondition_.wait(lock);
-        } else if (Clock::now() < *dueAt) {
-            workCondition_.wait_until(lock, *dueAt);
-        } else if (dueAt == proposalsDueAt_) {
-            writeProposals(lock);
-        } else {
-            writeRecords(lock);
-        }
-    }
-}
-
-auto StreamOrigins::writeProposals(std::unique_lock<std::mutex> &lock) -> void
-{
-    // Another router may have written them during the delay.
-    const auto due = proposals(Clock::now());
-    proposalsDueAt_.reset();
-    lock.unlock();
-    for (const auto &proposal : due) {
-        writeProposal(proposal);
-    }
-    lock.lock();
-    // The feed reports what was written; whatever was not is due again after the pause.
-    nextProposalAt_ = Clock::now() + options_.retryInterval_;
-}
-
-auto StreamOrigins::writeProposal(const Proposal &proposal) -> void
-{
-    const auto written = store_->compareAndSwap(versionsKey(proposal.service_), proposal.expectedRevision_,
-        internal::formatVersions({.service_ = proposal.service_, .agreed_ = proposal.agreed_}));
-    const auto fields
-        = observe::Fields {{"service", proposal.service_}, {"versions", toText(proposal.agreed_.versions_)},
-            {"base", proposal.agreed_.base_}, {"expected_revision", proposal.expectedRevision_}};
-    if (!written) {
-        environment_->log().warning("the agreed versions of a service could not be written",
-            observe::concatenate(fields, observe::fieldsOf(written.failure())));
-    } else {
-        environment_->log().info(written->written_ ? "wrote the agreed versions of a service"
-                                                   : "another router wrote the agreed versions of a service",
-            fields);
-    }
-}
-
-auto StreamOrigins::extendBatch(const std::vector<routing::StreamRecord> &records, TimePoint now) -> void
-{
-    const auto isFull = !batch_ || now - batch_->begunAt_ > batchTime
-        || batch_->records_.size() + records.size() > internal::maximumStreamsOfEntry;
-    if (isFull) {
-        const auto &self = environment_->identity().node_;
-        batch_.emplace(Batch {.key_ = fmt::format("{}{}/{:x}-{}", streamsPrefix_, internal::keyPart(self.name_),
-                                  self.incarnation_, ++batchCount_),
-            .begunAt_ = now});
-    }
-    for (const auto &record : records) {
-        batch_->records_.push_back(record);
-    }
-}
-
-auto StreamOrigins::writeRecords(std::unique_lock<std::mutex> &lock) -> void
-{
-    const auto now = Clock::now();
-    recordsDueAt_.reset();
-    const auto records = versions_->takeUnwritten(now, internal::maximumStreamsOfEntry);
-    if (records.empty()) {
-        return;
-    }
-    extendBatch(records, now);
-    const auto batch = *batch_;
-    const auto memory = memory_;
-    lock.unlock();
-    const auto failure = writeBatch(batch, memory);
-    lock.lock();
-    nextRecordsAt_ = Clock::now() + recordInterval();
-    if (failure) {
-        // The lost write may still be performed. Its key is not written again, since it could undo that.
-        batch_.reset();
-        versions_->putBack(records);
-        delayRecords(Clock::now());
-        environment_->log().warning("the versions of streams could not be written",
-            observe::concatenate({{"streams", std::int64_t(records.size())}}, observe::fieldsOf(*failure)));
-    } else {
-        versions_->confirmWritten(records);
-        recordsDelayedUntil_ = TimePoint();
-    }
-    originCondition_.notify_all();
-    if (versions_->hasUnwritten()) {
-        scheduleRecords(Clock::now(), routing::RecordNeed::Later);
-    }
-}
-
-auto StreamOrigins::writeBatch(const Batch &batch, Milliseconds memory) -> Status
-{
-    if (auto failure = renewLease(memory)) {
-        return failure;
-    }
-    const auto lease = lease_->lease_;
-    const auto written = store_->put(batch.key_, internal::formatStreams(batch.records_), lease.id_);
-    if (!written || written->era_ != lease.era_) {
-        lease_.reset();
-        return written ? Failure {.step_ = "write", .reason_ = "the store came back from an older copy"}
-                       : written.failure();
-    }
-    writtenCounter_->add();
-    return std::nullopt;
-}
-
-auto StreamOrigins::renewLease(Milliseconds memory) -> Status
-{
-    const auto now = Clock::now();
-    if (lease_ && lease_->lease_.era_ == store_->era() && now < lease_->usableUntil_) {
-        return std::nullopt;
-    }
-    lease_.reset();
-    const auto timeToLive = std::min(2 * memory + leaseMargin, maximumLeaseTime);
-    const auto lease = store_->grantLease(std::chrono::ceil<std::chrono::seconds>(timeToLive));
-    if (!lease) {
-        return lease.failure();
-    }
-    lease_.emplace(WriterLease {.lease_ = *lease, .usableUntil_ = now + (timeToLive - leaseMargin) / 2});
-    return std::nullopt;
-}
-
 } // namespace jasminewood::forward
