--- a/packages/routing/include/jasminewood/routing/connection_shedding.h
+++ b/packages/routing/include/jasminewood/routing/connection_shedding.h
@@ -68,12 +68,12 @@
 };
 
 // A router below this utilisation keeps its callers.
-constexpr double sheddingUtilisation = 0.6;
-// The longest time for which a router is not ready.
-constexpr Milliseconds maximumSheddingTime = Milliseconds(4'000);
-// A router is ready for at least this time between two withdrawals. With maximumSheddingTime it is ready for 6/7 of the
-// time; the load balancer's operators expect routers to be ready for 7/8 of the time on average, and large routers
-// never withdraw.
+constexpr double sheddingUtilisation = 0.7;
+// The longest time for which a router is not ready: two until the load balancer ignores it, and one to close
+// connections.
+constexpr Milliseconds maximumSheddingTime = Milliseconds(3'000);
+// A router is ready for at least this time between two withdrawals, so that it is ready for 8/9 of the time. Routers
+// are expected to be ready for 7/8 of the time on average.
 constexpr Milliseconds sheddingPause = Milliseconds(24'000);
 
 // Returns the phase that the other routers are told.
--- a/packages/routing/src/connection_shedding.cpp
+++ b/packages/routing/src/connection_shedding.cpp
@@ -19,6 +19,8 @@
 constexpr double smallRouter = 0.75;
 // The hashes of callers make moderate differences.
 constexpr double clearSurplus = 1.5;
+// Fewer connections are no burden.
+constexpr std::size_t minimumConnections = 8;
 
 // Returns the routers of the same data centre.
 auto routersNearby(const RouterCallers &own, const std::vector<RouterCallers> &others) -> std::vector<RouterCallers>
@@ -72,7 +74,8 @@
 {
     const auto mean = meanCapacity(own, nearby);
     const auto isCandidate = [&shares, mean](const RouterCallers &router) {
-        return isSmall(router, mean) && double(router.connections_) > clearSurplus * shares.of(router);
+        return isSmall(router, mean) && router.connections_ >= minimumConnections
+            && double(router.connections_) > clearSurplus * shares.of(router);
     };
     if (!isCandidate(own)) {
         return false;
--- a/packages/routing/tests/connection_shedding_test.cpp
+++ b/packages/routing/tests/connection_shedding_test.cpp
@@ -88,6 +88,12 @@
                         check(!withdraws(
                             own, {router("l1", large, 1, SheddingPhase::None, "b"), router("l2", large, 1, {}, "b")}));
                     }),
+                // Guards against routers that withdraw while they start, when they are busy with themselves.
+                test("stays ready while it has only a few connections",
+                    [] {
+                        check(
+                            !withdraws(busy(router("s1", small, 7)), {router("l1", large, 1), router("s2", small, 0)}));
+                    }),
                 // Guards against deployments of equal VMs that would be served differently.
                 test("stays ready among routers of its size, and among routers of unknown size",
                     [] {
