--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -159,10 +159,10 @@
         .access_ = routes::AccountAccess {.accounts_ = {{.name_ = "installer", .keys_ = {sampleApiKey}}}}};
 }
 
-FrontendFixture::FrontendFixture(
-    const routes::Configuration &sample, std::optional<Milliseconds> keyTrustPeriod, const FrontendOptions &options)
-    : environment_(std::make_shared<node::Environment>(
-        node::createIdentity("front", wire::Role::Router, "local", ""), observe::Level::Error))
+FrontendFixture::FrontendFixture(const routes::Configuration &sample, std::optional<Milliseconds> keyTrustPeriod,
+    const FrontendOptions &options, observe::Level level)
+    : environment_(
+        std::make_shared<node::Environment>(node::createIdentity("front", wire::Role::Router, "local", ""), level))
     , store_(*testbench::FakeKv::start({}))
     , client_(std::make_shared<platform::KeyValueClient>(
           platform::KeyValueOptions {.url_ = fmt::format("http://127.0.0.1:{}", store_->port())}))
