--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -6,6 +6,8 @@
 #include <mutex>
 #include <utility>
 
+#include <strings.h>
+
 #include "transfer.h"
 
 namespace jasminewood::http
@@ -61,9 +63,13 @@
             }
             entry = isExpired ? idle_.erase(entry) : std::next(entry);
         }
-        if (idle_.size() < maximumIdleTransfers && now < transfer->usableUntil()) {
-            idle_.emplace(origin, std::move(transfer));
+        if (now >= transfer->usableUntil()) {
+            return;
+        }
+        if (idle_.size() >= maximumIdleTransfers) {
+            expired.push_back(takeSoonestToExpire());
         }
+        idle_.emplace(origin, std::move(transfer));
     }
 
     // Discards all idle connections if the failure is a timeout, because its cause may affect every connection.
@@ -77,15 +83,28 @@
     }
 
 private:
-    // Returns nothing if there is none. Transfers are created, checked and destroyed without the lock: that makes
-    // system calls, and each request that begins or ends needs the lock.
+    // Precondition: the caller holds mutex_, and there is an idle transfer.
+    auto takeSoonestToExpire() -> std::unique_ptr<internal::Transfer>
+    {
+        const auto soonest = std::min_element(idle_.begin(), idle_.end(), [](const auto &left, const auto &right) {
+            return left.second->usableUntil() < right.second->usableUntil();
+        });
+        auto transfer = std::move(soonest->second);
+        idle_.erase(soonest);
+        return transfer;
+    }
+
+    // Returns the transfer that was used last, or nothing if there is none. Transfers are created, checked and
+    // destroyed without the lock: that makes system calls, and each request that begins or ends needs the lock.
     auto takeIdle(const std::string &origin) -> std::unique_ptr<internal::Transfer>
     {
         const auto lock = std::scoped_lock(mutex_);
-        const auto found = idle_.find(origin);
-        if (found == idle_.end()) {
+        const auto [first, last] = idle_.equal_range(origin);
+        if (first == last) {
             return nullptr;
         }
+        // Equal keys are in the order of their insertion.
+        const auto found = std::prev(last);
         auto transfer = std::move(found->second);
         idle_.erase(found);
         return transfer;
@@ -125,13 +144,10 @@
 
 auto findHeader(const std::vector<HeaderField> &fields, std::string_view name) -> std::optional<std::string>
 {
-    const auto wanted = lowerCase(name);
-    for (const auto &field : fields) {
-        if (lowerCase(field.name_) == wanted) {
-            return field.value_;
-        }
-    }
-    return std::nullopt;
+    const auto found = std::find_if(fields.begin(), fields.end(), [name](const HeaderField &field) {
+        return field.name_.size() == name.size() && strncasecmp(field.name_.data(), name.data(), name.size()) == 0;
+    });
+    return found == fields.end() ? std::nullopt : std::optional(found->value_);
 }
 
 auto fetch(const ClientRequest &request) -> Result<ClientResponse>
@@ -286,7 +302,8 @@
 private:
     auto waitFailure(const std::string &step, const std::string &reason) const -> Failure
     {
-        return {.step_ = step, .peer_ = peer_, .reason_ = reason, .runState_ = RunState::MayHaveRun};
+        const auto runState = transfer_ && !transfer_->mayHaveBeenSent() ? RunState::NotRun : RunState::MayHaveRun;
+        return {.step_ = step, .peer_ = peer_, .reason_ = reason, .runState_ = runState};
     }
 
     auto finish() -> void
