--- a/packages/placement/src/leader_election.cpp
+++ b/packages/election/src/leader_election.cpp
@@ -1,13 +1,16 @@
-#include "jasminewood/placement/leader_election.h"
+#include "jasminewood/election/leader_election.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace jasminewood::placement
+#include "jasminewood/core/overloaded.h"
+
+namespace jasminewood::election
 {
 
-LeaderElection::LeaderElection(ElectionCandidate candidate, std::uint64_t seed)
+LeaderElection::LeaderElection(ElectionCandidate candidate, std::uint64_t seed, const ElectionOptions &options)
     : candidate_(std::move(candidate))
+    , options_(options)
     , random_(static_cast<std::minstd_rand::result_type>(seed))
 {
 }
@@ -32,63 +35,73 @@
     return leaseValid(now) ? fencingToken_ : std::nullopt;
 }
 
+auto LeaderElection::validUntil() const -> TimePoint
+{
+    return validUntil_;
+}
+
 auto LeaderElection::on(const Start & /*event*/, TimePoint /*now*/) -> Action
 {
-    return readKey(randomDelay(electionJitter));
+    return readKey(randomDelay(options_.jitter_));
 }
 
 auto LeaderElection::on(const LeaseGranted &event, TimePoint /*now*/) -> Action
 {
     leaseId_ = event.leaseId_;
-    validUntil_ = event.sentAt_ + leaderLeaseTtl - leaderSafetyMargin;
-    return CreateKey {.key_ = candidate_.key_, .record_ = {.router_ = candidate_.router_, .leaseId_ = *leaseId_}};
+    validUntil_ = event.sentAt_ + options_.timeToLive_ - options_.safetyMargin_;
+    return createKey();
 }
 
 auto LeaderElection::on(const KeyCreated &event, TimePoint now) -> Action
 {
-    return becomeLeader(event.revision_, now);
+    return becomeLeader(event.fencingToken_, now);
 }
 
 auto LeaderElection::on(const KeyExists &event, TimePoint now) -> Action
 {
     // If the record is this router's own, the response to its CreateKey was lost.
-    if (leaseId_ && event.record_ == LeaderRecord {.router_ = candidate_.router_, .leaseId_ = *leaseId_}) {
-        return becomeLeader(event.createRevision_, now);
+    if (leaseId_ && event.record_.router_ == candidate_.router_ && event.record_.leaseId_ == *leaseId_) {
+        return becomeLeader(fencingTokenOf(event), now);
     }
-    discardLease();
+    discardLease(now);
     return WatchKey {.key_ = candidate_.key_, .revision_ = event.modRevision_};
 }
 
-auto LeaderElection::on(const KeyAbsent & /*event*/, TimePoint now) -> Action
+auto LeaderElection::on(const KeyAbsent &event, TimePoint now) -> Action
 {
     fencingToken_.reset();
+    const auto hasLost = wasLeader_ && options_.pauseAfterLoss_.count() > 0;
+    if (hasLost) {
+        discardLease(now);
+    }
     if (!leaseValid(now)) {
-        return GrantLease {};
+        const auto pause = std::chrono::ceil<Milliseconds>(std::max(candidateFrom_ - now, Clock::duration::zero()));
+        return GrantLease {.timeToLive_ = options_.timeToLive_, .delay_ = pause + event.candidacyDelay_};
     }
-    return CreateKey {.key_ = candidate_.key_, .record_ = {.router_ = candidate_.router_, .leaseId_ = *leaseId_}};
+    return createKey();
 }
 
 auto LeaderElection::on(const LeaseRenewed &event, TimePoint now) -> Action
 {
     const auto leaseLapsed = !leaseValid(now);
-    validUntil_ = event.sentAt_ + std::min(event.timeToLive_, leaderLeaseTtl) - leaderSafetyMargin;
+    validUntil_ = event.sentAt_ + std::min(event.timeToLive_, options_.timeToLive_) - options_.safetyMargin_;
     // After a lapse only the key itself can confirm that this router is still the leader.
     if (leaseLapsed) {
         fencingToken_.reset();
         return readKey(Milliseconds(0));
     }
-    return KeepAlive {.leaseId_ = *leaseId_, .delay_ = leaderRenewInterval};
+    return KeepAlive {.leaseId_ = *leaseId_, .delay_ = options_.renewInterval_};
 }
 
-auto LeaderElection::on(const LeaseExpired & /*event*/, TimePoint /*now*/) -> Action
+auto LeaderElection::on(const LeaseExpired & /*event*/, TimePoint now) -> Action
 {
-    discardLease();
-    return readKey(randomDelay(electionJitter));
+    discardLease(now);
+    return readKey(randomDelay(options_.jitter_));
 }
 
 auto LeaderElection::on(const WatchEnded & /*event*/, TimePoint /*now*/) -> Action
 {
-    return readKey(randomDelay(electionJitter));
+    return readKey(randomDelay(options_.jitter_));
 }
 
 auto LeaderElection::on(const StoreFailed & /*event*/, TimePoint now) -> Action
@@ -105,10 +118,13 @@
     return KeepAlive {.leaseId_ = *leaseId_, .delay_ = delay};
 }
 
-auto LeaderElection::on(const Superseded & /*event*/, TimePoint /*now*/) -> Action
+auto LeaderElection::on(const Superseded & /*event*/, TimePoint now) -> Action
 {
-    discardLease();
-    return readKey(Milliseconds(0));
+    const auto lease = leaseId_;
+    discardLease(now);
+    // Without a pause, this router could be elected again at once by revoking its lease.
+    const auto revokes = lease && options_.pauseAfterLoss_.count() > 0;
+    return revokes ? Action(RevokeLease {.leaseId_ = *lease}) : readKey(Milliseconds(0));
 }
 
 auto LeaderElection::on(const Resign & /*event*/, TimePoint /*now*/) -> Action
@@ -123,21 +139,41 @@
     return leaseId_ && now < validUntil_;
 }
 
-auto LeaderElection::becomeLeader(std::uint64_t revision, TimePoint now) -> Action
+auto LeaderElection::becomeLeader(std::uint64_t fencingToken, TimePoint now) -> Action
 {
-    fencingToken_ = revision;
-    return KeepAlive {.leaseId_ = *leaseId_, .delay_ = leaseValid(now) ? leaderRenewInterval : Milliseconds(0)};
+    fencingToken_ = fencingToken;
+    wasLeader_ = true;
+    return KeepAlive {.leaseId_ = *leaseId_, .delay_ = leaseValid(now) ? options_.renewInterval_ : Milliseconds(0)};
 }
 
-auto LeaderElection::discardLease() -> void
+auto LeaderElection::fencingTokenOf(const KeyExists &event) const -> std::uint64_t
 {
+    return std::visit(Overloaded {[&event](const RevisionTokens &) {
+                                      return event.createRevision_;
+                                  },
+                          [&event](const RecordedTokens &) {
+                              return event.record_.fencingToken_;
+                          }},
+        options_.fencingTokens_);
+}
+
+auto LeaderElection::createKey() const -> Action
+{
+    return CreateKey {.key_ = candidate_.key_, .record_ = {.router_ = candidate_.router_, .leaseId_ = *leaseId_}};
+}
+
+auto LeaderElection::discardLease(TimePoint now) -> void
+{
+    if (std::exchange(wasLeader_, false)) {
+        candidateFrom_ = now + options_.pauseAfterLoss_;
+    }
     fencingToken_.reset();
     leaseId_.reset();
 }
 
 auto LeaderElection::readKey(Milliseconds delay) const -> Action
 {
-    return ReadKey {.key_ = candidate_.key_, .delay_ = delay};
+    return ReadKey {.key_ = candidate_.key_, .delay_ = delay, .isOwnClaim_ = leaseId_.has_value()};
 }
 
 auto LeaderElection::randomDelay(Milliseconds maximum) -> Milliseconds
@@ -145,4 +181,4 @@
     return Milliseconds(std::uniform_int_distribution<Milliseconds::rep>(0, maximum.count())(random_));
 }
 
-} // namespace jasminewood::placement
+} // namespace jasminewood::election
--- a/packages/placement/tests/leader_election_test.cpp
+++ b/packages/election/tests/leader_election_test.cpp
@@ -1,4 +1,4 @@
-#include "jasminewood/placement/leader_election.h"
+#include "jasminewood/election/leader_election.h"
 
 #include "jasminewood/testkit/test_suite.h"
 
@@ -6,7 +6,7 @@
 {
 
 using namespace jasminewood;
-using namespace jasminewood::placement;
+using namespace jasminewood::election;
 using namespace std::chrono_literals;
 using testkit::check;
 using testkit::section;
--- a/packages/placement/tests/placement_model.h
+++ b/packages/placement/tests/placement_model.h
@@ -9,8 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "jasminewood/election/leader_election.h"
 #include "jasminewood/placement/command_fence.h"
-#include "jasminewood/placement/leader_election.h"
 #include "jasminewood/placement/load_plan.h"
 
 // A simulation of the environment of LeaderElection, CommandFence and planLoads: a key-value service that loses
@@ -20,6 +20,8 @@
 namespace jasminewood::placement
 {
 
+using namespace election;
+
 // Safety mechanisms that can be switched off to show that the checks detect their absence.
 struct SafetyMechanisms
 {
