--- a/packages/platform/include/jasminewood/platform/key_value.h
+++ b/packages/platform/include/jasminewood/platform/key_value.h
@@ -81,6 +81,10 @@
     auto compareAndSwap(const std::string &key, Revision expectedModRevision, const std::string &value)
         -> Result<WriteOutcome>;
 
+    // Performs several writes together if all conditions hold. The outcome does not include a current entry, and its
+    // revision is that of all written keys.
+    auto writeAll(const ConditionalWrites &writes) -> Result<WriteOutcome>;
+
     // Writes the key unconditionally and returns the position of the write.
     auto put(const std::string &key, const std::string &value, LeaseId lease = noLease) -> Result<StorePosition>;
 
@@ -148,8 +152,8 @@
         const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<StorePosition>;
     auto watchByLongPoll(const PagedProtocol &protocol, const WatchRequest &request, WatchCall &call,
         const std::function<auto(const WatchEvent &)->void> &onEvent) -> Result<StorePosition>;
-    auto compareAndSwapCall(const PagedProtocol &protocol, const PutKey &write, Revision expectedModRevision)
-        -> Result<WriteOutcome>;
+    // Performs a conditional write that is encoded as a call.
+    auto conditionalCall(const PagedProtocol &protocol, const HttpCall &call) -> Result<WriteOutcome>;
     auto conditionalWrite(const Condition &condition, const PutKey &write) -> Result<WriteOutcome>;
 
     const KeyValueOptions options_;
--- a/packages/platform/include/jasminewood/platform/key_value_protocol.h
+++ b/packages/platform/include/jasminewood/platform/key_value_protocol.h
@@ -73,6 +73,9 @@
     const std::function<auto(LeaseId lease)->HttpCall> encodeRevokeLease_;
     // The header field of all responses that states the era, in lower case; empty for a service without eras.
     const std::string eraHeader_ = {};
+    // Encodes several writes on the condition that each of the keys has its revision, or does not exist if that is 0.
+    // The response is as that of a write on one condition.
+    const std::function<auto(const ConditionalWrites &writes)->HttpCall> encodeConditionalWrites_ = {};
 };
 
 using KeyValueProtocol = std::variant<EtcdGateway, PagedProtocol>;
--- a/packages/platform/include/jasminewood/platform/key_value_types.h
+++ b/packages/platform/include/jasminewood/platform/key_value_types.h
@@ -111,6 +111,16 @@
     auto operator<=>(const PutKey &) const = default;
 };
 
+// Several writes that are performed together if each key of the conditions has its revision, or does not exist if that
+// is 0. No key may be put twice.
+struct ConditionalWrites
+{
+    const std::vector<ModRevisionIs> conditions_;
+    const std::vector<PutKey> puts_;
+
+    auto operator<=>(const ConditionalWrites &) const = default;
+};
+
 struct ReadKey
 {
     const std::string key_;
--- a/packages/platform/src/key_value.cpp
+++ b/packages/platform/src/key_value.cpp
@@ -345,15 +345,25 @@
 {
     const auto write = PutKey {.key_ = key, .value_ = value};
     if (const auto *protocol = std::get_if<PagedProtocol>(&options_.protocol_)) {
-        return compareAndSwapCall(*protocol, write, expectedModRevision);
+        return conditionalCall(*protocol, protocol->encodeCompareAndSwap_(write, expectedModRevision));
     }
     return conditionalWrite(ModRevisionIs {.key_ = key, .revision_ = expectedModRevision}, write);
 }
 
-auto KeyValueClient::compareAndSwapCall(
-    const PagedProtocol &protocol, const PutKey &write, Revision expectedModRevision) -> Result<WriteOutcome>
+auto KeyValueClient::writeAll(const ConditionalWrites &writes) -> Result<WriteOutcome>
 {
-    const auto response = performCall("txn", protocol.encodeCompareAndSwap_(write, expectedModRevision), callLimits());
+    if (const auto *protocol = std::get_if<PagedProtocol>(&options_.protocol_)) {
+        return conditionalCall(*protocol, protocol->encodeConditionalWrites_(writes));
+    }
+    const auto outcome = transaction({.conditions_ = {writes.conditions_.begin(), writes.conditions_.end()},
+        .onSuccess_ = {writes.puts_.begin(), writes.puts_.end()}});
+    return outcome ? WriteOutcome {.written_ = outcome->succeeded_, .revision_ = outcome->revision_}
+                   : Result<WriteOutcome>(outcome.failure());
+}
+
+auto KeyValueClient::conditionalCall(const PagedProtocol &protocol, const HttpCall &call) -> Result<WriteOutcome>
+{
+    const auto response = performCall("txn", call, callLimits());
     if (!response) {
         return response.failure();
     }
