--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -456,6 +456,29 @@
     auto operator<=>(const UpstreamRateLimitReport &) const = default;
 };
 
+// The requests of each account that began to run in one window of usage reporting at one router, so far.
+struct UsageWindow
+{
+    const std::uint64_t number_ = 0;
+    // Whether no further request can be counted in the window.
+    const bool closed_ = false;
+    // The requests of all accounts. The report may list only a part of the accounts.
+    const std::uint64_t total_ = 0;
+    const std::map<std::string, std::uint64_t> counts_;
+
+    auto operator<=>(const UsageWindow &) const = default;
+};
+
+// Router to router, at a regular interval: the sender's counts of recent windows. Counts never decrease, so the
+// receiver keeps the maximum.
+struct UsageWindowReport
+{
+    const NodeId router_;
+    const std::vector<UsageWindow> windows_;
+
+    auto operator<=>(const UsageWindowReport &) const = default;
+};
+
 // Router to agent: start to leave.
 struct Drain
 {
@@ -486,6 +509,6 @@
 using Message = std::variant<Hello, Heartbeat, Dispatch, Started, Frame, Finished, Failed, Cancel, Attach, Void,
     VoidReply, Leaving, ManifestUpdate, AccountUsageReport, CrashReports, Drain, TimelineQuery, TimelineReply,
     EngineUsageReport, StoreFollow, StoreChanges, Fragment, RequestCrashEvidence, ConfigurationInForce, CallerReport,
-    UpstreamRateLimitReport>;
+    UpstreamRateLimitReport, UsageWindowReport>;
 
 } // namespace jasminewood::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -218,6 +218,16 @@
     return std::tie(value.router_, value.limits_);
 }
 
+inline auto fieldsOf(const UsageWindow &value)
+{
+    return std::tie(value.number_, value.closed_, value.total_, value.counts_);
+}
+
+inline auto fieldsOf(const UsageWindowReport &value)
+{
+    return std::tie(value.router_, value.windows_);
+}
+
 inline auto fieldsOf(const CrashReports &value)
 {
     return std::tie(value.reports_);
@@ -300,5 +310,7 @@
 inline constexpr std::uint32_t typeNumber<CallerReport> = 25;
 template <>
 inline constexpr std::uint32_t typeNumber<UpstreamRateLimitReport> = 26;
+template <>
+inline constexpr std::uint32_t typeNumber<UsageWindowReport> = 27;
 
 } // namespace jasminewood::wire::internal
--- a/packages/wire/tests/arbitrary_message.h
+++ b/packages/wire/tests/arbitrary_message.h
@@ -132,6 +132,19 @@
     return AccountUsageReport {.router_ = anyNodeId(), .accounts_ = std::move(accounts)};
 }
 
+inline auto anyUsageWindowReport() -> UsageWindowReport
+{
+    auto windows = std::vector<UsageWindow>();
+    const auto count = *rc::gen::inRange(0, 4);
+    for (auto index = 0; index < count; ++index) {
+        windows.push_back({.number_ = anyNumber<std::uint64_t>(),
+            .closed_ = anyNumber<bool>(),
+            .total_ = anyNumber<std::uint64_t>(),
+            .counts_ = {{anyName(), anyNumber<std::uint64_t>()}}});
+    }
+    return UsageWindowReport {.router_ = anyNodeId(), .windows_ = std::move(windows)};
+}
+
 inline auto anyRoutedPrompt() -> RoutedPrompt
 {
     auto segments = std::vector<SharedSegment>();
@@ -242,7 +255,8 @@
             .limits_ = {{.upstream_ = anyNodeId(),
                 .milliPerSecond_ = anyNumber<std::uint64_t>(),
                 .namedAge_ = anyDuration<Milliseconds>(),
-                .unlimitedAge_ = anyNumber<bool>() ? std::optional(anyDuration<Milliseconds>()) : std::nullopt}}}};
+                .unlimitedAge_ = anyNumber<bool>() ? std::optional(anyDuration<Milliseconds>()) : std::nullopt}}},
+        anyUsageWindowReport()};
 }
 
 } // namespace jasminewood::wire
