Report usage to the platform from one router at a time

Each router counts a request once, when its response begins, and tells the counts to the holder of the duty.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -16,6 +16,7 @@
 #include "jasminewood/forward/stop_schedule.h"
 #include "jasminewood/forward/stream_origins.h"
 #include "jasminewood/forward/upstream_watcher.h"
+#include "jasminewood/forward/usage_reporting.h"
 #include "jasminewood/http/server.h"
 #include "jasminewood/kernel/service_registry.h"
 #include "jasminewood/node/environment.h"
@@ -56,8 +57,8 @@
 auto connectionLimits(const routes::CallerLimits &limits, const http::ServerOptions &settings)
     -> http::ConnectionLimits;
 
-// Requires the services "environment", "configuration", "upstreams", "crashing-requests" and "stream-origins".
-// Thread-safe.
+// Requires the services "environment", "configuration", "upstreams", "crashing-requests" and "stream-origins"; tells
+// the requests that began to run to the service "usage-reporting" if there is one. Thread-safe.
 class Frontend
 {
 public:
@@ -104,6 +105,8 @@
     // Counts and logs a request that the server ended without a complete response.
     auto recordUnserved(const http::UnservedRequest &request) const -> void;
     auto countRequest(const std::string &service) -> void;
+    // Counts a request of this client account whose response has begun.
+    auto recordBegan(const std::string &account) -> void;
     // Counts a request that resumes a stream.
     auto countResumption(bool originKnown) const -> void;
     // Takes one attempt from the retry budget of the service; returns false if the budget is exhausted.
@@ -119,6 +122,8 @@
     std::shared_ptr<UpstreamWatcher> upstreams_;
     std::shared_ptr<CrashingRequests> crashingRequests_;
     std::shared_ptr<StreamOrigins> streamOrigins_;
+    // Null if usage is not reported.
+    std::shared_ptr<UsageReporting> usageReporting_;
     // Set once, before stopBegun_. Each request reads it, so it has no lock.
     std::optional<StopSchedule> stopSchedule_;
     std::atomic<bool> stopBegun_ = false;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -58,6 +58,9 @@
     if (auto failure = services.require("stream-origins", streamOrigins_)) {
         return failure;
     }
+    if (const auto usage = services.find<UsageReporting>("usage-reporting")) {
+        usageReporting_ = *usage;
+    }
     retryBudgetOptions_.emplace(
         scaleToRetryBudgetShare(options_.retryBudget_, Clock::now() + options_.retryLearningTime_));
     const auto &metrics = environment_->metrics();
@@ -190,6 +193,13 @@
     retryBudgets_.try_emplace(service, *retryBudgetOptions_).first->second.recordRequest(Clock::now());
 }
 
+auto Frontend::recordBegan(const std::string &account) -> void
+{
+    if (usageReporting_ && !account.empty()) {
+        usageReporting_->recordBegan(account, BootClock::now());
+    }
+}
+
 auto Frontend::countResumption(bool originKnown) const -> void
 {
     environment_->metrics()
--- a/packages/forward/src/request_response.cpp
+++ b/packages/forward/src/request_response.cpp
@@ -84,6 +84,9 @@
     if (!responseMetadata.hasSignature_) {
         return failAttempt(makeFailure(RunState::MayHaveRun, "the answer is not one of the service"));
     }
+    if (!responseMetadata.isEventStream_) {
+        recordBegan();
+    }
     responseStartedAt_ = Clock::now();
     pool.recordResponseStart(attempt_->assignment_, *responseStartedAt_);
     frontend_.timeToResponse_->observe(std::chrono::duration<double>(Clock::now() - arrivedAt_).count());
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -1,6 +1,7 @@
 #include "request_run.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -133,6 +134,7 @@
     timeout_ = admitted.timeout_ - frontend_.options_.deadlineMargin_;
     deadline_ = arrivedAt_ + timeout_;
     route_ = admitted.route_->name_;
+    account_ = accountOf(admitted);
     if (const auto refusal = refusalDuringStop(*admitted.route_)) {
         return refuse(*refusal);
     }
@@ -303,8 +305,16 @@
     return failAttempt(failure, cancelled ? AttemptResult::Cancelled : AttemptResult::Failed);
 }
 
+auto RequestRun::recordBegan() -> void
+{
+    if (!std::exchange(hasBegun_, true)) {
+        frontend_.recordBegan(account_);
+    }
+}
+
 auto RequestRun::recordFirstToken() -> void
 {
+    recordBegan();
     attempt_->firstTokenAt_ = Clock::now();
     if (!sharedSegments_.empty()) {
         frontend_.crashingRequests_->recordSuccess(sharedSegments_);
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -126,6 +126,8 @@
     // passed (step "wait") or the stream could not be recorded (step "record"), otherwise as Failed.
     auto failAttempt(const Failure &failure) -> FailedAttempt;
     auto recordFailedAttempt(const FailedAttempt &failedAttempt) -> void;
+    // Counts the request for its client account, once: at the first event of a stream, or when another response begins.
+    auto recordBegan() -> void;
     // Records the first token of the attempt in flight.
     auto recordFirstToken() -> void;
     // Records that an upstream has run the request to its end.
@@ -174,6 +176,9 @@
     // Whether the response is a stream that may be resumed at another upstream.
     bool resumable_ = false;
     std::string route_;
+    // The name of the client account; empty if there is none.
+    std::string account_;
+    bool hasBegun_ = false;
     std::uint32_t enginePriority_ = 0;
     std::uint32_t possiblyRunAttempts_ = 0;
     std::uint32_t failedAttempts_ = 0;
