--- a/packages/duties/include/jasminewood/duties/usage_ledger.h
+++ b/packages/duties/include/jasminewood/duties/usage_ledger.h
@@ -33,7 +33,7 @@
 {
 public:
     UsageLedger() = default;
-    explicit UsageLedger(std::map<WindowNumber, FixedWindow> windows);
+    explicit UsageLedger(const std::map<WindowNumber, FixedWindow> &windows);
 
     // Returns the windows of both ledgers. Counts that this ledger holds are kept.
     auto merged(const UsageLedger &other) const -> UsageLedger;
--- a/packages/duties/src/usage_ledger.cpp
+++ b/packages/duties/src/usage_ledger.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-UsageLedger::UsageLedger(std::map<WindowNumber, FixedWindow> windows)
+UsageLedger::UsageLedger(const std::map<WindowNumber, FixedWindow> &windows)
     : windows_(newestOf(windows, rememberedWindows))
 {
 }
--- a/packages/forward/include/jasminewood/forward/usage_reporting.h
+++ b/packages/forward/include/jasminewood/forward/usage_reporting.h
@@ -96,6 +96,9 @@
     duties::WindowClock clock_;
     duties::UsageWindows windows_;
     duties::UsageTally tally_;
+    // Used by the thread that tells the counts, and after its end.
+    std::vector<std::string> toldRouters_;
+    std::uint64_t tellCount_ = 0;
     std::thread tellThread_;
     std::thread holderThread_;
     std::thread callThread_;
--- a/packages/forward/src/usage_reporting.cpp
+++ b/packages/forward/src/usage_reporting.cpp
@@ -18,6 +18,10 @@
 constexpr Milliseconds idleInterval = Milliseconds(1'000);
 // How often the thread that calls the platform looks for a report, besides each action of the holder.
 constexpr Milliseconds callInterval = Milliseconds(1'000);
+// Closed windows before the last one do not change. They are told again to new recipients, and each time after this
+// many reports, since datagrams may be lost.
+constexpr std::uint64_t fullTellInterval = 5;
+constexpr duties::WindowNumber repeatedWindows = 1;
 // Accounts in one report, which has to fit into what a receiver assembles of fragments.
 constexpr std::size_t accountsPerReport = 2'000;
 
@@ -251,7 +255,13 @@
         }
     }
     const auto routers = recipients();
+    const auto isFull = routers != toldRouters_ || tellCount_ % fullTellInterval == 0;
+    ++tellCount_;
+    toldRouters_ = routers;
     for (const auto &window : recent) {
+        if (!isFull && window.number_ + repeatedWindows < recent.back().number_) {
+            continue;
+        }
         for (const auto &report : makeReports(self, window)) {
             for (const auto &router : routers) {
                 network_->send(router, report);
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -148,6 +148,16 @@
         .retryInterval_ = Milliseconds(100)};
 }
 
+auto testUsageOptions() -> UsageReportingOptions
+{
+    return {
+        .holder_ = {.schedule_
+            = {.windowLength_ = Milliseconds(1'000), .due_ = Milliseconds(10'000), .earliestFix_ = Milliseconds(200)},
+            .leaseTime_ = Milliseconds(1'000),
+            .keyPrefix_ = "/usage/"},
+        .tellInterval_ = Milliseconds(100)};
+}
+
 auto sampleConfiguration() -> routes::Configuration
 {
     return {.version_ = 1,
@@ -159,8 +169,8 @@
         .access_ = routes::AccountAccess {.accounts_ = {{.name_ = "installer", .keys_ = {sampleApiKey}}}}};
 }
 
-FrontendFixture::FrontendFixture(
-    const routes::Configuration &sample, std::optional<Milliseconds> keyTrustPeriod, const FrontendOptions &options)
+FrontendFixture::FrontendFixture(const routes::Configuration &sample, std::optional<Milliseconds> keyTrustPeriod,
+    const FrontendOptions &options, const duties::UsageCaller &usageCaller)
     : environment_(std::make_shared<node::Environment>(
         node::createIdentity("front", wire::Role::Router, "local", ""), observe::Level::Error))
     , store_(*testbench::FakeKv::start({}))
@@ -176,6 +186,12 @@
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
     registry_.add("stream-origins", streamOrigins_);
+    if (usageCaller) {
+        registry_.add("peer-network",
+            std::make_shared<PeerNetwork>(client_,
+                PeerNetworkOptions {.address_ = "127.0.0.1", .dataCentre_ = "local", .keyPrefix_ = "/routers/"}));
+        registry_.add("usage-reporting", std::make_shared<UsageReporting>(client_, testUsageOptions(), usageCaller));
+    }
     registry_.add("store-feed", std::make_shared<StoreFeed>(client_, testFeedOptions()));
     registry_.add("crashing-requests", std::make_shared<CrashingRequests>());
     registry_.add("front", frontend_);
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -36,6 +36,9 @@
 // Returns options with which the versions of streams are written soon, under the prefix of the tests.
 auto testOriginsOptions() -> StreamOriginsOptions;
 
+// Returns options with which usage is reported soon, under the prefix of the tests.
+auto testUsageOptions() -> UsageReportingOptions;
+
 // Returns a configuration with the routes "/once/", "/again/" (two attempts), "/stream/", "/resumable/" (two attempts)
 // and "/patient/" (as "/resumable/", with pauses of up to 800 ms) of host "shop" to service "pool". sampleApiKey is the
 // API key of account "installer".
@@ -44,9 +47,10 @@
 class FrontendFixture
 {
 public:
-    // Publishes the sample to the store unless its version is 0.
+    // Publishes the sample to the store unless its version is 0. Reports usage if there is a function for it.
     explicit FrontendFixture(const routes::Configuration &sample = sampleConfiguration(),
-        std::optional<Milliseconds> keyTrustPeriod = std::nullopt, const FrontendOptions &options = {});
+        std::optional<Milliseconds> keyTrustPeriod = std::nullopt, const FrontendOptions &options = {},
+        const duties::UsageCaller &usageCaller = {});
     ~FrontendFixture();
 
     FrontendFixture(const FrontendFixture &) = delete;
