--- a/packages/forward/tests/usage_model.cpp
+++ b/packages/forward/tests/usage_model.cpp
@@ -246,6 +246,10 @@
     } else if (faults_.storeIsRestored_ && chance(20)) {
         data_ = copy_;
         ++era_;
+    } else if (faults_.platformFails_ && faults_.platformFences_ && chance(20)) {
+        // The platform has seen a token that no router knows of.
+        constexpr auto tokensAhead = std::uint64_t(5'000'000);
+        highestExecuted_ = std::max(highestExecuted_, highestSent_) + tokensAhead;
     } else if (faults_.routersFail_) {
         failRouter(*routers_[std::uniform_int_distribution<std::size_t>(0, routerCount - 1)(random_)]);
     }
