--- a/packages/forward/tests/forwarding_cost.cpp
+++ b/packages/forward/tests/forwarding_cost.cpp
@@ -178,7 +178,7 @@
         close(upstreamStop[1]);
         callAll(receivePort(callerPort[0]), requests, streams);
     });
-    auto fixture = FrontendFixture(sampleConfiguration(), std::nullopt, {}, observe::Level::Info,
+    auto fixture = FrontendFixture(sampleConfiguration(), std::nullopt, {}, {}, observe::Level::Info,
         {.keyPrefix_ = "/", .watchTimeout_ = watchTimeout, .batchDelay_ = Milliseconds(0)});
     fixture.registerUpstream("a", fmt::format("127.0.0.1:{}", receivePort(upstreamPort[0])), "ready");
     auto before = rusage {};
