Refuse requests before their bodies, and hold each body once

A server calls an admission check after the header section of a request whose body may exceed 16 KB. The forwarding router refuses paths without a route, unknown keys and requests while it stops there; the readiness and metrics servers accept no bodies. http::Body is an immutable text that a request and all its attempts share.

Tests only follow the type of the body (text()).

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -96,6 +96,8 @@
     friend class RequestRun;
 
     auto handleRequest(const http::Request &request) -> http::Response;
+    // Returns the refusal of a request that needs no body to be refused; nothing for any other.
+    auto refuseBeforeBody(const http::Request &request) -> std::optional<http::BufferedResponse>;
     // Returns the schedule of the planned stop, if one has begun.
     auto stopSchedule() const -> std::optional<StopSchedule>;
     // Returns whether the requests that are still in flight end because the process does.
--- a/packages/forward/src/error_responses.cpp
+++ b/packages/forward/src/error_responses.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-auto refusalResponse(const Refusal &refusal, const std::string &requestId) -> http::Response
+auto refusalResponse(const Refusal &refusal, const std::string &requestId) -> http::BufferedResponse
 {
     auto headers = std::vector<http::HeaderField> {{.name_ = "Content-Type", .value_ = "application/json"}};
     if (refusal.retryAfter_.count() > 0) {
--- a/packages/forward/src/error_responses.h
+++ b/packages/forward/src/error_responses.h
@@ -17,7 +17,7 @@
 constexpr Milliseconds unavailableRetryAfter = Milliseconds(500);
 
 // Returns a JSON error with run state not_run.
-auto refusalResponse(const Refusal &refusal, const std::string &requestId) -> http::Response;
+auto refusalResponse(const Refusal &refusal, const std::string &requestId) -> http::BufferedResponse;
 
 // Returns a JSON error for a request that may have run. The status is 502 or 504.
 auto failureResponse(int status, const Failure &failure, const std::string &requestId) -> http::Response;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -79,6 +79,9 @@
             const auto table = configuration_->current();
             return connectionLimits(
                 table ? table->configuration().callerLimits_ : routes::CallerLimits {}, options_.server_);
+        },
+        [this](const http::Request &request) {
+            return refuseBeforeBody(request);
         });
     if (!server) {
         return server.failure();
@@ -212,6 +215,15 @@
     return true;
 }
 
+auto Frontend::refuseBeforeBody(const http::Request &request) -> std::optional<http::BufferedResponse>
+{
+    auto refusal = RequestRun(*this, request).refuseBeforeBody();
+    if (refusal) {
+        requestCounter_->add();
+    }
+    return refusal;
+}
+
 auto Frontend::handleRequest(const http::Request &request) -> http::Response
 {
     requestCounter_->add();
--- a/packages/forward/src/probes.cpp
+++ b/packages/forward/src/probes.cpp
@@ -10,6 +10,16 @@
 constexpr int notFound = 404;
 constexpr int serviceUnavailable = 503;
 
+// Neither probes nor scrapes have a body. One is refused with status 413.
+auto withoutBodies(const http::ServerOptions &options) -> http::ServerOptions
+{
+    return {.address_ = options.address_,
+        .port_ = options.port_,
+        .maximumBodyBytes_ = 0,
+        .maximumConnections_ = options.maximumConnections_,
+        .idleTimeout_ = options.idleTimeout_};
+}
+
 } // namespace
 
 ProbeServer::ProbeServer(const ProbeServerOptions &options)
@@ -31,19 +41,21 @@
     if (auto failure = services.require("front", frontend_)) {
         return failure;
     }
-    const auto readinessServer = http::Server::start(options_.readinessServer_, [this](const http::Request &request) {
-        return handleReadinessProbe(request);
-    });
+    const auto readinessServer
+        = http::Server::start(withoutBodies(options_.readinessServer_), [this](const http::Request &request) {
+              return handleReadinessProbe(request);
+          });
     if (!readinessServer) {
         return readinessServer.failure();
     }
     readinessServer_ = *readinessServer;
-    const auto metricsServer = http::Server::start(options_.metricsServer_, [this](const http::Request & /*request*/) {
-        updateGauges();
-        return http::BufferedResponse {.status_ = ok,
-            .headers_ = {{.name_ = "Content-Type", .value_ = "text/plain; version=0.0.4"}},
-            .body_ = environment_->metrics().text()};
-    });
+    const auto metricsServer
+        = http::Server::start(withoutBodies(options_.metricsServer_), [this](const http::Request & /*request*/) {
+              updateGauges();
+              return http::BufferedResponse {.status_ = ok,
+                  .headers_ = {{.name_ = "Content-Type", .value_ = "text/plain; version=0.0.4"}},
+                  .body_ = environment_->metrics().text()};
+          });
     if (!metricsServer) {
         return metricsServer.failure();
     }
--- a/packages/forward/src/request_outcome.cpp
+++ b/packages/forward/src/request_outcome.cpp
@@ -79,7 +79,7 @@
     return time.value_or(Milliseconds(0)).count() > 0 ? routing::refusalDelay(*time, spread) : unavailableRetryAfter;
 }
 
-auto RequestRun::refuse(const Refusal &refusal) -> http::Response
+auto RequestRun::refuse(const Refusal &refusal) -> http::BufferedResponse
 {
     recordOutcome("refused", refusal.status_, {{"code", refusal.code_}, {"reason", refusal.message_}});
     return internal::refusalResponse(refusal, requestMetadata_.requestId_);
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -108,20 +108,36 @@
     return std::nullopt;
 }
 
-auto RequestRun::handle() -> http::Response
+auto RequestRun::admitRequest() -> std::variant<AdmittedRequest, Refusal>
 {
     if (frontend_.refusesRequests()) {
-        return refuse(stoppingRefusal("this process stops"));
+        return stoppingRefusal("this process stops");
     }
-    frontend_.upstreams_->awaitLoaded(handledAt_ + maximumStartupWait);
     if (!routeTable_) {
-        return refuse({.status_ = serviceUnavailable,
+        return Refusal {.status_ = serviceUnavailable,
             .code_ = "no_configuration",
             .message_ = "this process has no configuration yet",
-            .retryAfter_ = unavailableRetryAfter});
+            .retryAfter_ = unavailableRetryAfter};
+    }
+    return admit(*routeTable_, requestMetadata_, request_.requestTarget_, frontend_.configuration_->keysConfirmed());
+}
+
+auto RequestRun::refuseBeforeBody() -> std::optional<http::BufferedResponse>
+{
+    const auto admission = admitRequest();
+    if (const auto *refusal = std::get_if<Refusal>(&admission)) {
+        return refuse(*refusal);
+    }
+    outcomeRecorded_ = true;
+    return std::nullopt;
+}
+
+auto RequestRun::handle() -> http::Response
+{
+    if (!frontend_.refusesRequests()) {
+        frontend_.upstreams_->awaitLoaded(handledAt_ + maximumStartupWait);
     }
-    const auto admission
-        = admit(*routeTable_, requestMetadata_, request_.requestTarget_, frontend_.configuration_->keysConfirmed());
+    const auto admission = admitRequest();
     if (const auto *refusal = std::get_if<Refusal>(&admission)) {
         return refuse(*refusal);
     }
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -64,7 +64,13 @@
 
     auto handle() -> http::Response;
 
+    // Returns the refusal of a request whose body has not been read, or nothing if the body is needed. handle() is
+    // called for another run then, which admits the request again and records its outcome.
+    auto refuseBeforeBody() -> std::optional<http::BufferedResponse>;
+
 private:
+    // Decides whether the request may be forwarded, by its header section.
+    auto admitRequest() -> std::variant<AdmittedRequest, Refusal>;
     auto forward(const AdmittedRequest &admitted) -> http::Response;
     // Returns the refusal of a request that arrives during a planned stop; empty if it is forwarded.
     auto refusalDuringStop(const routes::Route &route) const -> std::optional<Refusal>;
@@ -145,7 +151,7 @@
     // service want no requests for a time.
     auto retryAfterWithoutUpstream() const -> Milliseconds;
     auto endAttempt(AttemptResult result) -> void;
-    auto refuse(const Refusal &refusal) -> http::Response;
+    auto refuse(const Refusal &refusal) -> http::BufferedResponse;
     auto recordOutcome(const std::string &outcome, int status, const observe::Fields &extraFields = {}) -> void;
     // Returns a refusal if the request may not be sent any more: its timeout has passed, such requests crash the
     // upstreams, its key or its route was taken away since it was admitted, or the keys are no longer confirmed.
--- a/packages/forward/tests/frontend_test.cpp
+++ b/packages/forward/tests/frontend_test.cpp
@@ -64,8 +64,9 @@
                         auto fixture = FrontendFixture();
                         auto received = std::promise<std::string>();
                         fixture.addUpstream("a", [&received](const http::Request &request) -> http::Response {
-                            received.set_value(request.method_ + " " + request.requestTarget_ + " " + request.body_
-                                + " " + request.headers_.at("x-own") + " " + request.headers_.at("upstream"));
+                            received.set_value(request.method_ + " " + request.requestTarget_ + " "
+                                + request.body_.text() + " " + request.headers_.at("x-own") + " "
+                                + request.headers_.at("upstream"));
                             return authenticResponse(request, 200, "whole");
                         });
                         auto fields = FrontendFixture::requestFields("r1");
--- a/packages/http/include/jasminewood/http/client.h
+++ b/packages/http/include/jasminewood/http/client.h
@@ -12,6 +12,7 @@
 
 #include "jasminewood/core/clock.h"
 #include "jasminewood/core/result.h"
+#include "jasminewood/http/body.h"
 #include "jasminewood/http/server.h"
 
 // HTTP/1.1 calls over libcurl.
@@ -38,7 +39,7 @@
     // For example "http://10.0.0.4:8080/v1/models".
     const std::string url_;
     const std::vector<HeaderField> headers_;
-    const std::string body_;
+    const Body body_;
     const Milliseconds connectTimeout_ = Milliseconds(2'000);
     // Timeout of the whole call; 0 means none.
     const Milliseconds timeout_ = Milliseconds(30'000);
--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -15,6 +16,7 @@
 #include "jasminewood/core/boot_clock.h"
 #include "jasminewood/core/clock.h"
 #include "jasminewood/core/result.h"
+#include "jasminewood/http/body.h"
 
 // An HTTP/1.1 server with one thread for each connection, over libmicrohttpd.
 //
@@ -43,7 +45,7 @@
     auto operator<=>(const Arrival &) const = default;
 };
 
-// A request whose body has arrived completely.
+// A request whose body has arrived completely, or, for an AdmissionCheck, its header section.
 struct Request
 {
     const std::string method_;
@@ -58,7 +60,7 @@
     const std::string requestTarget_;
     // Query parameters by name, decoded.
     const std::map<std::string, std::string> parameters_;
-    const std::string body_;
+    const Body body_;
     // Returns whether the caller closed its connection. Does not block. Valid until the response ends, so that
     // nextEvent_ of a StreamResponse may use a copy.
     const std::function<auto()->bool> callerDisconnected_;
@@ -124,6 +126,16 @@
 // says that the request may have run.
 using Handler = std::function<auto(const Request &)->Response>;
 
+// Decides on a request by its header section, before its body is read, if the body may be longer than
+// uncheckedBodyBytes; body_ is empty then. Returns the response of a request that is refused, after which the
+// connection closes; empty if the body is to be read and the handler called, as after an exception. Runs on the
+// connection's thread.
+using AdmissionCheck = std::function<auto(const Request &)->std::optional<BufferedResponse>>;
+
+// A body that is declared to be at most this long is read in any case. It needs no more memory than a header section,
+// and the connection of its caller can be kept if the handler refuses the request.
+constexpr std::size_t uncheckedBodyBytes = std::size_t(16) * 1024;
+
 // The memory of a connection, which its request line and header fields must fit in.
 constexpr std::size_t maximumHeaderBytes = std::size_t(64) * 1024;
 
@@ -215,9 +227,10 @@
 public:
     // Binds, listens and serves. Fails with step "bind" and peer "ADDRESS:PORT" if the address cannot be bound. The
     // listener is told of each request without a complete response of the handler; it may be empty. The limits replace
-    // those of the options; without a source the options apply, and responses have no Keep-Alive field.
+    // those of the options; without a source the options apply, and responses have no Keep-Alive field. Without an
+    // admission check all bodies within the limits are read.
     static auto start(const ServerOptions &options, Handler handler, UnservedListener onUnserved = {},
-        LimitsSource limits = {}) -> Result<std::shared_ptr<Server>>;
+        LimitsSource limits = {}, AdmissionCheck check = {}) -> Result<std::shared_ptr<Server>>;
 
     // Stops the server as stop() does.
     ~Server();
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <cerrno>
 #include <cstddef>
+#include <cstdlib>
 #include <cstring>
 #include <exception>
 #include <memory>
@@ -202,6 +203,14 @@
     return value == nullptr ? "" : value;
 }
 
+auto declaredBodyBytes(MHD_Connection *connection) -> std::optional<std::size_t>
+{
+    if (!headerValue(connection, MHD_HTTP_HEADER_TRANSFER_ENCODING).empty()) {
+        return std::nullopt;
+    }
+    return std::strtoull(headerValue(connection, MHD_HTTP_HEADER_CONTENT_LENGTH).c_str(), nullptr, 10);
+}
+
 auto headerBytes(MHD_Connection *connection) -> std::size_t
 {
     const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
@@ -261,7 +270,7 @@
         .fields_ = std::move(fields),
         .requestTarget_ = pending.target_,
         .parameters_ = std::move(parameters),
-        .body_ = std::move(pending.body_),
+        .body_ = Body(std::move(pending.body_)),
         .callerDisconnected_ =
             [socket] {
                 return hungUp(socket);
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -31,6 +31,8 @@
     std::size_t maximumBodyBytes_ = 0;
     std::string body_ = {};
     bool headersReceived_ = false;
+    // Whether the AdmissionCheck refused the request.
+    bool refused_ = false;
     bool responseDecided_ = false;
     // Whether the request has been read to its end.
     bool complete_ = false;
@@ -39,7 +41,7 @@
     std::shared_ptr<ResponseProgress> progress_ = std::make_shared<ResponseProgress>();
 };
 
-// Builds the request from the connection and its completely received body, which is moved.
+// Builds the request from the connection and what has been received of its body, which is moved.
 auto makeRequest(MHD_Connection *connection, const char *method, const char *path, PendingRequest &pending) -> Request;
 
 // Returns when the data that was last received on the connection had arrived.
@@ -48,6 +50,9 @@
 // Returns the value of a header field, or an empty string if the field is missing.
 auto headerValue(MHD_Connection *connection, const char *name) -> std::string;
 
+// Returns the declared length of the body; 0 if there is no body, nothing if its length is not declared.
+auto declaredBodyBytes(MHD_Connection *connection) -> std::optional<std::size_t>;
+
 // Returns whether the header fields define the length of the body ambiguously. A peer that applies another length would
 // parse a part of the body as a separate request (request smuggling).
 auto hasAmbiguousLength(MHD_Connection *connection) -> bool;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -35,6 +35,9 @@
 constexpr std::size_t threadStackBytes = 512 * 1024;
 constexpr std::size_t libraryMessageBytes = 256;
 constexpr auto idleTimeoutMargin = Milliseconds(1'000);
+// After a response to a part of a body, as much as this is read and discarded at least, in bytes. A server that accepts
+// no bodies still has to read what has arrived, so that closing the connection does not reset it.
+constexpr std::size_t minimumDiscardedBytes = std::size_t(64) * 1024;
 // After the response to a body that exceeds the limit, up to this multiple of the limit is read and discarded, so that
 // the caller can read the response.
 constexpr std::size_t discardFactor = 16;
@@ -162,11 +165,13 @@
 class Server::State
 {
 public:
-    State(const ServerOptions &options, Handler handler, UnservedListener onUnserved, LimitsSource limits, int socket)
+    State(const ServerOptions &options, Handler handler, UnservedListener onUnserved, LimitsSource limits,
+        AdmissionCheck check, int socket)
         : options_(options)
         , handler_(std::move(handler))
         , onUnserved_(std::move(onUnserved))
         , limits_(std::move(limits))
+        , check_(std::move(check))
         , socket_(socket)
         , port_(portOf(socket))
     {
@@ -364,7 +369,7 @@
     {
         auto &pending = *static_cast<PendingRequest *>(context);
         if (!pending.headersReceived_) {
-            return beginRequest(connection, pending);
+            return beginRequest(connection, path, method, pending);
         }
         if (size > 0) {
             return appendBody(connection, pending, data, size);
@@ -383,13 +388,12 @@
         return internal::queueResponse(connection, response, persistence(connection), pending.progress_);
     }
 
-    auto beginRequest(MHD_Connection *connection, PendingRequest &pending) -> MHD_Result
+    auto beginRequest(MHD_Connection *connection, const char *path, const char *method, PendingRequest &pending)
+        -> MHD_Result
     {
         pending.headersReceived_ = true;
         const auto limits = currentLimits();
         pending.maximumBodyBytes_ = limits.maximumBodyBytes_;
-        const auto declaredBytes
-            = std::strtoull(internal::headerValue(connection, "Content-Length").c_str(), nullptr, 10);
         {
             const auto lock = std::scoped_lock(mutex_);
             ++activeRequests_;
@@ -408,7 +412,28 @@
             return internal::queueResponse(connection, internal::errorResponse(431, message, RunState::NotRun),
                 {.close_ = true}, pending.progress_);
         }
-        return declaredBytes > limits.maximumBodyBytes_ ? rejectBody(connection, pending) : MHD_YES;
+        const auto declaredBytes = internal::declaredBodyBytes(connection);
+        if (declaredBytes.value_or(0) > limits.maximumBodyBytes_) {
+            return rejectBody(connection, pending);
+        }
+        if (check_ && declaredBytes.value_or(limits.maximumBodyBytes_) > uncheckedBodyBytes) {
+            if (const auto refusal = checkAdmission(internal::makeRequest(connection, method, path, pending))) {
+                pending.refused_ = true;
+                return respondAndClose(connection, pending, *refusal, pending.maximumBodyBytes_);
+            }
+        }
+        pending.body_.reserve(declaredBytes.value_or(0));
+        return MHD_YES;
+    }
+
+    // If the check throws, the handler decides on the request.
+    auto checkAdmission(const Request &request) const -> std::optional<BufferedResponse>
+    {
+        try {
+            return check_(request);
+        } catch (...) {
+            return std::nullopt;
+        }
     }
 
     // Closes the connection of a caller that acknowledges no data. The idle timeout does not do so, because it is off
@@ -435,9 +460,17 @@
     {
         const auto message = fmt::format("the body exceeds the limit of {} bytes", pending.maximumBodyBytes_);
         pending.progress_->reason_ = EndReason::BodyTooLarge;
-        pending.progress_->begun_ = true;
-        internal::respondDuringBody(connection, internal::errorResponse(413, message, RunState::NotRun),
+        return respondAndClose(connection, pending, internal::errorResponse(413, message, RunState::NotRun),
             pending.maximumBodyBytes_ * discardFactor);
+    }
+
+    // Responds to a request whose body has not been read, and frees what has been received of it.
+    static auto respondAndClose(MHD_Connection *connection, PendingRequest &pending, const BufferedResponse &response,
+        std::size_t discardedBytes) -> MHD_Result
+    {
+        pending.progress_->begun_ = true;
+        std::string().swap(pending.body_);
+        internal::respondDuringBody(connection, response, std::max(discardedBytes, minimumDiscardedBytes));
         return MHD_NO;
     }
 
@@ -463,7 +496,7 @@
         const auto pending = std::unique_ptr<PendingRequest>(static_cast<PendingRequest *>(context));
         context = nullptr;
         const auto &progress = *pending->progress_;
-        if (const auto reason = progress.reason_ ? progress.reason_ : endReason(code)) {
+        if (const auto reason = progress.reason_ ? progress.reason_ : endReason(code); reason && !pending->refused_) {
             reportUnserved({.reason_ = *reason,
                 .target_ = pending->target_,
                 .requestRead_ = pending->complete_,
@@ -484,6 +517,7 @@
     const Handler handler_;
     const UnservedListener onUnserved_;
     const LimitsSource limits_;
+    const AdmissionCheck check_;
     const int socket_;
     const std::uint16_t port_;
     std::atomic<bool> closeConnections_ = false;
@@ -498,15 +532,15 @@
     std::optional<PendingCloses> pendingCloses_;
 };
 
-auto Server::start(const ServerOptions &options, Handler handler, UnservedListener onUnserved, LimitsSource limits)
-    -> Result<std::shared_ptr<Server>>
+auto Server::start(const ServerOptions &options, Handler handler, UnservedListener onUnserved, LimitsSource limits,
+    AdmissionCheck check) -> Result<std::shared_ptr<Server>>
 {
     const auto socket = listenOn(options);
     if (!socket) {
         return socket.failure();
     }
-    auto state
-        = std::make_unique<State>(options, std::move(handler), std::move(onUnserved), std::move(limits), *socket);
+    auto state = std::make_unique<State>(
+        options, std::move(handler), std::move(onUnserved), std::move(limits), std::move(check), *socket);
     if (!state->start()) {
         close(*socket);
         return bindFailure(options, "the HTTP server did not start");
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -36,7 +36,7 @@
 
 auto echo(const Request &request) -> Response
 {
-    return BufferedResponse {.body_ = request.method_ + " " + request.path_ + " " + request.body_};
+    return BufferedResponse {.body_ = request.method_ + " " + request.path_ + " " + request.body_.text()};
 }
 
 // Returns what a server reports for the bytes of one caller, which then waits for the end of the connection.
@@ -54,6 +54,27 @@
     return report.get();
 }
 
+// Returns a server that refuses requests at the path /refused by their header section.
+auto serveChecked(std::shared_ptr<std::atomic<int>> calls, std::shared_ptr<std::atomic<int>> reports)
+    -> std::shared_ptr<Server>
+{
+    const auto handler = [calls](const Request &request) {
+        ++*calls;
+        return echo(request);
+    };
+    const auto onUnserved = [reports](const UnservedRequest &) {
+        ++*reports;
+    };
+    const auto check = [](const Request &request) {
+        return request.path_ == "/refused"
+            ? std::optional<BufferedResponse>(BufferedResponse {.status_ = 404, .body_ = "not here"})
+            : std::nullopt;
+    };
+    const auto server = Server::start({}, handler, onUnserved, {}, check);
+    testkit::check(bool(server), "the server starts");
+    return *server;
+}
+
 auto post(const std::string &body, std::size_t declared) -> std::string
 {
     return "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(declared) + "\r\n\r\n" + body;
@@ -245,6 +266,50 @@
                         check(*calls == 0);
                     }),
             }),
+        section("that checks the admission of requests",
+            {
+                // Guards against memory for the body of a request that is refused anyway.
+                test("refuses one without waiting for its body, and closes",
+                    [] {
+                        auto calls = std::make_shared<std::atomic<int>>(0);
+                        auto reports = std::make_shared<std::atomic<int>>(0);
+                        const auto server = serveChecked(calls, reports);
+                        for (const auto *field : {"Content-Length: 1000000", "Transfer-Encoding: chunked"}) {
+                            const auto socket = connectTo(server->port());
+                            sendText(socket, "POST /refused HTTP/1.1\r\nHost: h\r\n" + std::string(field) + "\r\n\r\n");
+                            const auto response = readUntil(socket, "not here");
+                            check(response.starts_with("HTTP/1.1 404 "), response);
+                            check(response.find("Connection: close") != std::string::npos, response);
+                            close(socket);
+                        }
+                        check(server->waitUntilIdle(generousTimeout));
+                        check(*calls == 0 && *reports == 0, "neither handled nor reported as without a response");
+                    }),
+                // Guards against a new connection for each small request that is refused.
+                test("passes a small one to the handler on a connection that stays open",
+                    [] {
+                        auto calls = std::make_shared<std::atomic<int>>(0);
+                        const auto server = serveChecked(calls, std::make_shared<std::atomic<int>>(0));
+                        const auto socket = connectTo(server->port());
+                        for (auto index = 1; index <= 2; ++index) {
+                            sendText(socket, "POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+                            check(readUntil(socket, "/refused body").starts_with("HTTP/1.1 200 "));
+                            check(*calls == index);
+                        }
+                        close(socket);
+                    }),
+                test("passes an admitted one to the handler with its whole body",
+                    [] {
+                        auto calls = std::make_shared<std::atomic<int>>(0);
+                        const auto server = serveChecked(calls, std::make_shared<std::atomic<int>>(0));
+                        const auto body = std::string(1'000'000, 'x');
+                        const auto response = fetch({.method_ = "POST",
+                            .url_ = "http://127.0.0.1:" + std::to_string(server->port()) + "/admitted",
+                            .body_ = body});
+                        check(response && response->status_ == 200 && response->body_ == "POST /admitted " + body);
+                        check(*calls == 1);
+                    }),
+            }),
         section("whose handler returns closeWithoutResponse",
             {
                 // Guards against a simulated outage that callers could distinguish from a real one.
--- a/packages/router/src/admin_api.cpp
+++ b/packages/router/src/admin_api.cpp
@@ -222,7 +222,7 @@
         return submitManifest(request);
     }
     if (path == "/admin/manifest/check" && request.method_ == "POST") {
-        const auto parsed = manifest::parseManifest(request.body_, "manifest");
+        const auto parsed = manifest::parseManifest(request.body_.text(), "manifest");
         const auto *errors = std::get_if<std::vector<manifest::ConfigError>>(&parsed);
         return errors == nullptr ? jsonResponse(200, Json {{"faults", Json::array()}})
                                  : jsonResponse(422, Json {{"faults", errorsJson(*errors)}});
@@ -278,12 +278,12 @@
     if (!base) {
         return errorResponse(400, base.failure().reason_);
     }
-    const auto parsed = manifest::parseManifest(request.body_, "manifest");
+    const auto parsed = manifest::parseManifest(request.body_.text(), "manifest");
     if (const auto *errors = std::get_if<std::vector<manifest::ConfigError>>(&parsed)) {
         return jsonResponse(422, Json {{"outcome", "refused"}, {"faults", errorsJson(*errors)}});
     }
     const auto outcome = platformSync_->submit(
-        manifest::SubmissionRequest {.id_ = submission, .baseRevision_ = *base, .text_ = request.body_});
+        manifest::SubmissionRequest {.id_ = submission, .baseRevision_ = *base, .text_ = request.body_.text()});
     return outcomeResponse(outcome, submission);
 }
 
--- a/packages/router/src/http_frontend.cpp
+++ b/packages/router/src/http_frontend.cpp
@@ -199,7 +199,7 @@
 auto HttpFrontend::handleChat(const http::Request &request, const std::string &requestId,
     const manifest::Manifest &manifest, const manifest::Account &account) -> http::Response
 {
-    const auto parsed = engine::parseChatRequest(request.body_);
+    const auto parsed = engine::parseChatRequest(request.body_.text());
     if (!parsed) {
         return badRequest(requestId, parsed.failure());
     }
@@ -220,11 +220,11 @@
         .pool_ = model->pool_,
         .tier_ = requestClass.tier_,
         .path_ = chatPath,
-        .body_ = request.body_,
+        .body_ = request.body_.text(),
         .resumable_ = true,
         .hedgingAllowed_ = requestClass.hedge_,
         .prefixHash_ = parsed->prefixHash_,
-        .fingerprint_ = fingerprintOf(account.name_, requestClass.name_, request.body_),
+        .fingerprint_ = fingerprintOf(account.name_, requestClass.name_, request.body_.text()),
         .costEstimate_ = parsed->maximumOutputTokens_.value_or(requestClass.costEstimate_),
         .maximumWait_ = requestClass.maximumWait_,
         .callerDisconnected_ = request.callerDisconnected_};
@@ -323,11 +323,11 @@
         .tier_ = requestClass->tier_,
         .method_ = request.method_,
         .path_ = internal::upstreamPath(*pool, request),
-        .body_ = request.body_,
+        .body_ = request.body_.text(),
         .contentType_ = headerValue(request, "content-type"),
         .idempotencyKey_ = headerValue(request, "idempotency-key"),
         .idempotent_ = idempotent,
-        .fingerprint_ = fingerprintOf(account.name_, requestClass->name_, request.path_ + request.body_),
+        .fingerprint_ = fingerprintOf(account.name_, requestClass->name_, request.path_ + request.body_.text()),
         .costEstimate_ = requestClass->costEstimate_,
         .maximumWait_ = requestClass->maximumWait_,
         .callerDisconnected_ = request.callerDisconnected_};
--- a/packages/router/tests/engine_error_test.cpp
+++ b/packages/router/tests/engine_error_test.cpp
@@ -28,7 +28,7 @@
     if (request.path_ != "/v1/chat/completions") {
         return http::BufferedResponse {};
     }
-    if (nlohmann::json::parse(request.body_)["messages"].size() > 1) {
+    if (nlohmann::json::parse(request.body_.text())["messages"].size() > 1) {
         return http::BufferedResponse {.status_ = 503, .body_ = errorText};
     }
     return http::StreamResponse {.nextEvent_ = [sent = false]() mutable -> http::StreamEvent {
--- a/packages/testbench/src/chat_request.cpp
+++ b/packages/testbench/src/chat_request.cpp
@@ -49,7 +49,7 @@
 
 auto parse(const http::Request &request) -> ChatRequest
 {
-    const auto body = json::parse(request.body_);
+    const auto body = json::parse(request.body_.text());
     auto prompt = std::string();
     auto lastUserMessage = std::string();
     for (const auto &message : body.at("messages")) {
--- a/packages/testbench/src/fake_booking.cpp
+++ b/packages/testbench/src/fake_booking.cpp
@@ -89,7 +89,7 @@
 
     auto book(const http::Request &request) -> http::Response
     {
-        if (!json::accept(request.body_)) {
+        if (!json::accept(request.body_.text())) {
             return errorResponse(400, "the body is not JSON");
         }
         const auto key = headerOf(request, "idempotency-key");
@@ -102,7 +102,7 @@
         if (stoppedEarly) {
             return http::BufferedResponse {.status_ = http::closeWithoutResponse};
         }
-        return jsonResponse(200, {{"confirmation", expectedConfirmation(key, request.body_)}, {"run", run}});
+        return jsonResponse(200, {{"confirmation", expectedConfirmation(key, request.body_.text())}, {"run", run}});
     }
 
     auto recordRun(const std::string &key, std::size_t run, const std::string &requestId) -> void
--- a/packages/testbench/src/fake_engine.cpp
+++ b/packages/testbench/src/fake_engine.cpp
@@ -227,7 +227,7 @@
     auto handleFault(const http::Request &request) -> http::Response
     {
         try {
-            return injectFault(json::parse(request.body_));
+            return injectFault(json::parse(request.body_.text()));
         } catch (const json::exception &jsonError) {
             return errorResponse(400, jsonError.what());
         }
--- a/packages/testbench/src/fake_kv.cpp
+++ b/packages/testbench/src/fake_kv.cpp
@@ -192,7 +192,7 @@
     auto route(const http::Request &request) -> http::Response
     {
         if (request.path_ == "/fault") {
-            return injectFault(json::parse(request.body_));
+            return injectFault(json::parse(request.body_.text()));
         }
         if (request.path_ == "/calls") {
             const auto lock = std::scoped_lock(mutex_);
@@ -204,7 +204,7 @@
         if (request.body_.size() > maximumRequestBytes) {
             return etcdError(400, 3, "etcdserver: request is too large");
         }
-        const auto body = json::parse(request.body_);
+        const auto body = json::parse(request.body_.text());
         if (request.path_ == "/v3/watch") {
             return watch(request, body);
         }
