--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -159,10 +159,10 @@
         .access_ = routes::AccountAccess {.accounts_ = {{.name_ = "installer", .keys_ = {sampleApiKey}}}}};
 }
 
-FrontendFixture::FrontendFixture(
-    const routes::Configuration &sample, std::optional<Milliseconds> keyTrustPeriod, const FrontendOptions &options)
-    : environment_(std::make_shared<node::Environment>(
-        node::createIdentity("front", wire::Role::Router, "local", ""), observe::Level::Error))
+FrontendFixture::FrontendFixture(const routes::Configuration &sample, std::optional<Milliseconds> keyTrustPeriod,
+    const FrontendOptions &options, observe::Level level, const StoreFeedOptions &feed)
+    : environment_(
+        std::make_shared<node::Environment>(node::createIdentity("front", wire::Role::Router, "local", ""), level))
     , store_(*testbench::FakeKv::start({}))
     , client_(std::make_shared<platform::KeyValueClient>(
           platform::KeyValueOptions {.url_ = fmt::format("http://127.0.0.1:{}", store_->port())}))
@@ -176,7 +176,7 @@
     registry_.add("configuration", configuration_);
     registry_.add("upstreams", upstreams_);
     registry_.add("stream-origins", streamOrigins_);
-    registry_.add("store-feed", std::make_shared<StoreFeed>(client_, testFeedOptions()));
+    registry_.add("store-feed", std::make_shared<StoreFeed>(client_, feed));
     registry_.add("crashing-requests", std::make_shared<CrashingRequests>());
     registry_.add("front", frontend_);
     registry_.add("probes", probes_);
--- a/packages/forward/tests/frontend_fixture.h
+++ b/packages/forward/tests/frontend_fixture.h
@@ -46,7 +46,8 @@
 public:
     // Publishes the sample to the store unless its version is 0.
     explicit FrontendFixture(const routes::Configuration &sample = sampleConfiguration(),
-        std::optional<Milliseconds> keyTrustPeriod = std::nullopt, const FrontendOptions &options = {});
+        std::optional<Milliseconds> keyTrustPeriod = std::nullopt, const FrontendOptions &options = {},
+        observe::Level level = observe::Level::Error, const StoreFeedOptions &feed = testFeedOptions());
     ~FrontendFixture();
 
     FrontendFixture(const FrontendFixture &) = delete;
