Write log lines without a JSON document for each text

Each key and each value of a line was dumped as a JSON document of its own. Text that needs no escape is appended as it is; other text is still written by the JSON library. The fields of the logger's context are no longer copied.

--- a/packages/observe/include/jasminewood/observe/log.h
+++ b/packages/observe/include/jasminewood/observe/log.h
@@ -57,9 +57,10 @@
 // Returns the first fields followed by the second.
 auto concatenate(const Fields &first, const Fields &second) -> Fields;
 
-// Returns one line including its newline. Invalid UTF-8 is replaced, so that the line is always valid JSON.
+// Returns one line including its newline, with the fields and then the further ones. Invalid UTF-8 is replaced, so that
+// the line is always valid JSON.
 auto formatLine(std::chrono::system_clock::time_point time, Level level, const NodeId &node, std::string_view message,
-    const Fields &fields) -> std::string;
+    const Fields &fields, const Fields &furtherFields = {}) -> std::string;
 
 // What happens to a line that cannot be written without blocking.
 enum class Overflow : std::uint8_t
--- a/packages/observe/src/log.cpp
+++ b/packages/observe/src/log.cpp
@@ -22,36 +22,62 @@
 
 constexpr auto levelNames = std::array<std::string_view, 4> {"debug", "info", "warning", "error"};
 
-auto jsonText(std::string_view text) -> std::string
+// Returns whether the text is the same between the quotes of a JSON string.
+auto needsNoEscape(std::string_view text) -> bool
+{
+    return std::all_of(text.begin(), text.end(), [](char letter) {
+        return letter >= ' ' && letter <= '~' && letter != '"' && letter != '\\';
+    });
+}
+
+auto appendJsonText(std::string &line, std::string_view text) -> void
 {
     constexpr int noIndent = -1;
-    return nlohmann::json(text).dump(noIndent, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (needsNoEscape(text)) {
+        line += '"';
+        line += text;
+        line += '"';
+        return;
+    }
+    line += nlohmann::json(text).dump(noIndent, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-struct ValueFormatter
+struct ValueAppender
 {
-    auto operator()(const std::string &text) const -> std::string
+    std::string &line_;
+
+    auto operator()(const std::string &text) const -> void
     {
-        return jsonText(text);
+        appendJsonText(line_, text);
     }
 
-    auto operator()(std::int64_t number) const -> std::string
+    auto operator()(std::int64_t number) const -> void
     {
-        return std::to_string(number);
+        fmt::format_to(std::back_inserter(line_), "{}", number);
     }
 
     // JSON has no infinity and no NaN.
-    auto operator()(double number) const -> std::string
+    auto operator()(double number) const -> void
     {
-        return std::isfinite(number) ? fmt::format("{}", number) : "null";
+        line_ += std::isfinite(number) ? fmt::format("{}", number) : "null";
     }
 
-    auto operator()(bool value) const -> std::string
+    auto operator()(bool value) const -> void
     {
-        return value ? "true" : "false";
+        line_ += value ? "true" : "false";
     }
 };
 
+auto appendFields(std::string &line, const Fields &fields) -> void
+{
+    for (const auto &field : fields) {
+        line += ',';
+        appendJsonText(line, field.key_);
+        line += ':';
+        std::visit(ValueAppender {line}, field.value_);
+    }
+}
+
 // Ignores write errors, because there is no other place to report them.
 auto writeAll(int descriptor, std::string_view text) -> void
 {
@@ -123,25 +149,31 @@
 
 auto concatenate(const Fields &first, const Fields &second) -> Fields
 {
-    auto all = first;
+    auto all = Fields();
+    all.reserve(first.size() + second.size());
+    std::copy(first.begin(), first.end(), std::back_inserter(all));
     std::copy(second.begin(), second.end(), std::back_inserter(all));
     return all;
 }
 
 auto formatLine(std::chrono::system_clock::time_point time, Level level, const NodeId &node, std::string_view message,
-    const Fields &fields) -> std::string
+    const Fields &fields, const Fields &furtherFields) -> std::string
 {
     constexpr int millisecondsPerSecond = 1000;
+    constexpr std::size_t usualLineBytes = 1024;
     const auto sinceEpoch = std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count();
     const auto second = std::chrono::floor<std::chrono::seconds>(time);
-    auto line
-        = fmt::format(R"({{"ts":"{:%Y-%m-%dT%H:%M:%S}.{:03}Z","level":"{}","process":{},"incarnation":{},"message":{})",
-            fmt::gmtime(std::chrono::system_clock::to_time_t(second)), sinceEpoch % millisecondsPerSecond,
-            toString(level), jsonText(node.name_), node.incarnation_, jsonText(message));
-    for (const auto &field : fields) {
-        line += fmt::format(",{}:{}", jsonText(field.key_), std::visit(ValueFormatter(), field.value_));
-    }
-    return line + "}\n";
+    auto line = std::string();
+    line.reserve(usualLineBytes);
+    fmt::format_to(std::back_inserter(line), R"({{"ts":"{:%Y-%m-%dT%H:%M:%S}.{:03}Z","level":"{}","process":)",
+        fmt::gmtime(std::chrono::system_clock::to_time_t(second)), sinceEpoch % millisecondsPerSecond, toString(level));
+    appendJsonText(line, node.name_);
+    fmt::format_to(std::back_inserter(line), R"(,"incarnation":{},"message":)", node.incarnation_);
+    appendJsonText(line, message);
+    appendFields(line, fields);
+    appendFields(line, furtherFields);
+    line += "}\n";
+    return line;
 }
 
 Log::Log(NodeId node, Level minimum, int descriptor, Overflow overflow)
@@ -167,8 +199,7 @@
     if (level < output_->minimum_) {
         return;
     }
-    auto line
-        = formatLine(std::chrono::system_clock::now(), level, output_->node_, message, concatenate(*context_, fields));
+    auto line = formatLine(std::chrono::system_clock::now(), level, output_->node_, message, *context_, fields);
     // The lock prevents interleaving if a line needs several write calls.
     const auto lock = std::lock_guard(output_->mutex_);
     if (output_->droppedLines_ > 0) {
