Compare names of header fields without copies in lower case

endToEndFields() built a set of 11 names and lower-case copies of each name for each request and each response, findHeader() a copy of each name it looked at.

--- a/packages/forward/src/end_to_end_fields.cpp
+++ b/packages/forward/src/end_to_end_fields.cpp
@@ -1,9 +1,12 @@
 #include "end_to_end_fields.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
-#include <set>
 #include <string>
+#include <string_view>
+
+#include <strings.h>
 
 namespace jasminewood::forward::internal
 {
@@ -11,44 +14,65 @@
 namespace
 {
 
-auto lowerCase(std::string text) -> std::string
+constexpr auto hopByHopNames
+    = std::array<std::string_view, 11> {"connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+        "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"};
+
+auto isSameName(std::string_view first, std::string_view second) -> bool
 {
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char letter) {
-        return char(std::tolower(letter));
-    });
-    return text;
+    return first.size() == second.size() && strncasecmp(first.data(), second.data(), first.size()) == 0;
 }
 
-// Adds the names of a comma-separated list, in lower case.
-auto addNames(std::set<std::string> &names, const std::string &list) -> void
+auto withoutSpaces(std::string_view text) -> std::string
+{
+    auto name = std::string(text);
+    name.erase(std::remove_if(name.begin(), name.end(),
+                   [](unsigned char letter) {
+                       return std::isspace(letter) != 0;
+                   }),
+        name.end());
+    return name;
+}
+
+// Adds the names of a comma-separated list.
+auto addNames(std::vector<std::string> &names, std::string_view list) -> void
 {
     for (auto start = std::size_t(0); start <= list.size();) {
         const auto end = std::min(list.find(',', start), list.size());
-        auto name = list.substr(start, end - start);
-        name.erase(std::remove_if(name.begin(), name.end(),
-                       [](unsigned char letter) {
-                           return std::isspace(letter) != 0;
-                       }),
-            name.end());
-        names.insert(lowerCase(name));
+        names.push_back(withoutSpaces(list.substr(start, end - start)));
         start = end + 1;
     }
 }
 
-} // namespace
-
-auto endToEndFields(const std::vector<http::HeaderField> &fields) -> std::vector<http::HeaderField>
+// Returns the names that the Connection fields list.
+auto connectionOptions(const std::vector<http::HeaderField> &fields) -> std::vector<std::string>
 {
-    auto hopByHopNames = std::set<std::string> {"connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
-        "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"};
+    auto names = std::vector<std::string>();
     for (const auto &field : fields) {
-        if (lowerCase(field.name_) == "connection") {
-            addNames(hopByHopNames, field.value_);
+        if (isSameName(field.name_, "connection")) {
+            addNames(names, field.value_);
         }
     }
+    return names;
+}
+
+template <typename Names>
+auto containsName(const Names &names, std::string_view name) -> bool
+{
+    return std::any_of(names.begin(), names.end(), [name](std::string_view each) {
+        return isSameName(each, name);
+    });
+}
+
+} // namespace
+
+auto endToEndFields(const std::vector<http::HeaderField> &fields) -> std::vector<http::HeaderField>
+{
+    const auto listedNames = connectionOptions(fields);
     auto endToEndOnly = std::vector<http::HeaderField>();
+    endToEndOnly.reserve(fields.size());
     for (const auto &field : fields) {
-        if (!hopByHopNames.contains(lowerCase(field.name_))) {
+        if (!containsName(hopByHopNames, field.name_) && !containsName(listedNames, field.name_)) {
             endToEndOnly.push_back(field);
         }
     }
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -6,6 +6,8 @@
 #include <mutex>
 #include <utility>
 
+#include <strings.h>
+
 #include "transfer.h"
 
 namespace jasminewood::http
@@ -125,13 +127,10 @@
 
 auto findHeader(const std::vector<HeaderField> &fields, std::string_view name) -> std::optional<std::string>
 {
-    const auto wanted = lowerCase(name);
-    for (const auto &field : fields) {
-        if (lowerCase(field.name_) == wanted) {
-            return field.value_;
-        }
-    }
-    return std::nullopt;
+    const auto found = std::find_if(fields.begin(), fields.end(), [name](const HeaderField &field) {
+        return field.name_.size() == name.size() && strncasecmp(field.name_.data(), name.data(), name.size()) == 0;
+    });
+    return found == fields.end() ? std::nullopt : std::optional(found->value_);
 }
 
 auto fetch(const ClientRequest &request) -> Result<ClientResponse>
