Wait for an upstream and its caller with one call of poll()

curl_multi_perform() asked the socket for data before each wait and again after it, and the hang-up of a caller that had sent further data was looked for every 50 ms. Transfer now uses libcurl's socket interface, waits itself and tells libcurl what has arrived. The hang-up is one of the events of that wait, so that it is noticed at once. cancel() wakes the wait by an eventfd.

--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -8,8 +8,9 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace jasminewood::http::internal
 {
@@ -17,10 +18,8 @@
 namespace
 {
 
-// libcurl's own timers wake curl_multi_poll earlier; this bounds the wait of a call without any timer.
+// Bounds the wait of a call without any timer.
 constexpr auto maximumWait = Milliseconds(60'000);
-// How often a watched descriptor with unread data is checked. poll() would report the data at once on every call.
-constexpr auto hangUpCheckInterval = Milliseconds(50);
 
 // A connection that was idle for longer is not reused. Common HTTP servers close idle connections after 5 s or more;
 // the lower limit avoids that a server closes a connection just as a request is sent on it.
@@ -95,6 +94,21 @@
                                              : curl_easy_strerror(code);
 }
 
+// Returns the events of poll() for those that libcurl wants to know of.
+auto pollEvents(int curlEvents) -> short
+{
+    const auto input = (curlEvents & CURL_POLL_IN) != 0 ? POLLIN : 0;
+    const auto output = (curlEvents & CURL_POLL_OUT) != 0 ? POLLOUT : 0;
+    return short(input | output);
+}
+
+// Returns the events to report to libcurl. It looks itself at a socket that is reported with none, and classifies
+// errors of the connection then.
+auto curlEvents(short pollEvents) -> int
+{
+    return pollEvents == POLLIN ? CURL_CSELECT_IN : 0;
+}
+
 // Returns whether the peer closed the connection of the descriptor, or reception was shut down, also if there is unread
 // data.
 auto hungUp(int descriptor) -> bool
@@ -109,6 +123,10 @@
     : multi_(curl_multi_init())
     , easy_(curl_easy_init())
 {
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &Transfer::onSocketChange);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &Transfer::onTimerChange);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
 }
 
 Transfer::~Transfer()
@@ -118,17 +136,45 @@
     }
     curl_easy_cleanup(easy_);
     curl_multi_cleanup(multi_);
+    if (cancelDescriptor_ >= 0) {
+        close(cancelDescriptor_);
+    }
+}
+
+auto Transfer::onSocketChange(CURL * /*easy*/, curl_socket_t socket, int events, void *transfer, void * /*socketData*/)
+    -> int
+{
+    auto &sockets = static_cast<Transfer *>(transfer)->sockets_;
+    std::erase_if(sockets, [socket](const pollfd &each) {
+        return each.fd == socket;
+    });
+    if (events != CURL_POLL_REMOVE) {
+        sockets.push_back({.fd = socket, .events = pollEvents(events), .revents = 0});
+    }
+    return 0;
+}
+
+auto Transfer::onTimerChange(CURLM * /*multi*/, long timeoutMs, void *transfer) -> int
+{
+    static_cast<Transfer *>(transfer)->timerAt_
+        = timeoutMs < 0 ? TimePoint::max() : Clock::now() + Milliseconds(timeoutMs);
+    return 0;
 }
 
 auto Transfer::resetCancellation() -> void
 {
-    cancelled_ = false;
+    auto count = eventfd_t(0);
+    if (cancelled_.exchange(false) && cancelDescriptor_ >= 0) {
+        eventfd_read(cancelDescriptor_, &count);
+    }
 }
 
 auto Transfer::cancel() -> void
 {
     cancelled_ = true;
-    curl_multi_wakeup(multi_);
+    if (cancelDescriptor_ >= 0) {
+        eventfd_write(cancelDescriptor_, 1);
+    }
 }
 
 auto Transfer::connectionReused() const -> bool
@@ -291,17 +337,22 @@
         Progress {.request_ = request, .onFields_ = std::move(onFields), .onData_ = std::move(onData), .easy_ = easy_});
     configure(request);
     curl_multi_add_handle(multi_, easy_);
+    timerAt_ = Clock::now();
 }
 
-auto Transfer::advance() -> void
+auto Transfer::act(curl_socket_t socket, int events) -> void
 {
     auto running = 1;
-    if (curl_multi_perform(multi_, &running) != CURLM_OK) {
+    if (curl_multi_socket_action(multi_, socket, events, &running) != CURLM_OK) {
         progress_->result_ = CURLE_FAILED_INIT;
         return;
     }
     auto left = 0;
-    while (const auto *message = curl_multi_info_read(multi_, &left)) {
+    while (running == 0) {
+        const auto *message = curl_multi_info_read(multi_, &left);
+        if (message == nullptr) {
+            return;
+        }
         if (message->msg == CURLMSG_DONE) {
             progress_->result_ = message->data.result;
         }
@@ -314,30 +365,40 @@
     return limit.count() > 0 ? progress_->lastByteAt_ + limit : TimePoint::max();
 }
 
-auto Transfer::waitForActivity(TimePoint until) -> bool
+auto Transfer::collectPollers() -> void
 {
-    const auto descriptor = progress_->request_.watchedDescriptor_;
-    const auto isWatched = descriptor >= 0;
-    const auto hasUnreadData = isWatched && progress_->hasUnreadData_;
-    const auto longestWait = hasUnreadData ? hangUpCheckInterval : maximumWait;
-    const auto wait = std::min<Clock::duration>(longestWait, until - Clock::now());
-    auto watched = curl_waitfd {.fd = descriptor, .events = CURL_WAIT_POLLIN, .revents = 0};
+    pollers_.assign(sockets_.begin(), sockets_.end());
+    // Without POLLIN, so that data which the caller sent early does not end each wait.
+    pollers_.push_back({.fd = progress_->request_.watchedDescriptor_, .events = POLLRDHUP, .revents = 0});
+    pollers_.push_back({.fd = cancelDescriptor_, .events = POLLIN, .revents = 0});
+}
+
+auto Transfer::processActivity(TimePoint until) -> bool
+{
+    collectPollers();
+    const auto socketCount = sockets_.size();
+    const auto wait = std::min<Clock::duration>(maximumWait, std::min(until, timerAt_) - Clock::now());
     const auto timeout = std::max<std::int64_t>(0, std::chrono::ceil<Milliseconds>(wait).count());
-    curl_multi_poll(multi_, &watched, isWatched && !hasUnreadData ? 1 : 0, int(timeout), nullptr);
-    if (!isWatched || (!hasUnreadData && watched.revents == 0)) {
-        return true;
+    const auto readyCount = poll(pollers_.data(), pollers_.size(), int(timeout));
+    if (readyCount > 0 && pollers_[socketCount].revents != 0) {
+        return false;
     }
-    progress_->hasUnreadData_ = true;
-    return !hungUp(descriptor);
+    for (auto index = std::size_t(0); readyCount > 0 && index < socketCount; ++index) {
+        if (pollers_[index].revents != 0 && !progress_->result_) {
+            act(pollers_[index].fd, curlEvents(pollers_[index].revents));
+        }
+    }
+    if (Clock::now() >= timerAt_ && !progress_->result_) {
+        // libcurl sets the timer again if it still needs one.
+        timerAt_ = TimePoint::max();
+        act(CURL_SOCKET_TIMEOUT, 0);
+    }
+    return true;
 }
 
 auto Transfer::drive(const std::function<auto()->bool> &ready, TimePoint deadline) -> DriveResult
 {
-    while (true) {
-        if (ready()) {
-            return DriveResult::Ready;
-        }
-        advance();
+    for (auto polled = false;; polled = true) {
         if (progress_->hungUpBeforeSend_) {
             return DriveResult::HungUp;
         }
@@ -352,10 +413,11 @@
             progress_->result_ = cancelled_ ? CURLE_ABORTED_BY_CALLBACK : CURLE_OPERATION_TIMEDOUT;
             return DriveResult::Ended;
         }
-        if (now >= deadline) {
+        // What has already arrived is taken even if the deadline has passed.
+        if (polled && now >= deadline) {
             return DriveResult::Deadline;
         }
-        if (!waitForActivity(std::min(deadline, idleDeadline()))) {
+        if (!processActivity(std::min(deadline, idleDeadline()))) {
             return DriveResult::HungUp;
         }
     }
@@ -397,6 +459,9 @@
 auto Transfer::perform(const ClientRequest &request, const FieldsCallback &onFields, const DataCallback &onData)
     -> Result<int>
 {
+    if (cancelDescriptor_ < 0) {
+        cancelDescriptor_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    }
     begin(request, onFields, onData);
     const auto neverReady = [] {
         return false;
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <poll.h>
 
 #include "jasminewood/http/client.h"
 
@@ -88,14 +89,16 @@
         bool connected_ = false;
         bool fieldsDelivered_ = false;
         bool dataRejected_ = false;
-        // True once the watched descriptor has data, which stays unread until the end of the call.
-        bool hasUnreadData_ = false;
         // True if the watched descriptor hung up before the request was sent.
         bool hungUpBeforeSend_ = false;
     };
 
     using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
+    // Called by libcurl when a socket is to be watched for other events, or not any more.
+    static auto onSocketChange(CURL *easy, curl_socket_t socket, int events, void *transfer, void *) -> int;
+    // Called by libcurl with the time after which it is to be called next; -1 for none.
+    static auto onTimerChange(CURLM *multi, long timeoutMs, void *transfer) -> int;
     static auto onConnected(void *progress, char *, char *, int, int) -> int;
     static auto onHeaderLine(char *data, std::size_t size, std::size_t count, void *progress) -> std::size_t;
     static auto onBody(char *data, std::size_t size, std::size_t count, void *progress) -> std::size_t;
@@ -104,10 +107,13 @@
     auto failure(CURLcode code) const -> Failure;
     // Returns which limit the response exceeds; empty if none.
     auto exceededLimit() const -> std::string;
-    // Lets libcurl do the work that is possible without waiting, and records the result if the call has ended.
-    auto advance() -> void;
-    // Waits for activity at most until the given time; returns false if the watched descriptor hung up.
-    auto waitForActivity(TimePoint until) -> bool;
+    // Lets libcurl act on the events that were found at a socket; on its timers if there is none. Records the result if
+    // the call has ended.
+    auto act(curl_socket_t socket, int events) -> void;
+    // Waits for events at most until the given time and acts on them; returns false if the watched descriptor hung up.
+    auto processActivity(TimePoint until) -> bool;
+    // Fills pollers_ with the sockets of libcurl, followed by the watched descriptor and the one of cancel().
+    auto collectPollers() -> void;
     // Returns when the idle timeout expires if no further byte is received.
     auto idleDeadline() const -> TimePoint;
     // Sets usableUntil_ from the response's Keep-Alive field; to now if the connection is closed.
@@ -115,6 +121,13 @@
 
     CURLM *const multi_;
     CURL *const easy_;
+    // The sockets that libcurl wants to be watched, and when it wants to be called at the latest.
+    std::vector<pollfd> sockets_;
+    TimePoint timerAt_ = TimePoint::max();
+    // Kept between waits, so that they allocate nothing.
+    std::vector<pollfd> pollers_;
+    // Becomes readable by cancel(). Opened by the first perform(), since only its calls can be cancelled.
+    std::atomic<int> cancelDescriptor_ = -1;
     std::unique_ptr<Progress> progress_;
     HeaderList headers_ = {nullptr, &curl_slist_free_all};
     TimePoint usableUntil_;
