Keep idle connections for as long as their peers say

A connection that had been idle for 3 s was never used again, so a router that sends an engine a request every few seconds opened a new connection for each. A peer that states a longer time in its Keep-Alive field is believed now, less a second and up to 60 s. Without a statement the limit stays 3 s, since a request on a connection that closes at that moment counts as one that may have run.

The connection that was used last is taken first, and a full pool drops the one that expires first instead of the one that was just used.

--- a/packages/http/include/jasminewood/http/client.h
+++ b/packages/http/include/jasminewood/http/client.h
@@ -21,9 +21,9 @@
 //
 // A failure has step "connect", "send", "receive", "timeout" or "cancel" and the peer HOST:PORT. A response that
 // exceeds maximumHeadBytes or the request's maximumBodyBytes_ fails with step "receive". Its run state is NotRun only
-// if the connection was never established, else MayHaveRun. Connections are reused. An idle one is kept for at most 3
-// s, less if the peer's Keep-Alive field says so. If a reused connection closes without a response, libcurl sends the
-// request again if it is retryable_; any other request fails.
+// if the connection was never established, else MayHaveRun. Connections are reused. An idle one is kept for 3 s, or
+// for a second less than the peer's Keep-Alive field says, at most 60 s. If a reused connection closes without a
+// response, libcurl sends the request again if it is retryable_; any other request fails.
 
 namespace jasminewood::http
 {
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -63,9 +63,13 @@
             }
             entry = isExpired ? idle_.erase(entry) : std::next(entry);
         }
-        if (idle_.size() < maximumIdleTransfers && now < transfer->usableUntil()) {
-            idle_.emplace(origin, std::move(transfer));
+        if (now >= transfer->usableUntil()) {
+            return;
         }
+        if (idle_.size() >= maximumIdleTransfers) {
+            expired.push_back(takeSoonestToExpire());
+        }
+        idle_.emplace(origin, std::move(transfer));
     }
 
     // Discards all idle connections if the failure is a timeout, because its cause may affect every connection.
@@ -79,15 +83,28 @@
     }
 
 private:
-    // Returns nothing if there is none. Transfers are created, checked and destroyed without the lock: that makes
-    // system calls, and each request that begins or ends needs the lock.
+    // Precondition: the caller holds mutex_, and there is an idle transfer.
+    auto takeSoonestToExpire() -> std::unique_ptr<internal::Transfer>
+    {
+        const auto soonest = std::min_element(idle_.begin(), idle_.end(), [](const auto &left, const auto &right) {
+            return left.second->usableUntil() < right.second->usableUntil();
+        });
+        auto transfer = std::move(soonest->second);
+        idle_.erase(soonest);
+        return transfer;
+    }
+
+    // Returns the transfer that was used last, or nothing if there is none. Transfers are created, checked and
+    // destroyed without the lock: that makes system calls, and each request that begins or ends needs the lock.
     auto takeIdle(const std::string &origin) -> std::unique_ptr<internal::Transfer>
     {
         const auto lock = std::scoped_lock(mutex_);
-        const auto found = idle_.find(origin);
-        if (found == idle_.end()) {
+        const auto [first, last] = idle_.equal_range(origin);
+        if (first == last) {
             return nullptr;
         }
+        // Equal keys are in the order of their insertion.
+        const auto found = std::prev(last);
         auto transfer = std::move(found->second);
         idle_.erase(found);
         return transfer;
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -21,9 +21,12 @@
 // Bounds the wait of a call without any timer.
 constexpr auto maximumWait = Milliseconds(60'000);
 
-// A connection that was idle for longer is not reused. Common HTTP servers close idle connections after 5 s or more;
-// the lower limit avoids that a server closes a connection just as a request is sent on it.
-constexpr long maximumIdleSeconds = 3;
+// A connection that was idle for longer is not reused if the peer states no timeout. Common HTTP servers close idle
+// connections after 5 s or more; the lower limit avoids that a server closes a connection just as a request is sent on
+// it.
+constexpr auto defaultIdleTime = Milliseconds(3'000);
+// The same for a peer that states a longer timeout, since devices on the way may forget silent connections.
+constexpr long maximumIdleSeconds = 60;
 
 auto headerList(const ClientRequest &request) -> curl_slist *
 {
@@ -427,13 +430,13 @@
 {
     // The peer's timeout starts when it sends the response, and the next request must arrive before it expires.
     constexpr auto margin = Milliseconds(1000);
-    auto idle = Milliseconds(std::chrono::seconds(maximumIdleSeconds));
+    auto idle = defaultIdleTime;
     for (const auto &field : progress_->fields_) {
-        if (lowerCase(field.name_) == "keep-alive") {
-            const auto position = field.value_.find("timeout=");
-            const auto seconds
-                = position == std::string::npos ? maximumIdleSeconds : std::atol(&field.value_[position + 8]);
-            idle = std::min(idle, std::max(Milliseconds(0), Milliseconds(std::chrono::seconds(seconds)) - margin));
+        const auto position
+            = lowerCase(field.name_) == "keep-alive" ? field.value_.find("timeout=") : std::string::npos;
+        if (position != std::string::npos) {
+            const auto seconds = std::clamp(std::atol(&field.value_[position + 8]), 0L, maximumIdleSeconds);
+            idle = std::max(Milliseconds(0), Milliseconds(std::chrono::seconds(seconds)) - margin);
         }
     }
     usableUntil_ = Clock::now() + (idleSocket_ == CURL_SOCKET_BAD ? Milliseconds(0) : idle);
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <future>
 #include <string>
+#include <thread>
 
 #include <sys/socket.h>
 
@@ -99,6 +100,32 @@
                         check(*posts == 1 && *postConnection == 1);
                     }),
             }),
+        section("after one to a peer that states how long it keeps idle connections",
+            {
+                // Guards against a new connection for each request to an upstream that gets one every few seconds.
+                // An idle connection was not used after 3 s, whatever the peer said.
+                test("reuses the connection a second before the end of that time, and not after it",
+                    [] {
+                        auto connections = std::make_shared<std::atomic<int>>(0);
+                        const auto respondWith = [connections](const std::string &keepAlive) {
+                            return [connections, keepAlive](int socket) {
+                                ++*connections;
+                                while (!readUntil(socket, "\r\n\r\n").empty()) {
+                                    sendText(socket,
+                                        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + keepAlive
+                                            + "\r\nContent-Length: 2\r\n\r\nok");
+                                }
+                            };
+                        };
+                        const auto patient = RawServer(respondWith("30"));
+                        const auto hasty = RawServer(respondWith("1"));
+                        check(bool(fetch({.url_ = patient.url()})) && bool(fetch({.url_ = hasty.url()})));
+                        check(*connections == 2);
+                        std::this_thread::sleep_for(Milliseconds(3'200));
+                        check(bool(fetch({.url_ = patient.url()})) && *connections == 2);
+                        check(bool(fetch({.url_ = hasty.url()})) && *connections == 3);
+                    }),
+            }),
         section("to a peer that stops responding",
             {
                 // Guards against one more timeout for each idle connection after a network failure.
