Wake the thread that reports loads once for each report

Each change of the load, three for each request, woke the sender thread although it paused between two reports. Not measured: forwarding-cost runs no peers.

--- a/packages/forward/include/jasminewood/forward/peer_load_exchange.h
+++ b/packages/forward/include/jasminewood/forward/peer_load_exchange.h
@@ -48,6 +48,8 @@
     std::shared_ptr<PeerNetwork> network_;
     mutable std::mutex mutex_;
     std::condition_variable stateChanged_;
+    // Separate from stateChanged_, so that changes of the load do not wake the sender thread between two reports.
+    std::condition_variable stopCondition_;
     bool stopping_ = false;
     bool loadChanged_ = false;
     // Used by the sender thread only.
--- a/packages/forward/src/peer_load_exchange.cpp
+++ b/packages/forward/src/peer_load_exchange.cpp
@@ -36,8 +36,9 @@
     }
     upstreams_->pool().setLoadChangeCallback([this] {
         const auto lock = std::scoped_lock(mutex_);
-        loadChanged_ = true;
-        stateChanged_.notify_all();
+        if (!std::exchange(loadChanged_, true)) {
+            stateChanged_.notify_all();
+        }
     });
     network_->addHandler([this](const wire::Message &message) {
         if (const auto *report = std::get_if<wire::EngineUsageReport>(&message)) {
@@ -59,6 +60,7 @@
         stopping_ = true;
     }
     stateChanged_.notify_all();
+    stopCondition_.notify_all();
     if (senderThread_.joinable()) {
         senderThread_.join();
     }
@@ -67,7 +69,7 @@
 auto PeerLoadExchange::waitUnlessStopped(Milliseconds time) -> bool
 {
     auto lock = std::unique_lock(mutex_);
-    return !stateChanged_.wait_for(lock, time, [this] {
+    return !stopCondition_.wait_for(lock, time, [this] {
         return stopping_;
     });
 }
