Compute the weights of engines for a choice once, and only if they count

The order for the long-prompt lane hashed two ids in each comparison, also for an empty lane, and the home engine was sought for prompts without a shared prefix. Upstreams of other services were asked for their availability, which copies their ids. Choices stay the same.

--- a/packages/forward/src/upstream_pool.cpp
+++ b/packages/forward/src/upstream_pool.cpp
@@ -149,9 +149,8 @@
     for (const auto &[id, upstream] : upstreams_) {
         const auto alreadyTried = std::find(criteria.excludedUpstreams_.begin(), criteria.excludedUpstreams_.end(), id)
             != criteria.excludedUpstreams_.end();
-        const auto mayBeChosen = isRoutable(upstream, now)
-            && std::holds_alternative<routing::Available>(availability(upstream, routers, now));
-        if (upstream.record_->service_ == criteria.service_ && mayBeChosen && !alreadyTried) {
+        if (upstream.record_->service_ == criteria.service_ && !alreadyTried && isRoutable(upstream, now)
+            && std::holds_alternative<routing::Available>(availability(upstream, routers, now))) {
             eligible.push_back(&upstream);
         }
     }
--- a/packages/routing/src/engine_chooser.cpp
+++ b/packages/routing/src/engine_chooser.cpp
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <cmath>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 #include "rendezvous.h"
@@ -31,10 +32,12 @@
 {
     auto home = candidates.size();
     auto homeWeight = std::uint64_t(0);
+    if (request.sharedPrefixId_ == 0) {
+        return home;
+    }
     for (auto index = std::size_t(0); index < candidates.size(); ++index) {
         const auto weight = internal::rendezvousWeight(candidates[index].id_, request.sharedPrefixId_);
-        if (request.sharedPrefixId_ != 0 && candidates[index].inLongPromptLane_ == request.isLongPrompt_
-            && weight >= homeWeight) {
+        if (candidates[index].inLongPromptLane_ == request.isLongPrompt_ && weight >= homeWeight) {
             home = index;
             homeWeight = weight;
         }
@@ -81,16 +84,23 @@
 
 auto selectLongPromptLane(const std::vector<std::string> &ids, std::size_t size) -> std::vector<bool>
 {
+    auto inLane = std::vector<bool>(ids.size(), false);
+    if (size == 0) {
+        return inLane;
+    }
+    auto weights = std::vector<std::uint64_t>();
+    weights.reserve(ids.size());
+    for (const auto &id : ids) {
+        weights.push_back(internal::rendezvousWeight(id, laneKey));
+    }
+    const auto lane = std::min(size, ids.size());
     auto order = std::vector<std::size_t>(ids.size());
     std::iota(order.begin(), order.end(), std::size_t(0));
-    std::sort(order.begin(), order.end(), [&ids](std::size_t left, std::size_t right) {
-        const auto &leftId = ids[left];
-        const auto &rightId = ids[right];
-        return std::pair(internal::rendezvousWeight(leftId, laneKey), leftId)
-            > std::pair(internal::rendezvousWeight(rightId, laneKey), rightId);
-    });
-    auto inLane = std::vector<bool>(ids.size(), false);
-    for (auto index = std::size_t(0); index < std::min(size, ids.size()); ++index) {
+    std::partial_sort(order.begin(), order.begin() + std::ptrdiff_t(lane), order.end(),
+        [&ids, &weights](std::size_t left, std::size_t right) {
+            return std::tie(weights[left], ids[left]) > std::tie(weights[right], ids[right]);
+        });
+    for (auto index = std::size_t(0); index < lane; ++index) {
         inLane[order[index]] = true;
     }
     return inLane;
