Notice that a caller left while the version of its stream is recorded

The first event of a stream waits for up to 500 ms until the store has the software version, and the upstream went on meanwhile for a caller who had left. The wait now looks for the caller every 100 ms. No test of its own yet: it needs a store that takes a write and does not respond.

--- a/packages/forward/include/jasminewood/forward/stream_origins.h
+++ b/packages/forward/include/jasminewood/forward/stream_origins.h
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -66,8 +67,10 @@
 
     // Records that the first event of a new stream is to be passed on, which this request brought. An empty version
     // stands for an unknown one. Waits for the write if the stream counted as one of another version without it; fails
-    // if that could not be done before the deadline.
-    auto recordBegin(const std::string &requestId, const routing::StreamOrigin &origin, TimePoint deadline) -> Status;
+    // with step "record" if that could not be done before the deadline, and with step "caller" soon after
+    // hasCallerLeft, which must not block and may be empty, returns true.
+    auto recordBegin(const std::string &requestId, const routing::StreamOrigin &origin, TimePoint deadline,
+        const std::function<auto()->bool> &hasCallerLeft = {}) -> Status;
 
     // Returns where the stream began whose first event this request brought, on a route to this service. Waits until
     // the deadline while it is unknown.
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -117,7 +117,11 @@
     auto &origins = *frontend_.streamOrigins_;
     const auto failure = origins.recordBegin(requestMetadata_.requestId_,
         {.service_ = service_, .version_ = streamVersion_.version().value_or("")},
-        std::min(deadline_, Clock::now() + maximumRecordWait));
+        std::min(deadline_, Clock::now() + maximumRecordWait), request_.callerDisconnected_);
+    if (failure && failure->step_ == "caller") {
+        streamVersion_.withdraw();
+        return failure;
+    }
     if (!failure || recordFailed_) {
         return std::nullopt;
     }
--- a/packages/forward/src/stream_origins.cpp
+++ b/packages/forward/src/stream_origins.cpp
@@ -27,6 +27,8 @@
 // How long a read of the records waits for further ones. The store responds at once if there are any.
 constexpr Milliseconds recordsWait = Milliseconds(20);
 constexpr Milliseconds readRetryInterval = Milliseconds(100);
+// Work at an upstream ends within 300 ms after its caller has left.
+constexpr Milliseconds callerCheckInterval = Milliseconds(100);
 // Records count as writable for this time after the store was last heard of.
 constexpr Milliseconds maximumSilence = Milliseconds(2'000);
 
@@ -149,8 +151,8 @@
     nextRecordsAt_ = std::max(nextRecordsAt_, recordsDelayedUntil_);
 }
 
-auto StreamOrigins::recordBegin(const std::string &requestId, const routing::StreamOrigin &origin, TimePoint deadline)
-    -> Status
+auto StreamOrigins::recordBegin(const std::string &requestId, const routing::StreamOrigin &origin, TimePoint deadline,
+    const std::function<auto()->bool> &hasCallerLeft) -> Status
 {
     if (requestId.empty()) {
         return std::nullopt;
@@ -168,9 +170,15 @@
     if (need == routing::RecordNeed::Later) {
         return std::nullopt;
     }
-    originCondition_.wait_until(lock, deadline, [this, &record] {
+    const auto isDecided = [this, &record] {
         return stopping_ || versions_->isWritten(record.stream_) || Clock::now() < recordsDelayedUntil_;
-    });
+    };
+    while (!originCondition_.wait_until(lock, std::min(deadline, Clock::now() + callerCheckInterval), isDecided)
+        && Clock::now() < deadline) {
+        if (hasCallerLeft && hasCallerLeft()) {
+            return Failure {.step_ = "caller", .reason_ = "the caller closed its connection"};
+        }
+    }
     if (versions_->isWritten(record.stream_)) {
         return std::nullopt;
     }
