Report a request that could not be sent in time as not run

A wait that ended before the connection was established failed as one that may have run, so its caller got 504 where 503 "not run" is true. The new check fails on the code before.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -302,7 +302,8 @@
 private:
     auto waitFailure(const std::string &step, const std::string &reason) const -> Failure
     {
-        return {.step_ = step, .peer_ = peer_, .reason_ = reason, .runState_ = RunState::MayHaveRun};
+        const auto runState = transfer_ && !transfer_->mayHaveBeenSent() ? RunState::NotRun : RunState::MayHaveRun;
+        return {.step_ = step, .peer_ = peer_, .reason_ = reason, .runState_ = runState};
     }
 
     auto finish() -> void
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -187,6 +187,11 @@
     return newConnections == 0;
 }
 
+auto Transfer::mayHaveBeenSent() const -> bool
+{
+    return progress_->connected_;
+}
+
 auto Transfer::usableUntil() const -> TimePoint
 {
     return usableUntil_;
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -66,6 +66,9 @@
     // Returns whether the connection of the current call carried an earlier one. Valid once its head has arrived.
     auto connectionReused() const -> bool;
 
+    // Returns whether the request of the current call may have been sent.
+    auto mayHaveBeenSent() const -> bool;
+
     // Returns until when the connection of the last call may be reused.
     auto usableUntil() const -> TimePoint;
 
--- a/packages/http/tests/hostile_peer_test.cpp
+++ b/packages/http/tests/hostile_peer_test.cpp
@@ -102,6 +102,7 @@
                         auto exchange = Exchange(request);
                         const auto head = exchange.head(Clock::now() + 5s);
                         check(!head && head.failure().step_ == "caller");
+                        check(head.failure().runState_ == RunState::NotRun, "the failure says that it was not sent");
                         std::this_thread::sleep_for(100ms);
                         check(*received == 1, "the request was not sent");
                     }),
