--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -291,6 +291,8 @@
     const std::optional<http::BufferedResponse> &response) -> FailedAttempt
 {
     auto failedAttempt = FailedAttempt {.failure_ = failure, .response_ = response};
+    // Ends the work at the upstream before anything that may take time.
+    attempt_->exchange_.reset();
     recordFailedAttempt(failedAttempt);
     recordCrash(failure);
     endAttempt(result);
