--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "jasminewood/forward/configuration_watcher.h"
 #include "jasminewood/forward/crashing_requests.h"
@@ -100,7 +101,7 @@
     auto stopSchedule() const -> std::optional<StopSchedule>;
     // Returns whether the requests that are still in flight end because the process does.
     auto endsRequests() const -> bool;
-    auto countOutcome(const std::string &outcome, int status) const -> void;
+    auto countOutcome(const std::string &outcome, int status) -> void;
     // Counts and logs a request that the server ended without a complete response.
     auto recordUnserved(const http::UnservedRequest &request) const -> void;
     auto countRequest(const std::string &service) -> void;
@@ -127,6 +128,8 @@
     std::condition_variable stopCondition_;
     // Guarded by mutex_.
     bool stopped_ = false;
+    // Counters by outcome and status, since a look-up by labels costs more than the count. Guarded by mutex_.
+    std::map<std::pair<std::string, int>, observe::Counter> outcomeCounters_;
     // Retry budgets by service. Guarded by mutex_.
     std::map<std::string, routing::RetryBudget> retryBudgets_;
     std::optional<observe::Counter> requestCounter_;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -161,12 +161,17 @@
     return server_->port();
 }
 
-auto Frontend::countOutcome(const std::string &outcome, int status) const -> void
+auto Frontend::countOutcome(const std::string &outcome, int status) -> void
 {
-    environment_->metrics()
-        .counter("jasminewood_forward_outcomes_total", "Requests by their end",
-            {{"outcome", outcome}, {"status", std::to_string(status)}})
-        .add();
+    const auto lock = std::scoped_lock(mutex_);
+    const auto key = std::pair(outcome, status);
+    auto found = outcomeCounters_.find(key);
+    if (found == outcomeCounters_.end()) {
+        const auto counter = environment_->metrics().counter("jasminewood_forward_outcomes_total",
+            "Requests by their end", {{"outcome", outcome}, {"status", std::to_string(status)}});
+        found = outcomeCounters_.emplace(key, counter).first;
+    }
+    found->second.add();
 }
 
 auto Frontend::recordUnserved(const http::UnservedRequest &request) const -> void
--- a/packages/http/include/jasminewood/http/client.h
+++ b/packages/http/include/jasminewood/http/client.h
@@ -130,9 +130,9 @@
 //     for (auto piece = exchange.next(deadline); piece && *piece; piece = exchange.next(deadline)) { ... }
 //
 // A wait that ends at its deadline fails with step "wait", and one that ends because the watched descriptor hung up
-// with step "caller"; in both cases the call stays active and the wait may be repeated. Their run state is NotRun if the
-// request had not been sent until then. All other failures are final.
-// The destructor closes the connection of a call that is not complete.
+// with step "caller"; in both cases the call stays active and the wait may be repeated. Their run state is NotRun if
+// the request had not been sent until then. All other failures are final. The destructor closes the connection of a
+// call that is not complete.
 class Exchange
 {
 public:
