Refuse requests that a lagging router cannot pass on in time

The frontend measures for how long the last bytes of each request waited in the kernel. If that exceeds a quarter of a route's latency target, it refuses a share of the requests whose remaining target is shorter than the lag, with 503, code "lagging", not run, and a Retry-After of 50 to 200 ms. It refuses nothing while no other router is heard of.

Not measured on a deployment.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -12,6 +12,7 @@
 
 #include "jasminewood/forward/configuration_watcher.h"
 #include "jasminewood/forward/crashing_requests.h"
+#include "jasminewood/forward/lag_admission.h"
 #include "jasminewood/forward/protocol_adapter.h"
 #include "jasminewood/forward/response_hold.h"
 #include "jasminewood/forward/stop_schedule.h"
@@ -90,6 +91,10 @@
     // many open connections this can close at most.
     auto releaseConnections(const routing::ConnectionRelease &release) -> std::size_t;
 
+    // Records a delay between the arrival of data and its handling, as each request does. Requests are refused if the
+    // delays are long.
+    auto recordLag(Clock::duration delay) -> void;
+
     // Returns the port on which callers connect.
     auto port() const -> std::uint16_t;
 
@@ -97,6 +102,8 @@
     friend class RequestRun;
 
     auto handleRequest(const http::Request &request) -> http::Response;
+    // Returns the refusal of a request that can hardly be served in time because this process lags behind.
+    auto refuseUnderLag(const http::Request &request, TimePoint now) -> std::optional<http::Response>;
     // Returns the schedule of the planned stop, if one has begun.
     auto stopSchedule() const -> std::optional<StopSchedule>;
     // Returns whether the requests that are still in flight end because the process does.
@@ -134,6 +141,8 @@
     std::map<std::string, routing::RetryBudget> retryBudgets_;
     std::optional<observe::Counter> requestCounter_;
     std::optional<observe::Counter> retryCounter_;
+    // Set at the start.
+    std::unique_ptr<LagAdmission> lagAdmission_;
     std::optional<observe::Histogram> timeToHandler_;
     std::optional<observe::Histogram> timeToResponse_;
     std::shared_ptr<http::Server> server_;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
+#include "error_responses.h"
+#include "handling_delay.h"
 #include "request_run.h"
 
 namespace jasminewood::forward
@@ -15,6 +19,13 @@
 constexpr std::size_t largestBodyBytes = std::size_t(64) << 20U;
 constexpr auto longestIdleTimeout = Milliseconds(3'600'000);
 
+auto responseKind(const routes::Route &route, const RequestMetadata &metadata) -> congestion::ResponseKind
+{
+    return route.retrySafety_ == routes::RetrySafety::Stream
+        ? congestion::ResponseKind(congestion::EventStream {.resumes_ = !metadata.lastEventId_.empty()})
+        : congestion::PlainResponse {};
+}
+
 auto scaleToRetryBudgetShare(const routing::RetryBudgetOptions &options, TimePoint slackFrom)
     -> routing::RetryBudgetOptions
 {
@@ -61,6 +72,7 @@
     retryBudgetOptions_.emplace(
         scaleToRetryBudgetShare(options_.retryBudget_, Clock::now() + options_.retryLearningTime_));
     const auto &metrics = environment_->metrics();
+    lagAdmission_ = std::make_unique<LagAdmission>(metrics, Clock::now());
     requestCounter_.emplace(metrics.counter("jasminewood_forward_requests_total", "Requests received"));
     retryCounter_.emplace(
         metrics.counter("jasminewood_forward_retries_total", "Attempts beyond the first of a request"));
@@ -219,9 +231,53 @@
 
 auto Frontend::handleRequest(const http::Request &request) -> http::Response
 {
+    const auto now = Clock::now();
     requestCounter_->add();
-    timeToHandler_->observe(std::chrono::duration<double>(Clock::now() - request.arrival_.steady_).count());
+    timeToHandler_->observe(std::chrono::duration<double>(now - request.arrival_.steady_).count());
+    lagAdmission_->recordRequest(internal::handlingDelay(request, now), now);
+    if (auto refusal = refuseUnderLag(request, now)) {
+        return std::move(*refusal);
+    }
     return std::make_shared<RequestRun>(*this, request)->handle();
 }
 
+auto Frontend::recordLag(Clock::duration delay) -> void
+{
+    lagAdmission_->recordRequest(delay, Clock::now());
+}
+
+auto Frontend::refuseUnderLag(const http::Request &request, TimePoint now) -> std::optional<http::Response>
+{
+    const auto lag = lagAdmission_->lag(now);
+    const auto table = lag.count() > 0 ? configuration_->current() : nullptr;
+    if (!table) {
+        return std::nullopt;
+    }
+    const auto metadata = protocolAdapter_.parseRequestMetadata_(request);
+    const auto *route = table->matchRoute(metadata.host_, request.requestTarget_);
+    if (route == nullptr) {
+        return std::nullopt;
+    }
+    const auto decision
+        = lagAdmission_->admit({.kind_ = responseKind(*route, metadata),
+                                   .target_ = route->targetLatency_,
+                                   .elapsed_ = std::chrono::ceil<Milliseconds>(now - request.arrival_.steady_),
+                                   .urgency_ = table->enginePriority(*route, table->findAccount(metadata.apiKey_)),
+                                   .hash_ = XXH3_64bits(metadata.requestId_.data(), metadata.requestId_.size())},
+            upstreams_->pool().routerCount(now) > 1, now);
+    const auto *refused = std::get_if<congestion::RefusedForLag>(&decision);
+    if (refused == nullptr) {
+        return std::nullopt;
+    }
+    const auto refusal = Refusal {.code_ = "lagging",
+        .message_ = "this process cannot pass on the request in time",
+        .retryAfter_ = refused->retryAfter_};
+    countOutcome("refused", refusal.status_);
+    environment_->log().info("refused",
+        {{"request", metadata.requestId_}, {"route", route->name_}, {"status", std::int64_t(refusal.status_)},
+            {"attempts", 0}, {"passed_on", false}, {"code", refusal.code_}, {"reason", refusal.message_},
+            {"lag_ms", lag.count()}, {"version", table->configuration().version_}});
+    return internal::refusalResponse(refusal, metadata.requestId_);
+}
+
 } // namespace jasminewood::forward
