--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -48,6 +48,19 @@
     return segments;
 }
 
+// Returns the parts of the request that are needed after its metadata has been read. The others, which repeat them by
+// name, need not be copied.
+auto forwardedParts(const http::Request &request) -> http::Request
+{
+    return {.method_ = request.method_,
+        .fields_ = request.fields_,
+        .requestTarget_ = request.requestTarget_,
+        .body_ = request.body_,
+        .callerDisconnected_ = request.callerDisconnected_,
+        .callerDescriptor_ = request.callerDescriptor_,
+        .arrival_ = request.arrival_};
+}
+
 auto accountOf(const AdmittedRequest &admitted) -> std::string
 {
     return admitted.account_ == nullptr ? "" : admitted.account_->name_;
@@ -57,7 +70,7 @@
 
 RequestRun::RequestRun(Frontend &frontend, const http::Request &request)
     : frontend_(frontend)
-    , request_(request)
+    , request_(forwardedParts(request))
     , arrivedAt_(request.arrival_.steady_)
     , arrivedAtBoot_(request.arrival_.boot_)
     , handledAt_(Clock::now())
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -153,6 +153,7 @@
     auto remainingTime() const -> Milliseconds;
 
     Frontend &frontend_;
+    // Without headers_, parameters_, path_ and query_.
     const http::Request request_;
     const TimePoint arrivedAt_;
     const BootTime arrivedAtBoot_;
