--- a/packages/forward/src/usage_reporting.cpp
+++ b/packages/forward/src/usage_reporting.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "jasminewood/duties/duty_rank.h"
+#include "jasminewood/wire/codec.h"
 
 namespace jasminewood::forward
 {
@@ -39,7 +40,10 @@
     do {
         auto part = duties::AccountCounts();
         for (; entry != window.counts_.end() && part.size() < accountsPerReport; ++entry) {
-            part.insert(*entry);
+            // A longer name would make the whole report invalid.
+            if (entry->first.size() <= wire::maximumNameBytes) {
+                part.insert(*entry);
+            }
         }
         reports.push_back({.router_ = router,
             .windows_
