--- a/packages/election/tests/leader_election_test.cpp
+++ b/packages/election/tests/leader_election_test.cpp
@@ -18,18 +18,25 @@
 const auto ownKey = KeyExists {.record_ = {.router_ = self, .leaseId_ = 3}, .createRevision_ = 7, .modRevision_ = 7};
 const auto otherKey = KeyExists {.record_ = {.router_ = {.name_ = "r2"}, .leaseId_ = 5}, .createRevision_ = 9};
 
-auto creatingCandidate() -> LeaderElection
+const auto dutyOptions = ElectionOptions {.timeToLive_ = 3s,
+    .safetyMargin_ = 500ms,
+    .renewInterval_ = 1s,
+    .jitter_ = 0ms,
+    .pauseAfterLoss_ = 6s,
+    .fencingTokens_ = RecordedTokens {}};
+
+auto creatingCandidate(const ElectionOptions &options = {}) -> LeaderElection
 {
-    auto result = LeaderElection({.key_ = "leader", .router_ = self}, 1);
+    auto result = LeaderElection({.key_ = "leader", .router_ = self}, 1, options);
     result.step(Start {}, start);
     result.step(KeyAbsent {}, start);
     result.step(LeaseGranted {.leaseId_ = 3, .sentAt_ = start}, start);
     return result;
 }
 
-auto electedLeader() -> LeaderElection
+auto electedLeader(const ElectionOptions &options = {}) -> LeaderElection
 {
-    auto result = creatingCandidate();
+    auto result = creatingCandidate(options);
     result.step(KeyCreated {7}, start);
     return result;
 }
@@ -86,6 +93,40 @@
                         check(leader.step(LeaseExpired {}, start) == Action(Stopped {}));
                     }),
             }),
+        section("of a duty whose holders must not alternate",
+            {
+                // Guards against a router that acts again shortly after another one has acted.
+                test("keeps a router that lost the duty from it for the pause, and then for its rank",
+                    [] {
+                        auto holder = electedLeader(dutyOptions);
+                        check(isReadKey(holder.step(LeaseExpired {}, start + 1s)));
+                        const auto next = holder.step(KeyAbsent {.candidacyDelay_ = 300ms}, start + 2s);
+                        check(next == Action(GrantLease {.timeToLive_ = 3s, .delay_ = 5'300ms}));
+                    }),
+                test("revokes the lease of a holder whose token was refused",
+                    [] {
+                        auto holder = electedLeader(dutyOptions);
+                        check(holder.step(Superseded {}, start) == Action(RevokeLease {3}));
+                        check(!holder.currentFencingToken(start));
+                    }),
+                // Guards against a lost key that the former holder creates again with its old lease.
+                test("grants a new lease after the key has ended",
+                    [] {
+                        auto holder = electedLeader(dutyOptions);
+                        check(std::holds_alternative<GrantLease>(holder.step(KeyAbsent {}, start + 1s)));
+                        check(!holder.currentFencingToken(start + 1s));
+                    }),
+                // Guards against a holder that acts with another token than the one in the store.
+                test("takes the token from the record of the key",
+                    [] {
+                        auto candidate = creatingCandidate(dutyOptions);
+                        candidate.step(storeFailed, start);
+                        const auto record = LeaderRecord {.router_ = self, .leaseId_ = 3, .fencingToken_ = 4'711};
+                        candidate.step(KeyExists {.record_ = record, .createRevision_ = 7}, start);
+                        check(
+                            candidate.currentFencingToken(start) == 4'711 && candidate.validUntil() == start + 2'500ms);
+                    }),
+            }),
         section("of a router whose CreateKey had no response",
             {
                 // Guards against a router that was elected but does not act as leader, and one that acts without
--- a/packages/platform/tests/key_value_test.cpp
+++ b/packages/platform/tests/key_value_test.cpp
@@ -106,6 +106,21 @@
                         check(*pair.client_.remove("/m") && !*pair.client_.remove("/m"));
                         check(!pair.client_.get("/m")->has_value());
                     }),
+                // Guards against a writer that takes one of two keys which belong together.
+                test("writes several keys only if all of them have the expected revisions",
+                    [] {
+                        auto pair = ServiceAndClient();
+                        const auto first = pair.client_.put("/a", "first");
+                        const auto write = [&pair](Revision a, Revision b) {
+                            return pair.client_.writeAll(
+                                {.conditions_ = {{.key_ = "/a", .revision_ = a}, {.key_ = "/b", .revision_ = b}},
+                                    .puts_ = {{.key_ = "/a", .value_ = "new"}, {.key_ = "/b", .value_ = "new"}}});
+                        };
+                        check(!write(0, 0)->written_ && !write(first->revision_, 7)->written_);
+                        check(!pair.client_.get("/b")->has_value());
+                        const auto written = write(first->revision_, 0);
+                        check(written->written_ && (*pair.client_.get("/b"))->modRevision_ == written->revision_);
+                    }),
                 // Guards against one call per claim, and against a group of claims that fails as a whole.
                 test("writes a group of claims in one call",
                     [] {
