Limit the memory of the bodies of all requests

While memory is short, bodies that make no progress are refused with 408 first. New setting [callers] maximum_body_memory, metrics jasminewood_http_body_bytes and jasminewood_http_refused_bodies_total.

The header of ChildProcess is public now, because the test uses it.

--- a/packages/forward/include/jasminewood/forward/frontend.h
+++ b/packages/forward/include/jasminewood/forward/frontend.h
@@ -84,6 +84,9 @@
     // Returns the number of open connections of callers.
     auto connectionCount() const -> unsigned;
 
+    // Returns the memory that the bodies of requests have reserved, in bytes.
+    auto bodyBytes() const -> std::size_t;
+
     // Makes callers reconnect: so many of the connections that were opened before the given time are closed, each after
     // a complete response that tells it to the caller. What is left of an earlier call no longer applies. Returns how
     // many open connections this can close at most.
@@ -103,6 +106,8 @@
     // Returns whether the requests that are still in flight end because the process does.
     auto endsRequests() const -> bool;
     auto countOutcome(const std::string &outcome, int status) const -> void;
+    // Counts a request whose body was refused.
+    auto countRefusedBody(const http::UnservedRequest &request) const -> void;
     // Counts and logs a request that the server ended without a complete response.
     auto recordUnserved(const http::UnservedRequest &request) const -> void;
     auto countRequest(const std::string &service) -> void;
--- a/packages/forward/src/frontend.cpp
+++ b/packages/forward/src/frontend.cpp
@@ -154,6 +154,11 @@
     return server_->connectionCount();
 }
 
+auto Frontend::bodyBytes() const -> std::size_t
+{
+    return server_->bodyBytes();
+}
+
 auto Frontend::releaseConnections(const routing::ConnectionRelease &release) -> std::size_t
 {
     return server_->closeAfterResponses(release.connections_, release.openedBefore_);
@@ -172,8 +177,20 @@
         .add();
 }
 
+auto Frontend::countRefusedBody(const http::UnservedRequest &request) const -> void
+{
+    if (!http::isRefusedBody(request.reason_)) {
+        return;
+    }
+    environment_->metrics()
+        .counter("jasminewood_http_refused_bodies_total", "Requests whose bodies were refused",
+            {{"reason", std::string(http::toString(request.reason_))}})
+        .add();
+}
+
 auto Frontend::recordUnserved(const http::UnservedRequest &request) const -> void
 {
+    countRefusedBody(request);
     const auto reason = std::string(http::toString(request.reason_));
     environment_->metrics()
         .counter("jasminewood_forward_unserved_total",
--- a/packages/forward/src/probes.cpp
+++ b/packages/forward/src/probes.cpp
@@ -130,6 +130,8 @@
         .set(age ? std::chrono::duration<double>(*age).count() : -1);
     metrics.gauge("jasminewood_forward_connections", "Open connections of callers")
         .set(double(frontend_->connectionCount()));
+    metrics.gauge("jasminewood_http_body_bytes", "Memory that the bodies of callers' requests have reserved")
+        .set(double(frontend_->bodyBytes()));
     metrics.gauge("jasminewood_forward_upstreams", "Upstreams that take new work")
         .set(double(upstreams_->pool().size()));
 }
--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -146,6 +146,9 @@
     const std::uint16_t port_ = 0;
     // A larger body is rejected with status 413 and the handler is not called.
     const std::size_t maximumBodyBytes_ = std::size_t(4) << 20U;
+    // What all bodies together may hold in memory, in bytes; at least two bodies of the largest size. A body for which
+    // there is none is refused with status 503 and the handler is not called.
+    const std::size_t maximumBodyMemory_ = std::size_t(32) << 20U;
     const unsigned maximumConnections_ = 4096;
     // A connection without a request in progress is closed after this time. A caller that accepts no data for this time
     // is treated as disconnected.
@@ -185,6 +188,12 @@
     BodyTooLarge,
     // The request line and the header fields exceed the limit.
     HeadTooLarge,
+    // There is no memory for the body.
+    NoBodyMemory,
+    // The body made no progress while memory was short.
+    BodyStalled,
+    // The body was not complete after a long time.
+    BodyTooSlow,
     // The caller sent or accepted no data for ServerOptions::idleTimeout_.
     IdleTimeout,
     // The server stopped.
@@ -200,6 +209,9 @@
 // Returns a description for logs and metrics.
 auto toString(EndReason reason) -> std::string_view;
 
+// Returns whether the request was refused because of its body.
+auto isRefusedBody(EndReason reason) -> bool;
+
 // A request that got no complete response of its handler, or a connection that was closed unread.
 struct UnservedRequest
 {
@@ -244,6 +256,9 @@
     // Returns the number of open connections. At ServerOptions::maximumConnections_ each new one is closed at once.
     auto connectionCount() const -> unsigned;
 
+    // Returns the memory that the bodies of requests have reserved, in bytes.
+    auto bodyBytes() const -> std::size_t;
+
     // Makes each later response close its connection. New connections are still accepted.
     auto closeAfterResponses() -> void;
 
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -253,7 +253,8 @@
     return {.steady_ = Clock::now() - waited, .boot_ = BootClock::now() - waited};
 }
 
-auto makeRequest(MHD_Connection *connection, const char *method, const char *path, PendingRequest &pending) -> Request
+auto makeRequest(MHD_Connection *connection, const char *method, const char *path, const PendingRequest &pending,
+    const Body &body) -> Request
 {
     auto headers = NamedValues();
     auto fields = std::vector<HeaderField>();
@@ -270,7 +271,7 @@
         .fields_ = std::move(fields),
         .requestTarget_ = pending.target_,
         .parameters_ = std::move(parameters),
-        .body_ = Body(std::move(pending.body_)),
+        .body_ = body,
         .callerDisconnected_ =
             [socket] {
                 return hungUp(socket);
@@ -311,17 +312,22 @@
     return queued;
 }
 
-auto respondDuringBody(MHD_Connection *connection, const BufferedResponse &response, std::size_t discardedBytes) -> void
+auto responseText(const BufferedResponse &response) -> std::string
 {
-    const auto socket = socketOf(connection);
-    const auto deadline = Clock::now() + maximumLingerTime;
     auto text
         = fmt::format("HTTP/1.1 {} {}\r\n", response.status_, MHD_get_reason_phrase_for(unsigned(response.status_)));
     for (const auto &header : response.headers_) {
         text += fmt::format("{}: {}\r\n", header.name_, header.value_);
     }
     text += fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n{}", response.body_.size(), response.body_);
-    sendAll(socket, text, deadline);
+    return text;
+}
+
+auto respondDuringBody(MHD_Connection *connection, const BufferedResponse &response, std::size_t discardedBytes) -> void
+{
+    const auto socket = socketOf(connection);
+    const auto deadline = Clock::now() + maximumLingerTime;
+    sendAll(socket, responseText(response), deadline);
     shutdown(socket, SHUT_WR);
     discardReceived(socket, discardedBytes, deadline);
 }
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -30,6 +30,9 @@
     Arrival arrival_;
     std::size_t maximumBodyBytes_ = 0;
     std::string body_ = {};
+    // Its entry in ReceivingBodies, and the bytes that are reserved for it.
+    std::optional<std::uint64_t> bodyId_ = {};
+    std::size_t reservedBytes_ = 0;
     bool headersReceived_ = false;
     // Whether the AdmissionCheck refused the request.
     bool refused_ = false;
@@ -41,8 +44,9 @@
     std::shared_ptr<ResponseProgress> progress_ = std::make_shared<ResponseProgress>();
 };
 
-// Builds the request from the connection and what has been received of its body, which is moved.
-auto makeRequest(MHD_Connection *connection, const char *method, const char *path, PendingRequest &pending) -> Request;
+// Builds the request from the connection.
+auto makeRequest(MHD_Connection *connection, const char *method, const char *path, const PendingRequest &pending,
+    const Body &body) -> Request;
 
 // Returns when the data that was last received on the connection had arrived.
 auto arrivalOfLastData(MHD_Connection *connection) -> Arrival;
@@ -79,6 +83,9 @@
 auto queueResponse(MHD_Connection *connection, const Response &response, const Persistence &persistence,
     const std::shared_ptr<ResponseProgress> &progress) -> MHD_Result;
 
+// Returns a response as it is sent on a connection that closes after it.
+auto responseText(const BufferedResponse &response) -> std::string;
+
 // Sends a response while the body of the request still arrives, which MHD_queue_response() of libmicrohttpd 0.9.75
 // refuses, and closes the sending side. Then reads and discards until the caller closes, for a bounded time and up to
 // discardedBytes: closing a socket with unread data resets the connection, and the caller could lose the response. The
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -24,6 +24,7 @@
 #include <unistd.h>
 
 #include "connection.h"
+#include "receiving_bodies.h"
 
 namespace jasminewood::http
 {
@@ -110,6 +111,37 @@
     return known ? Peer {.address_ = address.sin_addr.s_addr, .port_ = address.sin_port} : Peer {};
 }
 
+// A text with the memory that is reserved for it.
+struct KeptText
+{
+    const std::string text_;
+    const std::shared_ptr<Reservation> reservation_;
+};
+
+// Makes a body whose memory is released with its last copy.
+auto keepBody(std::string text, std::shared_ptr<Reservation> reservation) -> Body
+{
+    const auto kept
+        = std::make_shared<const KeptText>(KeptText {.text_ = std::move(text), .reservation_ = std::move(reservation)});
+    return Body(std::shared_ptr<const std::string>(kept, &kept->text_));
+}
+
+// Returns the response to a request whose body is refused for a reason other than its size.
+auto refusalOf(EndReason reason) -> BufferedResponse
+{
+    constexpr auto retryAfterSeconds = "1";
+    if (reason == EndReason::BodyTooSlow) {
+        return internal::errorResponse(408, "the body arrives too slowly", RunState::NotRun);
+    }
+    const auto error = internal::errorResponse(503, "there is no memory for the body", RunState::NotRun);
+    auto headers = error.headers_;
+    headers.push_back({.name_ = "Retry-After", .value_ = retryAfterSeconds});
+    return BufferedResponse {.status_ = error.status_, .headers_ = headers, .body_ = error.body_};
+}
+
+// The memory of a body whose length is not declared is reserved in these steps, in bytes.
+constexpr std::size_t reservationStepBytes = std::size_t(64) * 1024;
+
 // Makes the connection's thread find the end of the data once it has read what has arrived. The thread may have closed
 // the descriptor, and another one may have opened it for something else, so a duplicate is compared with the peer.
 auto shutDownReceiving(const OpenConnection &connection) -> void
@@ -154,12 +186,18 @@
 
 auto toString(EndReason reason) -> std::string_view
 {
-    constexpr auto names = std::array<std::string_view, 11> {"handler closed", "handler threw", "stream aborted",
-        "stream threw", "body too large", "head too large", "idle timeout", "shutdown", "caller closed",
-        "connection failed", "no room"};
+    constexpr auto names = std::array<std::string_view, 14> {"handler closed", "handler threw", "stream aborted",
+        "stream threw", "body too large", "head too large", "no body memory", "body stalled", "body too slow",
+        "idle timeout", "shutdown", "caller closed", "connection failed", "no room"};
     return names.at(std::size_t(reason));
 }
 
+auto isRefusedBody(EndReason reason) -> bool
+{
+    return reason == EndReason::BodyTooLarge || reason == EndReason::NoBodyMemory || reason == EndReason::BodyStalled
+        || reason == EndReason::BodyTooSlow;
+}
+
 using internal::PendingRequest;
 
 class Server::State
@@ -172,6 +210,7 @@
         , onUnserved_(std::move(onUnserved))
         , limits_(std::move(limits))
         , check_(std::move(check))
+        , bodies_(options.maximumBodyMemory_)
         , socket_(socket)
         , port_(portOf(socket))
     {
@@ -202,6 +241,11 @@
         return info == nullptr ? 0 : info->num_connections;
     }
 
+    auto bodyBytes() const -> std::size_t
+    {
+        return bodies_.reservedBytes();
+    }
+
     auto closeAfterResponses() -> void
     {
         closeConnections_ = true;
@@ -377,11 +421,20 @@
         if (pending.responseDecided_) {
             return MHD_YES;
         }
+        auto reservation = std::shared_ptr<Reservation>();
+        if (pending.bodyId_) {
+            reservation = bodies_.complete(*pending.bodyId_);
+            if (!reservation) {
+                return MHD_NO;
+            }
+        }
         pending.responseDecided_ = true;
         pending.complete_ = true;
         // A slow handler or a pause in a stream must not count towards the idle timeout of the caller.
         MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
-        const auto response = callHandler(internal::makeRequest(connection, method, path, pending), *pending.progress_);
+        const auto body = keepBody(std::move(pending.body_), std::move(reservation));
+        const auto response
+            = callHandler(internal::makeRequest(connection, method, path, pending, body), *pending.progress_);
         if (const auto *buffered = std::get_if<BufferedResponse>(&response)) {
             pending.responseResource_ = buffered->resource_;
         }
@@ -417,15 +470,54 @@
             return rejectBody(connection, pending);
         }
         if (check_ && declaredBytes.value_or(limits.maximumBodyBytes_) > uncheckedBodyBytes) {
-            if (const auto refusal = checkAdmission(internal::makeRequest(connection, method, path, pending))) {
+            if (const auto refusal = checkAdmission(internal::makeRequest(connection, method, path, pending, {}))) {
                 pending.refused_ = true;
                 return respondAndClose(connection, pending, *refusal, pending.maximumBodyBytes_);
             }
         }
-        pending.body_.reserve(declaredBytes.value_or(0));
+        if (declaredBytes == std::size_t(0)) {
+            return MHD_YES;
+        }
+        limitPause(connection, limits.idleTimeout_);
+        pending.bodyId_ = bodies_.begin(internal::socketOf(connection), Clock::now());
+        return declaredBytes ? reserveBody(connection, pending, *declaredBytes) : MHD_YES;
+    }
+
+    // Ends the connection of a caller that sends nothing of its body for too long.
+    auto limitPause(MHD_Connection *connection, Milliseconds idleTimeout) const -> void
+    {
+        if (idleTimeout > internal::maximumBodyPause) {
+            MHD_set_connection_option(
+                connection, MHD_CONNECTION_OPTION_TIMEOUT, unsigned(internal::maximumBodyPause.count()));
+        }
+    }
+
+    // Reserves memory for a body of this size in all, or refuses the request.
+    auto reserveBody(MHD_Connection *connection, PendingRequest &pending, std::size_t bodyBytes) -> MHD_Result
+    {
+        const auto refusal = bodies_.reserve(*pending.bodyId_,
+            {.bytes_ = bodyBytes - pending.reservedBytes_, .largestBodyBytes_ = pending.maximumBodyBytes_},
+            Clock::now());
+        if (refusal) {
+            return refuseBody(connection, pending, *refusal);
+        }
+        pending.reservedBytes_ = bodyBytes;
+        // Memory is resident only once it is written. So a body without a declared length that is not small gets the
+        // longest possible buffer, rather than a larger one and a copy with each step.
+        const auto isDeclared = internal::declaredBodyBytes(connection).has_value();
+        pending.body_.reserve(isDeclared || bodyBytes <= smallBodyBytes ? bodyBytes : pending.maximumBodyBytes_);
         return MHD_YES;
     }
 
+    // Refuses a request while its body arrives. A stalled one has its response already.
+    auto refuseBody(MHD_Connection *connection, PendingRequest &pending, EndReason reason) -> MHD_Result
+    {
+        pending.progress_->reason_ = reason;
+        return reason == EndReason::BodyStalled
+            ? MHD_NO
+            : respondAndClose(connection, pending, refusalOf(reason), pending.maximumBodyBytes_);
+    }
+
     // If the check throws, the handler decides on the request.
     auto checkAdmission(const Request &request) const -> std::optional<BufferedResponse>
     {
@@ -444,19 +536,34 @@
         setsockopt(internal::socketOf(connection), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
     }
 
-    auto appendBody(MHD_Connection *connection, PendingRequest &pending, const char *data, std::size_t &size) const
+    auto appendBody(MHD_Connection *connection, PendingRequest &pending, const char *data, std::size_t &size)
         -> MHD_Result
     {
-        if (pending.body_.size() + size > pending.maximumBodyBytes_) {
+        // Without an entry the request has its response already.
+        if (!pending.bodyId_) {
+            return MHD_NO;
+        }
+        const auto bodyBytes = pending.body_.size() + size;
+        if (bodyBytes > pending.maximumBodyBytes_) {
             return rejectBody(connection, pending);
         }
+        if (const auto refusal = bodies_.recordReceived(*pending.bodyId_, size, Clock::now())) {
+            return refuseBody(connection, pending, *refusal);
+        }
+        if (bodyBytes > pending.reservedBytes_) {
+            const auto steps = (bodyBytes + reservationStepBytes - 1) / reservationStepBytes;
+            const auto reserved = std::min(steps * reservationStepBytes, pending.maximumBodyBytes_);
+            if (const auto result = reserveBody(connection, pending, reserved); result != MHD_YES) {
+                return result;
+            }
+        }
         pending.body_.append(data, size);
         size = 0;
         return MHD_YES;
     }
 
     // Responds and closes the connection.
-    auto rejectBody(MHD_Connection *connection, PendingRequest &pending) const -> MHD_Result
+    auto rejectBody(MHD_Connection *connection, PendingRequest &pending) -> MHD_Result
     {
         const auto message = fmt::format("the body exceeds the limit of {} bytes", pending.maximumBodyBytes_);
         pending.progress_->reason_ = EndReason::BodyTooLarge;
@@ -465,15 +572,30 @@
     }
 
     // Responds to a request whose body has not been read, and frees what has been received of it.
-    static auto respondAndClose(MHD_Connection *connection, PendingRequest &pending, const BufferedResponse &response,
+    auto respondAndClose(MHD_Connection *connection, PendingRequest &pending, const BufferedResponse &response,
         std::size_t discardedBytes) -> MHD_Result
     {
+        if (endBody(pending)) {
+            // Another thread has responded.
+            return MHD_NO;
+        }
         pending.progress_->begun_ = true;
         std::string().swap(pending.body_);
         internal::respondDuringBody(connection, response, std::max(discardedBytes, minimumDiscardedBytes));
         return MHD_NO;
     }
 
+    // Releases the memory of a body that is not complete. Returns whether it was refused as stalled.
+    auto endBody(PendingRequest &pending) -> bool
+    {
+        const auto refused = pending.bodyId_ && bodies_.end(*pending.bodyId_);
+        if (refused) {
+            pending.progress_->reason_ = EndReason::BodyStalled;
+            pending.progress_->begun_ = true;
+        }
+        return refused;
+    }
+
     auto callHandler(const Request &request, internal::ResponseProgress &progress) const -> Response
     {
         try {
@@ -495,6 +617,7 @@
         }
         const auto pending = std::unique_ptr<PendingRequest>(static_cast<PendingRequest *>(context));
         context = nullptr;
+        endBody(*pending);
         const auto &progress = *pending->progress_;
         if (const auto reason = progress.reason_ ? progress.reason_ : endReason(code); reason && !pending->refused_) {
             reportUnserved({.reason_ = *reason,
@@ -518,6 +641,7 @@
     const UnservedListener onUnserved_;
     const LimitsSource limits_;
     const AdmissionCheck check_;
+    internal::ReceivingBodies bodies_;
     const int socket_;
     const std::uint16_t port_;
     std::atomic<bool> closeConnections_ = false;
@@ -568,6 +692,11 @@
     return state_->connectionCount();
 }
 
+auto Server::bodyBytes() const -> std::size_t
+{
+    return state_->bodyBytes();
+}
+
 auto Server::closeAfterResponses() -> void
 {
     state_->closeAfterResponses();
--- a/packages/testbench/src/child_process.h
+++ b/packages/testbench/include/jasminewood/testbench/child_process.h
@@ -12,7 +12,7 @@
 
 // Runs a program of the build as a child process, with its output redirected to files.
 
-namespace jasminewood::testbench::internal
+namespace jasminewood::testbench
 {
 
 struct ChildOptions
@@ -67,4 +67,4 @@
     std::optional<int> exitStatus_;
 };
 
-} // namespace jasminewood::testbench::internal
+} // namespace jasminewood::testbench
--- a/packages/testbench/src/child_process.cpp
+++ b/packages/testbench/src/child_process.cpp
@@ -1,4 +1,4 @@
-#include "child_process.h"
+#include "jasminewood/testbench/child_process.h"
 
 #include <cerrno>
 #include <csignal>
@@ -15,7 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-namespace jasminewood::testbench::internal
+namespace jasminewood::testbench
 {
 
 namespace
@@ -212,4 +212,4 @@
     return line ? line : findLineInFile(errorsPath(options_), errorsBegin_, text);
 }
 
-} // namespace jasminewood::testbench::internal
+} // namespace jasminewood::testbench
--- a/packages/testbench/src/demo_main.cpp
+++ b/packages/testbench/src/demo_main.cpp
@@ -9,10 +9,10 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "child_process.h"
 #include "jasminewood/engine/chat_chunk.h"
 #include "jasminewood/engine/sse_parser.h"
 #include "jasminewood/http/client.h"
+#include "jasminewood/testbench/child_process.h"
 #include "jasminewood/testbench/deployment.h"
 #include "jasminewood/testbench/expected_output.h"
 #include "jasminewood/testbench/fake_booking.h"
@@ -154,7 +154,7 @@
     auto arguments = command;
     arguments.push_back("--admin_url=" + system.adminUrl(router));
     arguments.push_back("--admin_key=" + system.adminKey());
-    const auto child = testbench::internal::ChildProcess::start({.name_ = "operator-" + command.front(),
+    const auto child = testbench::ChildProcess::start({.name_ = "operator-" + command.front(),
         .program_ = "jasminewood-router",
         .arguments_ = arguments,
         .directory_ = directory});
--- a/packages/testbench/src/deployed_node.h
+++ b/packages/testbench/src/deployed_node.h
@@ -10,7 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "child_process.h"
+#include "jasminewood/testbench/child_process.h"
 
 // Runs one named process of a deployment, which can be restarted with the same flags and ports.
 
