--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -384,7 +384,8 @@
     static auto latePrefillTokens(const Upstream &upstream) -> std::uint64_t;
     // Returns the pending tokens that the engine prefills after a request in time of this rank: late ones, and those
     // that this router sent for less urgent requests. The ranks of other routers' requests are not known.
-    auto laterPrefillTokens(const Upstream &upstream, std::uint32_t rank, TimePoint now) const -> std::uint64_t;
+    static auto laterPrefillTokens(const Upstream &upstream, const routing::EngineLoad &load, std::uint32_t rank)
+        -> std::uint64_t;
     auto engineCandidate(const Upstream &upstream, const SelectionCriteria &criteria, bool inLongPromptLane,
         TimePoint now) -> routing::EngineCandidate;
     // Returns the estimated time until the first token of a prompt with this many uncached tokens.
--- a/packages/forward/src/upstream_pool_estimates.cpp
+++ b/packages/forward/src/upstream_pool_estimates.cpp
@@ -16,14 +16,14 @@
     return sum;
 }
 
-auto UpstreamPool::laterPrefillTokens(const Upstream &upstream, std::uint32_t rank, TimePoint now) const
+auto UpstreamPool::laterPrefillTokens(const Upstream &upstream, const routing::EngineLoad &load, std::uint32_t rank)
     -> std::uint64_t
 {
-    auto sum = peerLoads_.loadOf(upstream.record_->id_, now).latePrefillTokens_;
+    auto sum = load.latePrefillTokens_;
     for (const auto &[chosenAt, prompt] : upstream.pendingPrefill_) {
-        sum += prompt.isInTime_ && prompt.rank_ <= rank ? 0 : prompt.tokens_;
+        sum += prompt.isInTime_ && prompt.rank_ > rank ? prompt.tokens_ : 0;
     }
-    return sum;
+    return std::min(sum, load.pendingPrefillTokens_);
 }
 
 auto UpstreamPool::engineCandidate(const Upstream &upstream, const SelectionCriteria &criteria, bool inLongPromptLane,
@@ -33,7 +33,7 @@
     return {.id_ = upstream.record_->id_,
         .dataCentre_ = upstream.record_->dataCentre_,
         .pendingPrefillTokens_ = load.pendingPrefillTokens_,
-        .laterPrefillTokens_ = laterPrefillTokens(upstream, criteria.rank_, now),
+        .laterPrefillTokens_ = laterPrefillTokens(upstream, load, criteria.rank_),
         .cachedPrefixTokens_ = prefixCacheModel_.cachedPrefixTokens(upstream.record_->id_, criteria.prompt_->segments_),
         .activeRequests_ = load.inFlightRequests_,
         .slots_ = upstream.record_->slots_,
@@ -45,7 +45,7 @@
     std::uint64_t uncachedTokens, TimePoint now) -> deadlines::FirstTokenEstimate
 {
     const auto load = estimatedLoad(upstream, now);
-    const auto later = std::min(load.pendingPrefillTokens_, laterPrefillTokens(upstream, criteria.rank_, now));
+    const auto later = laterPrefillTokens(upstream, load, criteria.rank_);
     const auto engine = deadlines::EngineState {.inTimeTokens_ = load.pendingPrefillTokens_ - later,
         .lateTokens_ = later,
         .activeRequests_ = load.inFlightRequests_,
--- a/packages/forward/tests/frontend_fixture.cpp
+++ b/packages/forward/tests/frontend_fixture.cpp
@@ -83,6 +83,9 @@
     auto upstreamHeaders = fields;
     upstreamHeaders.push_back({.name_ = "Upstream", .value_ = metadata.upstreamId_});
     upstreamHeaders.push_back({.name_ = "Remaining-Ms", .value_ = std::to_string(metadata.remainingTime_.count())});
+    if (metadata.hasEnginePriority_) {
+        upstreamHeaders.push_back({.name_ = "Urgency", .value_ = std::to_string(metadata.enginePriority_)});
+    }
     upstreamHeaders.push_back({.name_ = "Resume-After", .value_ = metadata.lastEventId_});
     return upstreamHeaders;
 }
--- a/packages/forward/tests/waiting_requests_test.cpp
+++ b/packages/forward/tests/waiting_requests_test.cpp
@@ -51,6 +51,7 @@
     {
         fixture_.addUpstream("a", [this](const http::Request &request) -> http::Response {
             ++requests_;
+            urgency_ = std::stoi(request.headers_.at("urgency"));
             return authenticResponse(request, 200, "done");
         });
         report({{"a", {.pendingPrefillTokens_ = 100'000}}});
@@ -85,8 +86,15 @@
         return requests_;
     }
 
+    // The urgency of the last request.
+    auto urgency() const -> int
+    {
+        return urgency_;
+    }
+
 private:
     std::atomic<int> requests_ = 0;
+    std::atomic<int> urgency_ = -1;
     FrontendFixture fixture_;
 };
 
@@ -126,16 +134,21 @@
             }),
         section("that stays busy",
             {
-                // Guards against late requests that wait until their timeout.
-                test("is sent after a share of its timeout",
+                // Guards against late requests that wait until their timeout, and that then go before those in time.
+                test("is sent after a share of its timeout, behind those in time of its rank",
                     [] {
                         auto engine = BusyEngine();
                         const auto sentAt = Clock::now();
                         const auto socket = sendRequest(engine.fixture(), "r1", 2s);
                         check(testbench::readUntil(socket, "done").starts_with("HTTP/1.1 200"));
                         check(Clock::now() - sentAt >= 400ms, "it did not wait");
-                        check(engine.requests() == 1);
+                        check(engine.requests() == 1 && engine.urgency() == 1);
                         close(socket);
+                        engine.report({});
+                        const auto next = sendRequest(engine.fixture(), "r2", 2s);
+                        check(testbench::readUntil(next, "done").starts_with("HTTP/1.1 200"));
+                        check(engine.urgency() == 0);
+                        close(next);
                     }),
             }),
         section("and is removed",
--- a/packages/routes/tests/route_table_test.cpp
+++ b/packages/routes/tests/route_table_test.cpp
@@ -77,6 +77,7 @@
                         check(table.enginePriority(second, &high) < table.enginePriority(first, &low));
                         check(table.enginePriority(first, &low) < table.enginePriority(second, &low));
                         check(table.enginePriority(first, nullptr) == table.enginePriority(first, &high));
+                        check(table.enginePriorityCount() == 4);
                     }),
                 // Guards against a priority outside the range that engines accept.
                 test("stays within the engine levels for any number of priorities",
@@ -88,6 +89,7 @@
                         const auto table = RouteTable({.routes_ = routes});
                         check(table.enginePriority(routes.front(), nullptr) == 0);
                         check(table.enginePriority(routes.back(), nullptr) == enginePriorityLevels - 1);
+                        check(table.enginePriorityCount() == enginePriorityLevels);
                     }),
             }),
         section("with a route to several weighted services",
