--- a/packages/forward/include/jasminewood/forward/upstream_pool.h
+++ b/packages/forward/include/jasminewood/forward/upstream_pool.h
@@ -13,7 +13,10 @@
 
 #include "jasminewood/core/clock.h"
 #include "jasminewood/core/result.h"
+#include "jasminewood/deadlines/deadline_class.h"
+#include "jasminewood/deadlines/waiting_requests.h"
 #include "jasminewood/forward/protocol_adapter.h"
+#include "jasminewood/forward/wake_signal.h"
 #include "jasminewood/membership/upstream_directory.h"
 #include "jasminewood/routing/engine_chooser.h"
 #include "jasminewood/routing/peer_loads.h"
@@ -92,6 +95,12 @@
     const std::vector<std::string> excludedUpstreams_;
     // The software versions of the upstreams that may be chosen.
     const VersionCriterion versions_ = AnyVersion {};
+    // The time until the timeout of the request.
+    const Milliseconds timeUntilTimeout_ = Milliseconds(0);
+    // The rank of the request among all by its account and route; 0 is the most urgent one.
+    const std::uint32_t rank_ = 0;
+    // Whether the request resumes a stream. Such a request counts as in time.
+    const bool resumesStream_ = false;
 };
 
 constexpr Milliseconds noLoadReport = Milliseconds(-1);
@@ -109,10 +118,42 @@
     // Age of the upstream's last load report when it was chosen; noLoadReport if it had sent none.
     const Milliseconds loadReportAge_ = Milliseconds(0);
     const TimePoint startedAt_;
+    // Whether the response could begin in time at the upstream.
+    const deadlines::DeadlineClass deadlineClass_ = deadlines::InTime {};
+    // The estimated time until the response begins; empty for a request without a prompt.
+    const std::optional<Milliseconds> expectedFirstToken_ = std::nullopt;
+    const std::uint32_t rank_ = 0;
 
     auto operator<=>(const Assignment &) const = default;
 };
 
+// What decides how long a late request waits before it is sent.
+struct WaitTerms
+{
+    // The latency target of the route; 0 if it has none.
+    const Milliseconds targetLatency_ = Milliseconds(0);
+    // The total time that the request may take.
+    const Milliseconds timeout_ = Milliseconds(0);
+    // Orders waiting requests of one rank.
+    const TimePoint arrivedAt_;
+    // How long the request has waited already.
+    const Milliseconds waited_ = Milliseconds(0);
+    // The ticket of the wait that has ended; empty for a request that has not waited.
+    const std::optional<deadlines::Ticket> ticket_ = std::nullopt;
+
+    auto operator<=>(const WaitTerms &) const = default;
+};
+
+// The request has to wait until the signal is set, at most until the given time.
+struct WaitForRoom
+{
+    const deadlines::Ticket ticket_ = 0;
+    const std::shared_ptr<const WakeSignal> signal_;
+    const TimePoint until_;
+};
+
+using AssignmentOrWait = std::variant<Assignment, WaitForRoom>;
+
 // The segments, without the unshared last one, of a prompt that was routed to an engine.
 struct RoutedPrompt
 {
@@ -170,6 +211,18 @@
     // none.
     auto choose(const SelectionCriteria &criteria, TimePoint now) -> Result<Assignment>;
 
+    // As choose(), but a late request has to wait while the engine that is best for it has too many pending prompts or
+    // other late requests go first. It counts in no engine's load. After the wait the caller calls this again, or
+    // endWait().
+    auto chooseOrWait(const SelectionCriteria &criteria, const WaitTerms &terms, TimePoint now)
+        -> Result<AssignmentOrWait>;
+
+    // Ends the wait of a request that is not sent. A ticket whose wait has ended is ignored.
+    auto endWait(deadlines::Ticket ticket, TimePoint now) -> void;
+
+    // Returns the number of requests that wait.
+    auto waitingRequests() const -> std::size_t;
+
     // Records that the response has started, so the prompt has been prefilled.
     auto recordResponseStart(const Assignment &assignment, TimePoint now) -> void;
 
@@ -234,6 +287,14 @@
     auto recordOf(const std::string &id) const -> std::optional<membership::UpstreamRecord>;
 
 private:
+    // A prompt whose prefill is pending.
+    struct PendingPrompt
+    {
+        std::uint64_t tokens_ = 0;
+        std::uint32_t rank_ = 0;
+        bool isInTime_ = true;
+    };
+
     struct Upstream
     {
         std::shared_ptr<const membership::UpstreamRecord> record_;
@@ -250,9 +311,8 @@
         // The part of the engine's KV cache that is assumed to hold reusable prefixes, in tokens; 0 until the first
         // prompt for its service.
         std::uint64_t cacheCapacityTokens_ = 0;
-        // Tokens to prefill for the attempts whose response has not started, by the time at which the upstream was
-        // chosen.
-        std::multimap<TimePoint, std::uint64_t> pendingPrefill_;
+        // The prompts of the attempts whose response has not started, by the time at which the upstream was chosen.
+        std::multimap<TimePoint, PendingPrompt> pendingPrefill_;
         std::uint32_t consecutiveFailures_ = 0;
         std::optional<TimePoint> ejectedUntil_;
         // True if another upstream has this address. The upstream is not chosen until its address changes or it
@@ -260,6 +320,52 @@
         bool misdirected_ = false;
     };
 
+    // The upstream that an attempt is to have.
+    struct AttemptPlan
+    {
+        const std::string upstreamId_;
+        // Tokens of the prompt that the upstream has to prefill.
+        const std::uint64_t prefillTokens_ = 0;
+        const deadlines::FirstTokenEstimate firstToken_;
+        const deadlines::DeadlineClass deadlineClass_;
+    };
+
+    // Chooses an upstream without counting the attempt. Fails with step "choose" if there is none.
+    auto planAttempt(const SelectionCriteria &criteria, TimePoint now) -> Result<AttemptPlan>;
+    // Counts the attempt as in flight. Precondition: the plan was made under the same lock.
+    auto assign(const SelectionCriteria &criteria, const AttemptPlan &plan, TimePoint now) -> Assignment;
+    // A request that waits, or was woken and has not chosen an engine yet.
+    struct Waiter
+    {
+        const std::string service_;
+        const std::shared_ptr<const WakeSignal> signal_;
+        // The time that the engine needs for its prompt.
+        const Milliseconds prefillTime_ = Milliseconds(0);
+        // The engine that it was woken for; empty while it waits.
+        std::string wokenFor_ = {};
+    };
+
+    // Adds a late request to the waiting ones, unless it is sent now; then returns nothing.
+    auto enqueue(const SelectionCriteria &criteria, const AttemptPlan &plan, const WaitTerms &terms, TimePoint now)
+        -> std::optional<WaitForRoom>;
+    // Returns whether a late request is sent to the engine that is best for it.
+    auto hasRoom(const SelectionCriteria &criteria, const AttemptPlan &plan, const WaitTerms &terms, TimePoint now)
+        -> bool;
+    // Ends the wait; returns whether the request had been woken.
+    auto removeWaiter(deadlines::Ticket ticket) -> bool;
+    // Returns the time that the engine needs for this many tokens.
+    auto prefillTime(const Upstream &upstream, std::uint64_t tokens, TimePoint now) -> Milliseconds;
+    // Returns the backlog of the engine, with the prompts of requests that were woken for it, as it is compared with
+    // the bound of a late request.
+    auto backlog(const Upstream &upstream, TimePoint now) -> Milliseconds;
+    // Wakes the requests that go next to the engine.
+    auto wakeFor(const Upstream &upstream, TimePoint now) -> void;
+    // Wakes the requests that go next to any engine, at most once in wakeInterval; otherwise those for the engine with
+    // this id, if it is given.
+    auto wakeWaiting(const std::string &id, TimePoint now) -> void;
+    // Wakes all requests that wait for an engine that is gone.
+    auto wakeWaitingForRemoved(const Upstream &upstream) -> void;
+
     // Returns whether the upstream could be chosen if it took requests.
     static auto isRoutable(const Upstream &upstream, TimePoint now) -> bool;
     // Returns whether the upstream takes a request of this router now, by its own word.
@@ -274,6 +380,18 @@
         -> std::string;
     // Returns the prompt tokens that this router sent to the upstream and that are not prefilled yet.
     static auto pendingPrefillTokens(const Upstream &upstream) -> std::uint64_t;
+    // Returns those of them that belong to requests which were late when they were sent.
+    static auto latePrefillTokens(const Upstream &upstream) -> std::uint64_t;
+    // Returns the pending tokens that the engine prefills after a request in time of this rank: late ones, and those
+    // that this router sent for less urgent requests. The ranks of other routers' requests are not known.
+    static auto laterPrefillTokens(const Upstream &upstream, const routing::EngineLoad &load, std::uint32_t rank)
+        -> std::uint64_t;
+    auto engineCandidate(const Upstream &upstream, const SelectionCriteria &criteria, bool inLongPromptLane,
+        TimePoint now) -> routing::EngineCandidate;
+    // Returns the estimated time until the first token of a prompt with this many uncached tokens.
+    auto estimateFirstToken(const Upstream &upstream, const SelectionCriteria &criteria, std::uint64_t uncachedTokens,
+        TimePoint now) -> deadlines::FirstTokenEstimate;
+    auto prefillRate(const std::string &service) const -> routing::PrefillRate;
     // Returns the load on the engine from this router and the others.
     auto estimatedLoad(const Upstream &upstream, TimePoint now) const -> routing::EngineLoad;
     // Returns the requests that run or wait at the upstream: those of its last load report and those that this router
@@ -306,6 +424,14 @@
     std::string routerName_;
     std::map<std::string, routing::UpstreamHealth> health_;
     std::map<std::string, routing::PrefillRate> prefillRates_;
+    // By service; services without waiting requests are left out.
+    std::map<std::string, deadlines::WaitingRequests> waitingRequests_;
+    std::map<deadlines::Ticket, Waiter> waiters_;
+    // The time that engines need for the prompts of requests that were woken for them; engines without any are left
+    // out.
+    std::map<std::string, Milliseconds> wokenPrefill_;
+    deadlines::Ticket nextTicket_ = 1;
+    TimePoint lastWakeAt_;
 };
 
 } // namespace jasminewood::forward
