--- a/packages/http/include/jasminewood/http/body.h
+++ b/packages/http/include/jasminewood/http/body.h
@@ -17,7 +17,7 @@
 {
 public:
     Body()
-        : text_(noText)
+        : text_(noText_)
     {
     }
 
@@ -76,7 +76,7 @@
     }
 
 private:
-    inline static const auto noText = std::make_shared<const std::string>();
+    inline static const auto noText_ = std::make_shared<const std::string>();
 
     // Constant, so that a body is never moved from and always has a text.
     const std::shared_ptr<const std::string> text_;
