--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -55,7 +55,7 @@
 }
 
 // Returns a server that refuses requests at the path /refused by their header section.
-auto serveChecked(std::shared_ptr<std::atomic<int>> calls, std::shared_ptr<std::atomic<int>> reports)
+auto serveChecked(const std::shared_ptr<std::atomic<int>> &calls, const std::shared_ptr<std::atomic<int>> &reports)
     -> std::shared_ptr<Server>
 {
     const auto handler = [calls](const Request &request) {
