--- a/review/8/run.py
+++ b/review/8/run.py
@@ -14,7 +14,8 @@
 REVOCATION_S = 5.0
 COPY_AGE_S = 8.0  # "some seconds old"
 AWAY_S = 2.0  # "away for a moment"
-OPERATOR_S = 1.0  # what the operator wrote is written again so long after the store's return
+OPERATOR_S = 0.4  # what the operator wrote is written again so long after the store's return
+DEAD_S = 0.9  # a killed process is restarted after a short delay
 
 
 def case(record, scratch, routers):
@@ -50,11 +51,12 @@
     if bench.TROUBLE:
         store.leave()
         record.line("the store is away")
+        time.sleep(1)
         restarted.end()
         record.line("%s is killed" % restarted.name)
-        time.sleep(1)
+        time.sleep(DEAD_S)
         restarted.start()
-        time.sleep(AWAY_S - 1)
+        time.sleep(AWAY_S - 1 - DEAD_S)
         store.come_back(copy)
         record.line("the store is back, %.1f s after the acknowledgement, from a copy %.1f s old"
                     % (time.monotonic() - acknowledged, COPY_AGE_S))
