--- a/review/standins-2/standins2.py
+++ b/review/standins-2/standins2.py
@@ -153,17 +153,17 @@
     def copy(self):
         """Returns a copy from which the store can come back."""
         with self.changed:
-            return dict(self.items), self.revision
+            return dict(self.items), self.revision, dict(self.leases)
 
     def leave(self):
         self.away = True
 
     def come_back(self, copy):
-        """Comes back from a copy: what was written since is gone, and all leases have ended."""
+        """Comes back from a copy: what was written since is gone, leases too; those in the copy run on."""
         with self.changed:
-            items, self.revision = copy
-            self.items = {key: item for key, item in items.items() if not item["lease"]}
-            self.leases = {}
+            items, self.revision, leases = copy
+            self.items = dict(items)
+            self.leases = {lease: (time.monotonic() + ttl / 1000, ttl) for lease, (_, ttl) in leases.items()}
             self.history = []
             self.oldest = self.revision
             self.era += 1
