Say once what "hung up" and "the same field name" mean

Whether a peer has hung up was decided by the same four lines in the client and in the server, and whether two field names are equal by the same line in http and forward; four tests cut the address out of a URL each in its own way. All of these are about to be needed once more, for the checks of responses.

http::hasHungUp, http::isSameFieldName and RawServer::address hold each of them now. No behaviour changes.

--- a/packages/forward/src/end_to_end_fields.cpp
+++ b/packages/forward/src/end_to_end_fields.cpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include <strings.h>
+#include "jasminewood/http/client.h"
 
 namespace jasminewood::forward::internal
 {
@@ -18,11 +18,6 @@
     = std::array<std::string_view, 11> {"connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
         "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"};
 
-auto isSameName(std::string_view first, std::string_view second) -> bool
-{
-    return first.size() == second.size() && strncasecmp(first.data(), second.data(), first.size()) == 0;
-}
-
 auto withoutSpaces(std::string_view text) -> std::string
 {
     auto name = std::string(text);
@@ -49,7 +44,7 @@
 {
     auto names = std::vector<std::string>();
     for (const auto &field : fields) {
-        if (isSameName(field.name_, "connection")) {
+        if (http::isSameFieldName(field.name_, "connection")) {
             addNames(names, field.value_);
         }
     }
@@ -60,7 +55,7 @@
 auto containsName(const Names &names, std::string_view name) -> bool
 {
     return std::any_of(names.begin(), names.end(), [name](std::string_view each) {
-        return isSameName(each, name);
+        return http::isSameFieldName(each, name);
     });
 }
 
--- a/packages/forward/tests/crashing_requests_test.cpp
+++ b/packages/forward/tests/crashing_requests_test.cpp
@@ -38,13 +38,6 @@
     return start == std::string::npos ? "" : head.substr(value, head.find('\r', value) - value);
 }
 
-// Returns the address in a URL of the form "http://ADDRESS/".
-auto addressOf(const std::string &url) -> std::string
-{
-    const auto start = std::string("http://").size();
-    return url.substr(start, url.find('/', start) - start);
-}
-
 struct RawRequest
 {
     // Empty if the connection ended.
@@ -87,7 +80,7 @@
         : server_(std::make_unique<testbench::RawServer>([this](int socket) {
             serve(socket);
         }))
-        , address_(addressOf(server_->url()))
+        , address_(server_->address())
         , crasher_([this] {
             crashed_.wait(false);
             server_.reset();
--- a/packages/forward/tests/foreign_response_test.cpp
+++ b/packages/forward/tests/foreign_response_test.cpp
@@ -43,12 +43,6 @@
     return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + fields + "Content-Length: 0\r\n\r\n";
 }
 
-auto addressOf(const testbench::RawServer &server) -> std::string
-{
-    const auto url = server.url().substr(std::string("http://").size());
-    return url.substr(0, url.find('/'));
-}
-
 // What two upstreams did with the requests of one test.
 struct Runs
 {
@@ -68,7 +62,7 @@
             servers_.push_back(std::make_unique<testbench::RawServer>([this, strayResponse](int socket) {
                 serve(socket, strayResponse);
             }));
-            fixture.registerUpstream(id, addressOf(*servers_.back()), "ready");
+            fixture.registerUpstream(id, servers_.back()->address(), "ready");
         }
     }
 
@@ -140,7 +134,7 @@
                         : "HTTP/1.1 200 OK\r\nGenuine: 1\r\nRequest-Id: r1\r\nContent-Type: text/event-stream\r\n\r\n"
                         + std::string(firstEvent) + "id: 2\nda");
         }));
-        fixture.registerUpstream(id, addressOf(*servers.back()), "ready");
+        fixture.registerUpstream(id, servers.back()->address(), "ready");
     }
     auto received = Received();
     auto call = http::StreamCall();
@@ -193,7 +187,7 @@
                                 // Keeps the connection open until the peer closes it.
                                 testbench::readUntil(socket, "\r\n\r\n");
                             });
-                            fixture.registerUpstream("a", addressOf(server), "ready");
+                            fixture.registerUpstream("a", server.address(), "ready");
                             for (const auto *id : {"r1", "r1"}) {
                                 const auto response = http::fetch({.method_ = "POST",
                                     .url_ = fixture.url("/once/"),
--- a/packages/forward/tests/hostile_upstream_test.cpp
+++ b/packages/forward/tests/hostile_upstream_test.cpp
@@ -86,7 +86,7 @@
             "HTTP/1.1 200 OK\r\nGenuine: 1\r\nRequest-Id: r1\r\nContent-Type: " + type + "\r\n\r\n"
                 + (resumes ? secondEvent : body));
     });
-    fixture.registerUpstream(id, server->url().substr(std::string("http://").size()), "ready");
+    fixture.registerUpstream(id, server->address(), "ready");
     return server;
 }
 
@@ -343,7 +343,7 @@
                             // Returns when the router closes the connection.
                             static_cast<void>(testbench::readUntil(socket, "\r\n\r\n"));
                         });
-                        fixture.registerUpstream("a", server.url().substr(std::string("http://").size()), "ready");
+                        fixture.registerUpstream("a", server.address(), "ready");
                         const auto startedAt = Clock::now();
                         const auto response = get(fixture, "/once/");
                         check(response && response->status_ == 502);
@@ -369,7 +369,7 @@
                                 testbench::sendText(socket, response);
                             }
                         });
-                        fixture.registerUpstream("a", peer.url().substr(std::string("http://").size()), "ready");
+                        fixture.registerUpstream("a", peer.address(), "ready");
                         for (const auto *id : {"r1", "r2", "r3"}) {
                             const auto response = http::fetch({.method_ = "POST",
                                 .url_ = fixture.url("/once/"),
--- a/packages/forward/tests/unavailable_upstream_test.cpp
+++ b/packages/forward/tests/unavailable_upstream_test.cpp
@@ -94,7 +94,7 @@
 {
     auto fixture = FrontendFixture();
     const auto upstream = rawUpstream(firstResponse);
-    fixture.registerUpstream("a", upstream->url().substr(std::string("http://").size()), "ready");
+    fixture.registerUpstream("a", upstream->address(), "ready");
     static_cast<void>(send(fixture));
     return send(fixture).status_;
 }
--- a/packages/http/include/jasminewood/http/client.h
+++ b/packages/http/include/jasminewood/http/client.h
@@ -121,7 +121,10 @@
     auto operator<=>(const ResponseHead &) const = default;
 };
 
-// Returns the value of the first field with this name; upper and lower case are equal.
+// Returns whether the names of two fields are the same; upper and lower case are equal.
+auto isSameFieldName(std::string_view first, std::string_view second) -> bool;
+
+// Returns the value of the first field with this name.
 auto findHeader(const std::vector<HeaderField> &fields, std::string_view name) -> std::optional<std::string>;
 
 // One call whose response the calling thread reads piece by piece.
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -142,10 +142,15 @@
 
 } // namespace
 
+auto isSameFieldName(std::string_view first, std::string_view second) -> bool
+{
+    return first.size() == second.size() && strncasecmp(first.data(), second.data(), first.size()) == 0;
+}
+
 auto findHeader(const std::vector<HeaderField> &fields, std::string_view name) -> std::optional<std::string>
 {
     const auto found = std::find_if(fields.begin(), fields.end(), [name](const HeaderField &field) {
-        return field.name_.size() == name.size() && strncasecmp(field.name_.data(), name.data(), name.size()) == 0;
+        return isSameFieldName(field.name_, name);
     });
     return found == fields.end() ? std::nullopt : std::optional(found->value_);
 }
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -18,6 +18,8 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "jasminewood/http/hang_up.h"
+
 namespace jasminewood::http::internal
 {
 
@@ -69,12 +71,6 @@
     return query;
 }
 
-auto hungUp(int socket) -> bool
-{
-    auto poller = pollfd {.fd = socket, .events = POLLRDHUP, .revents = 0};
-    return poll(&poller, 1, 0) > 0 && (poller.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
-}
-
 // Waits until the socket reports one of the events; returns false at the deadline.
 auto awaitSocket(int socket, short events, TimePoint deadline) -> bool
 {
@@ -274,7 +270,7 @@
         .body_ = body,
         .callerDisconnected_ =
             [socket] {
-                return hungUp(socket);
+                return hasHungUp(socket);
             },
         .callerDescriptor_ = socket,
         .arrival_ = pending.arrival_};
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "jasminewood/http/hang_up.h"
+
 namespace jasminewood::http::internal
 {
 
@@ -112,14 +114,6 @@
     return pollEvents == POLLIN ? CURL_CSELECT_IN : 0;
 }
 
-// Returns whether the peer closed the connection of the descriptor, or reception was shut down, also if there is unread
-// data.
-auto hungUp(int descriptor) -> bool
-{
-    auto poller = pollfd {.fd = descriptor, .events = POLLRDHUP, .revents = 0};
-    return poll(&poller, 1, 0) > 0 && (poller.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
-}
-
 } // namespace
 
 Transfer::Transfer()
@@ -217,7 +211,7 @@
     }
     // The connection may have taken long, or this thread may have waited for the processor.
     const auto watched = state.request_.watchedDescriptor_;
-    if (watched >= 0 && hungUp(watched)) {
+    if (watched >= 0 && hasHungUp(watched)) {
         state.hungUpBeforeSend_ = true;
         return CURL_PREREQFUNC_ABORT;
     }
--- a/packages/testbench/include/jasminewood/testbench/raw_peer.h
+++ b/packages/testbench/include/jasminewood/testbench/raw_peer.h
@@ -21,6 +21,9 @@
 // Reads until the text contains the delimiter or the peer closes; returns what was read.
 auto readUntil(int socket, const std::string &delimiter) -> std::string;
 
+// Resets the connection (TCP RST), also if the peer has not read all that was sent. The descriptor stays open.
+auto resetConnection(int socket) -> void;
+
 // Listens on a free port and calls a function with the socket of each connection, on a thread of its own.
 class RawServer
 {
@@ -31,8 +34,12 @@
     RawServer(const RawServer &) = delete;
     auto operator=(const RawServer &) -> RawServer & = delete;
 
+    // Returns "http://ADDRESS/".
     auto url() const -> std::string;
 
+    // Returns the address and port, such as "127.0.0.1:8080".
+    auto address() const -> std::string;
+
 private:
     auto acceptAll(const std::function<auto(int)->void> &serve) -> void;
 
--- a/packages/testbench/src/raw_peer.cpp
+++ b/packages/testbench/src/raw_peer.cpp
@@ -58,6 +58,13 @@
     return text;
 }
 
+auto resetConnection(int socket) -> void
+{
+    auto unspecified = sockaddr {};
+    unspecified.sa_family = AF_UNSPEC;
+    connect(socket, &unspecified, sizeof(unspecified));
+}
+
 RawServer::RawServer(std::function<auto(int)->void> serve)
     : socket_(::socket(AF_INET, SOCK_STREAM, 0))
 {
@@ -102,7 +109,12 @@
 
 auto RawServer::url() const -> std::string
 {
-    return "http://127.0.0.1:" + std::to_string(port_) + "/";
+    return "http://" + address() + "/";
+}
+
+auto RawServer::address() const -> std::string
+{
+    return "127.0.0.1:" + std::to_string(port_);
 }
 
 } // namespace jasminewood::testbench
