Refuse responses whose status line is malformed

What callers saw: a response of an upstream in trouble with status 600 or 999, with two blanks or a tab before its status, with version HTTP/2.0 or http/1.1, or with a control byte in its reason phrase reached them as a response. After "101 Switching Protocols", which no request asks for, they waited until their timeout. Status 000, and others that are not three digits, reached nobody before this change either: libcurl refuses them, and the test stays as a guard.

Cause: the client took a status line as libcurl 7.88 scans it, with any white space and any three digits from 100 on. The product had no rule of its own for what a response is, so the same held at every place that reads responses: the router's upstreams, the store, the engines, the services, the usage platform. All go through http::internal::Transfer.

Change: internal::parseStatusLine holds the grammar of RFC 9110 (15) and RFC 9112 (4) as a pure function, and ResponseHeadReader applies it to each head of a response, interim ones included. A line outside of it fails the call at once with step "receive" and run state MayHaveRun, so that requests are sent again only on routes that allow it, the upstream counts as failing, and the connection is closed. The reason names the rule, the byte and its offset; it is in the log line and in the 502. "HTTP/1.1 200" without the blank behind it is still taken, as common servers send it.

--- a/packages/engine/tests/chat_call_test.cpp
+++ b/packages/engine/tests/chat_call_test.cpp
@@ -271,6 +271,24 @@
                         check(!outcome && outcome.failure().step_ == "cancel");
                     }),
             }),
+        section("whose response is malformed",
+            {
+                // Guards against output of an engine in trouble.
+                test("fails without any text",
+                    [] {
+                        for (const auto *head :
+                            {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1  200 OK\r\n"}) {
+                            const auto engine = testbench::RawServer([head](int socket) {
+                                testbench::readUntil(socket, "\r\n\r\n");
+                                testbench::sendText(socket,
+                                    head + std::string("Content-Type: text/event-stream\r\n\r\n") + firstChunks
+                                        + lastChunk + doneEvent);
+                            });
+                            const auto call = Call({.engineUrl_ = "http://" + engine.address(), .body_ = plainBody});
+                            check(call.failedWith("receive") && call.text_.empty(), head);
+                        }
+                    }),
+            }),
     }};
 
 const testkit::TestSuite probes = {"a probe of an engine",
--- /dev/null
+++ b/packages/forward/tests/malformed_upstream_test.cpp
@@ -0,0 +1,148 @@
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "frontend_fixture.h"
+#include "jasminewood/testbench/raw_peer.h"
+#include "jasminewood/testkit/test_suite.h"
+
+using namespace jasminewood;
+using namespace jasminewood::forward;
+using namespace std::chrono_literals;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+constexpr auto events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+// The fields by which a response is known as that of the request "r1".
+constexpr auto ownFields = "Genuine: 1\r\nRequest-Id: r1\r\n";
+
+constexpr auto restOfResponse
+    = "Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+auto withStatusLine(const std::string &line) -> std::string
+{
+    return line + "\r\n" + ownFields + restOfResponse;
+}
+
+// Responses that a client must not get.
+auto malformedResponses() -> std::vector<std::string>
+{
+    return {withStatusLine("HTTP/1.1 000 OK"), withStatusLine("HTTP/1.1 600 OK"), withStatusLine("HTTP/1.1  200 OK"),
+        "HTTP/1.1 101 Switching Protocols\r\n" + std::string(ownFields) + "\r\n"};
+}
+
+// An upstream that sends one response to all requests.
+class RawUpstream
+{
+public:
+    RawUpstream(FrontendFixture &fixture, const std::string &id, const std::string &response)
+        : server_([this, response](int socket) {
+            while (!testbench::readUntil(socket, "\r\n\r\n").empty()) {
+                ++requests_;
+                testbench::sendText(socket, response);
+            }
+        })
+    {
+        fixture.registerUpstream(id, server_.address(), "ready");
+    }
+
+    auto requests() const -> int
+    {
+        return requests_;
+    }
+
+private:
+    std::atomic<int> requests_ = 0;
+    testbench::RawServer server_;
+};
+
+auto addSoundUpstream(FrontendFixture &fixture, const std::string &id) -> void
+{
+    fixture.addUpstream(id, [](const http::Request &request) -> http::Response {
+        auto fields = authenticResponse(request, 200, "").headers_;
+        fields.push_back({.name_ = "Content-Type", .value_ = "text/event-stream"});
+        return http::BufferedResponse {.status_ = 200, .headers_ = fields, .body_ = events};
+    });
+}
+
+auto send(const FrontendFixture &fixture, const std::string &path) -> Result<http::ClientResponse>
+{
+    return http::fetch(
+        {.url_ = fixture.url(path), .headers_ = FrontendFixture::requestFields("r1"), .retryable_ = false});
+}
+
+const testkit::TestSuite malformedHeads = {"an upstream that sends malformed heads",
+    {
+        section("and is the only one",
+            {
+                // Guards against a caller that gets a malformed response, or waits for its end.
+                test("has its caller answered with 502 at once, on each route",
+                    [] {
+                        for (const auto &malformed : malformedResponses()) {
+                            auto fixture = FrontendFixture();
+                            const auto upstream = RawUpstream(fixture, "a", malformed);
+                            for (const auto *path : {"/once/", "/again/", "/stream/", "/resumable/"}) {
+                                const auto startedAt = Clock::now();
+                                const auto response = send(fixture, path);
+                                check(response && (response->status_ == 502 || response->status_ == 503),
+                                    path + malformed);
+                                check(Clock::now() - startedAt < 5s, path + malformed);
+                            }
+                            check(upstream.requests() > 0, malformed);
+                        }
+                    }),
+                // Guards against an operator who can't tell what was wrong.
+                test("has the rule and the byte named to the caller",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        const auto upstream = RawUpstream(fixture, "a", withStatusLine("HTTP/1.1 600 OK"));
+                        const auto response = send(fixture, "/once/");
+                        check(response && response->status_ == 502);
+                        check(response->body_.find("status code: byte 0x36 at offset 9 (HTTP/1.1 600 OK)")
+                                != std::string::npos,
+                            response->body_);
+                    }),
+            }),
+        section("beside a sound one",
+            {
+                // Guards against a request that runs twice although its route forbids that.
+                test("has requests sent to the sound one only where they may run again",
+                    [] {
+                        for (const auto &malformed : malformedResponses()) {
+                            auto fixture = FrontendFixture();
+                            const auto first = RawUpstream(fixture, "a", malformed);
+                            check(send(fixture, "/once/")->status_ == 502, malformed);
+                            addSoundUpstream(fixture, "b");
+                            for (const auto *path : {"/again/", "/resumable/"}) {
+                                const auto response = send(fixture, path);
+                                check(response && response->status_ == 200 && response->body_ == events,
+                                    path + malformed);
+                            }
+                        }
+                    }),
+                // Guards against an upstream that costs every second request an attempt.
+                test("is put aside after its first failure",
+                    [] {
+                        auto fixture = FrontendFixture();
+                        const auto upstream = RawUpstream(fixture, "a", withStatusLine("HTTP/1.1 600 OK"));
+                        addSoundUpstream(fixture, "b");
+                        constexpr int requests = 40;
+                        auto whole = 0;
+                        for (auto request = 0; request < requests; ++request) {
+                            const auto response = send(fixture, "/once/");
+                            whole += response && response->status_ == 200 ? 1 : 0;
+                        }
+                        check(upstream.requests() <= requests / 4,
+                            std::to_string(upstream.requests()) + " requests were sent to it");
+                        check(whole + upstream.requests() == requests, std::to_string(whole) + " complete responses");
+                    }),
+            }),
+    }};
+
+} // namespace
--- /dev/null
+++ b/packages/http/src/response_grammar.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "jasminewood/http/server.h"
+
+// The grammar of status lines (RFC 9110, section 15; RFC 9112, section 4). libcurl 7.88 accepts lines outside of it,
+// and other readers of the same bytes may take those for another response.
+//
+//     const auto line = internal::parseStatusLine("HTTP/1.1 600 OK");
+//     // holds GrammarError {StatusCode, "HTTP/1.1 600 OK", InvalidByte {0x36, 9}}
+
+namespace jasminewood::http::internal
+{
+
+enum class GrammarRule : std::uint8_t
+{
+    HttpVersion,
+    StatusCode,
+    ReasonPhrase,
+    // A peer may switch protocols only if the request offers that (RFC 9110, 15.2.2). No request of this client does.
+    ProtocolSwitch,
+};
+
+// A byte that may not stand where it does.
+struct InvalidByte
+{
+    const unsigned char byte_ = 0;
+    // In the status line, the name of the field or its value, whichever breaks the rule.
+    const std::size_t offset_ = 0;
+
+    auto operator<=>(const InvalidByte &) const = default;
+};
+
+// How a response breaks the grammar.
+struct GrammarError
+{
+    const GrammarRule rule_ = GrammarRule::StatusCode;
+    // The status line or the name of the field, as received. Never the value of a field, which may be confidential.
+    const std::string subject_;
+    // Empty if no single byte is at fault.
+    const std::optional<InvalidByte> invalidByte_ = std::nullopt;
+
+    auto operator<=>(const GrammarError &) const = default;
+};
+
+// Returns, for example, "malformed response: field name: byte 0x20 at offset 1 (X Field)". Bytes of the peer other than
+// printable ASCII are escaped, and long subjects are cut.
+auto toString(const GrammarError &error) -> std::string;
+
+struct StatusLine
+{
+    // The version is HTTP/1.minorVersion_.
+    const int minorVersion_ = 1;
+    const int status_ = 0;
+
+    auto operator<=>(const StatusLine &) const = default;
+};
+
+// Parses a line without its terminator. The space behind the status code may be missing if there is no reason phrase,
+// as common servers send it.
+auto parseStatusLine(std::string_view line) -> std::variant<StatusLine, GrammarError>;
+
+} // namespace jasminewood::http::internal
--- /dev/null
+++ b/packages/http/src/response_head_reader.cpp
@@ -0,0 +1,93 @@
+#include "response_head_reader.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace jasminewood::http::internal
+{
+
+namespace
+{
+
+constexpr int firstFinalStatus = 200;
+constexpr int switchingProtocols = 101;
+
+auto withoutTerminator(std::string_view line) -> std::string_view
+{
+    if (line.ends_with('\n')) {
+        line.remove_suffix(1);
+        line.remove_suffix(line.ends_with('\r') ? 1 : 0);
+    }
+    return line;
+}
+
+auto trimmed(std::string_view text) -> std::string
+{
+    const auto first = text.find_first_not_of(" \t\r\n");
+    const auto last = text.find_last_not_of(" \t\r\n");
+    return first == std::string_view::npos ? std::string() : std::string(text.substr(first, last - first + 1));
+}
+
+} // namespace
+
+auto ResponseHeadReader::read(std::string_view line) -> std::optional<GrammarError>
+{
+    const auto content = withoutTerminator(line);
+    if (position_ == Position::StatusLine) {
+        return readStatusLine(content);
+    }
+    if (!content.empty()) {
+        readFieldLine(content);
+        return std::nullopt;
+    }
+    if (position_ == Position::Fields) {
+        endHead();
+    }
+    return std::nullopt;
+}
+
+auto ResponseHeadReader::isComplete() const -> bool
+{
+    return position_ == Position::Trailer;
+}
+
+auto ResponseHeadReader::status() const -> int
+{
+    return statusLine_ ? statusLine_->status_ : 0;
+}
+
+auto ResponseHeadReader::fields() const -> const std::vector<HeaderField> &
+{
+    return fields_;
+}
+
+auto ResponseHeadReader::readStatusLine(std::string_view line) -> std::optional<GrammarError>
+{
+    const auto parsed = parseStatusLine(line);
+    if (const auto *error = std::get_if<GrammarError>(&parsed)) {
+        return *error;
+    }
+    statusLine_.emplace(std::get<StatusLine>(parsed));
+    if (statusLine_->status_ == switchingProtocols) {
+        return GrammarError {.rule_ = GrammarRule::ProtocolSwitch, .subject_ = std::string(line)};
+    }
+    fields_.clear();
+    position_ = Position::Fields;
+    return std::nullopt;
+}
+
+auto ResponseHeadReader::readFieldLine(std::string_view line) -> void
+{
+    const auto colon = line.find(':');
+    if (position_ == Position::Fields && colon != std::string_view::npos) {
+        fields_.push_back({.name_ = trimmed(line.substr(0, colon)), .value_ = trimmed(line.substr(colon + 1))});
+    }
+}
+
+auto ResponseHeadReader::endHead() -> void
+{
+    position_ = statusLine_->status_ < firstFinalStatus ? Position::StatusLine : Position::Trailer;
+}
+
+} // namespace jasminewood::http::internal
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -62,13 +62,6 @@
     return url.substr(start, url.find_first_of("/?", start) - start);
 }
 
-auto trimmed(std::string_view text) -> std::string
-{
-    const auto first = text.find_first_not_of(" \t\r\n");
-    const auto last = text.find_last_not_of(" \t\r\n");
-    return first == std::string_view::npos ? std::string() : std::string(text.substr(first, last - first + 1));
-}
-
 auto lowerCase(std::string text) -> std::string
 {
     std::transform(text.begin(), text.end(), text.begin(), [](unsigned char letter) {
@@ -93,8 +86,14 @@
     }
 }
 
-auto reasonOf(CURLcode code) -> std::string
+// Returns the reason for a failure. The text of libcurl says which part of a malformed response it refused; for other
+// failures it holds times and numbers, which would make equal failures differ.
+auto reasonOf(CURLcode code, const std::string &errorText) -> std::string
 {
+    const auto isMalformed = code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY;
+    if (isMalformed && !errorText.empty()) {
+        return "malformed response: " + errorText;
+    }
     return code == CURLE_ABORTED_BY_CALLBACK ? "the peer closed a kept connection without an answer"
                                              : curl_easy_strerror(code);
 }
@@ -230,23 +229,15 @@
         // A result other than the size of the data makes libcurl abort the transfer.
         return 0;
     }
-    // libcurl ends the head at a line that starts with CR or LF.
-    if (line.starts_with('\r') || line.starts_with('\n')) {
-        auto status = 0L;
-        curl_easy_getinfo(state.easy_, CURLINFO_RESPONSE_CODE, &status);
-        if (status >= 200 && !state.fieldsDelivered_) {
-            state.fieldsDelivered_ = true;
-            if (state.onFields_) {
-                state.onFields_(int(status), state.fields_);
-            }
-        }
-        return line.size();
+    if (const auto error = state.head_.read(line)) {
+        state.grammarError_.emplace(*error);
+        return 0;
     }
-    const auto colon = line.find(':');
-    if (line.starts_with("HTTP/")) {
-        state.fields_.clear();
-    } else if (colon != std::string_view::npos) {
-        state.fields_.push_back({.name_ = trimmed(line.substr(0, colon)), .value_ = trimmed(line.substr(colon + 1))});
+    if (state.head_.isComplete() && !state.fieldsDelivered_) {
+        state.fieldsDelivered_ = true;
+        if (state.onFields_) {
+            state.onFields_(state.head_.status(), state.head_.fields());
+        }
     }
     return line.size();
 }
@@ -273,6 +264,7 @@
     headers_.reset(headerList(request));
     curl_easy_reset(easy_);
     curl_easy_setopt(easy_, CURLOPT_URL, request.url_.c_str());
+    curl_easy_setopt(easy_, CURLOPT_ERRORBUFFER, progress_->errorText_.data());
     curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy_, CURLOPT_PROXY, "");
     curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
@@ -324,9 +316,11 @@
 {
     const auto cancelled = cancelled_ || progress_->dataRejected_;
     const auto limit = exceededLimit();
+    const auto &grammarError = progress_->grammarError_;
     const auto reason = !limit.empty() ? limit
+        : grammarError                 ? toString(*grammarError)
         : code == CURLE_OK             ? "the response ended inside its head"
-                                       : reasonOf(code);
+                                       : reasonOf(code, progress_->errorText_.data());
     return Failure {.step_ = cancelled ? "cancel" : stepOf(code, progress_->connected_),
         .peer_ = peerOf(progress_->request_.url_),
         .reason_ = cancelled ? "the call was cancelled" : reason,
@@ -430,7 +424,7 @@
     // The peer's timeout starts when it sends the response, and the next request must arrive before it expires.
     constexpr auto margin = Milliseconds(1000);
     auto idle = defaultIdleTime;
-    for (const auto &field : progress_->fields_) {
+    for (const auto &field : progress_->head_.fields()) {
         const auto position
             = lowerCase(field.name_) == "keep-alive" ? field.value_.find("timeout=") : std::string::npos;
         if (position != std::string::npos) {
@@ -444,15 +438,13 @@
 auto Transfer::end() -> Result<int>
 {
     const auto code = progress_->result_.value_or(CURLE_ABORTED_BY_CALLBACK);
-    auto status = 0L;
-    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
     idleSocket_ = CURL_SOCKET_BAD;
     curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &idleSocket_);
     curl_multi_remove_handle(multi_, easy_);
     curl_easy_reset(easy_);
     // libcurl returns success if the peer closes the connection after the status line, before the end of the head.
     const auto isComplete = code == CURLE_OK && progress_->fieldsDelivered_;
-    auto outcome = isComplete ? Result<int>(int(status)) : Result<int>(failure(code));
+    auto outcome = isComplete ? Result<int>(progress_->head_.status()) : Result<int>(failure(code));
     updateUsableUntil();
     progress_.reset();
     return outcome;
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -12,6 +13,7 @@
 #include <poll.h>
 
 #include "jasminewood/http/client.h"
+#include "response_head_reader.h"
 
 // One libcurl handle with its connection cache, which performs one call at a time.
 
@@ -84,11 +86,15 @@
         const FieldsCallback onFields_;
         const DataCallback onData_;
         CURL *easy_ = nullptr;
-        std::vector<HeaderField> fields_ = {};
+        ResponseHeadReader head_ = {};
+        // Why the response is refused; empty if it is well-formed so far.
+        std::optional<GrammarError> grammarError_ = std::nullopt;
         TimePoint lastByteAt_ = Clock::now();
         std::optional<CURLcode> result_ = std::nullopt;
         std::size_t headBytes_ = 0;
         std::size_t bodyBytes_ = 0;
+        // The message of libcurl for the failure of the call.
+        std::array<char, CURL_ERROR_SIZE> errorText_ = {};
         bool connected_ = false;
         bool fieldsDelivered_ = false;
         bool dataRejected_ = false;
--- /dev/null
+++ b/packages/http/tests/malformed_response_test.cpp
@@ -0,0 +1,223 @@
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "jasminewood/http/client.h"
+#include "jasminewood/testbench/raw_peer.h"
+#include "jasminewood/testkit/test_suite.h"
+
+using namespace jasminewood;
+using namespace jasminewood::http;
+using jasminewood::testbench::RawServer;
+using jasminewood::testbench::readUntil;
+using jasminewood::testbench::sendText;
+using namespace std::chrono_literals;
+using jasminewood::testkit::check;
+using jasminewood::testkit::section;
+using jasminewood::testkit::test;
+
+namespace
+{
+
+// Longer than a response on this machine takes, and much shorter than the timeout of a call.
+constexpr auto promptly = 5s;
+
+// Returns the text with its control bytes and 8-bit bytes as \xHH, for messages of failed checks.
+auto escaped(const std::string &text) -> std::string
+{
+    constexpr auto digits = "0123456789abcdef";
+    auto shown = std::string();
+    for (const auto letter : text) {
+        const auto byte = static_cast<unsigned char>(letter);
+        if (byte < 0x20 || byte > 0x7e) {
+            shown += std::string("\\x") + digits[byte / 16] + digits[byte % 16];
+        } else {
+            shown += letter;
+        }
+    }
+    return shown;
+}
+
+// Returns a response that is sound but for this status line.
+auto withStatusLine(const std::string &line) -> std::string
+{
+    return line + "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+// Returns a response that is sound but for this line of its head.
+auto withHeadLine(const std::string &line) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nX-First: a\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+// Returns a peer that sends the response to each request and keeps its connections open.
+auto peerWithResponse(const std::string &response) -> std::unique_ptr<RawServer>
+{
+    return std::make_unique<RawServer>([response](int socket) {
+        while (!readUntil(socket, "\r\n\r\n").empty()) {
+            sendText(socket, response);
+        }
+    });
+}
+
+auto checkFailure(const Failure &failure, TimePoint startedAt, const std::string &what) -> void
+{
+    check(failure.step_ == "receive", what + ": " + toString(failure));
+    check(failure.runState_ == RunState::MayHaveRun, what + ": the request may have run");
+    check(Clock::now() - startedAt < promptly, what + ": the failure is found without waiting for more");
+}
+
+// Checks that a call of each kind fails and none of its callbacks gets anything.
+auto checkRefused(const std::string &response) -> void
+{
+    const auto what = escaped(response);
+    const auto peer = peerWithResponse(response);
+    const auto request = ClientRequest {.method_ = "POST", .url_ = peer->url(), .timeout_ = 20s};
+    const auto startedAt = Clock::now();
+    const auto fetched = fetch(request);
+    check(!fetched, "a fetch takes " + what);
+    checkFailure(fetched.failure(), startedAt, what);
+    auto heads = 0;
+    auto call = StreamCall();
+    const auto status = call.perform(request,
+        [&heads](int, const std::map<std::string, std::string> &) {
+            ++heads;
+        },
+        {});
+    check(!status && heads == 0, "a stream call takes " + what);
+    auto exchange = Exchange(request);
+    const auto head = exchange.head(Clock::now() + promptly);
+    check(!head, "an exchange takes " + what);
+    checkFailure(head.failure(), startedAt, what);
+}
+
+auto checkRefused(const std::vector<std::string> &responses) -> void
+{
+    for (const auto &response : responses) {
+        checkRefused(response);
+    }
+}
+
+// Checks that a call returns "body".
+auto checkAccepted(const std::string &response) -> void
+{
+    const auto peer = peerWithResponse(response);
+    const auto fetched = fetch({.method_ = "POST", .url_ = peer->url(), .timeout_ = 10s});
+    check(bool(fetched), escaped(response) + ": " + (fetched ? "" : toString(fetched.failure())));
+    check(fetched->status_ == 200 && fetched->body_ == "body", escaped(response));
+}
+
+auto checkAccepted(const std::vector<std::string> &responses) -> void
+{
+    for (const auto &response : responses) {
+        checkAccepted(response);
+    }
+}
+
+const testkit::TestSuite statusLines = {"a response",
+    {
+        section("whose status line is malformed",
+            {
+                // Guards against a status that is no status and reaches a client.
+                test("is refused if its status is not three digits from 100 to 599",
+                    [] {
+                        for (const auto *status : {"000", "0", "00", "001", "099", "2", "20", "2000", "0200", "2xx",
+                                 "+20", "-20", "0xC", "20 0", "600", "999"}) {
+                            checkRefused(withStatusLine("HTTP/1.1 " + std::string(status) + " OK"));
+                        }
+                        checkRefused({withStatusLine("HTTP/1.1"), withStatusLine("HTTP/1.1 "),
+                            withStatusLine("HTTP/1.1 OK"), withStatusLine("HTTP/1.1 000")});
+                    }),
+                // Guards against lenient parsing, which takes another status than other readers of the line do.
+                test("is refused if more or other than one space separates its parts",
+                    [] {
+                        checkRefused({withStatusLine("HTTP/1.1  200 OK"), withStatusLine("HTTP/1.1\t200 OK"),
+                            withStatusLine("HTTP/1.1 \t200 OK"), withStatusLine("HTTP/1.1 200\tOK"),
+                            withStatusLine(" HTTP/1.1 200 OK")});
+                    }),
+                // Guards against a response of another protocol.
+                test("is refused if its version is not HTTP/1 with a minor digit",
+                    [] {
+                        checkRefused({withStatusLine("HTTP/2.0 200 OK"), withStatusLine("HTTP/2 200 OK"),
+                            withStatusLine("HTTP/0.9 200 OK"), withStatusLine("http/1.1 200 OK"),
+                            withStatusLine("HTTP/1 200 OK"), withStatusLine("HTTP/1. 200 OK"),
+                            withStatusLine("HTTP/1.10 200 OK"), withStatusLine("HTTP/1x1 200 OK")});
+                    }),
+                test("is refused if its reason phrase holds a control byte",
+                    [] {
+                        checkRefused({withStatusLine("HTTP/1.1 200 O\x01K"), withStatusLine("HTTP/1.1 200 O\rK"),
+                            withStatusLine(std::string("HTTP/1.1 200 O\0K", 16)),
+                            withStatusLine("HTTP/1.1 200 O\x7fK")});
+                    }),
+                // Guards against a request that waits until its timeout for a response behind the switch.
+                test("is refused if it switches to a protocol that was not asked for",
+                    [] {
+                        checkRefused("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
+                    }),
+                test("is refused if that is the one of an interim response",
+                    [] {
+                        checkRefused({"HTTP/1.1 099 Early\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK"),
+                            "HTTP/1.1  103 Early Hints\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK"),
+                            "HTTP/1.1 103 Early Hints\r\n\r\n" + withStatusLine("HTTP/1.1 600 OK")});
+                    }),
+            }),
+        section("whose status line is sound",
+            {
+                // Guards against a check that refuses what servers do send.
+                test("is taken with any reason phrase or none, and as HTTP/1.0",
+                    [] {
+                        checkAccepted({withStatusLine("HTTP/1.1 200 "), withStatusLine("HTTP/1.1 200"),
+                            withStatusLine("HTTP/1.1 200 all is\twell, 100%"),
+                            withStatusLine("HTTP/1.1 200 tr\xc3\xa8s"), withStatusLine("HTTP/1.0 200 OK"),
+                            "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody",
+                            "HTTP/1.1 100 Continue\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK"),
+                            "HTTP/1.1 199 Other\r\nX-Field: a\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK")});
+                    }),
+            }),
+    }};
+
+const testkit::TestSuite afterwards = {"after a malformed response",
+    {
+        // Guards against bytes behind the malformed head that are taken for the next response.
+        test("the connection is not used again",
+            [] {
+                auto connections = std::make_shared<std::atomic<int>>(0);
+                const auto peer = RawServer([connections](int socket) {
+                    const auto isFirst = ++*connections == 1;
+                    while (!readUntil(socket, "\r\n\r\n").empty()) {
+                        sendText(
+                            socket, isFirst ? withStatusLine("HTTP/1.1 600 OK") : withStatusLine("HTTP/1.1 200 OK"));
+                    }
+                });
+                check(!fetch({.url_ = peer.url()}));
+                const auto second = fetch({.url_ = peer.url()});
+                check(second && second->body_ == "body" && *connections == 2);
+            }),
+        test("the failure names the rule, the place and the byte",
+            [] {
+                for (const auto &[response, reason] :
+                    std::vector<std::pair<std::string, std::string>> {{withStatusLine("HTTP/1.1 600 OK"),
+                        "malformed response: status code: byte 0x36 at offset 9 (HTTP/1.1 600 OK)"}}) {
+                    const auto peer = peerWithResponse(response);
+                    const auto fetched = fetch({.url_ = peer->url()});
+                    check(!fetched, "a fetch takes " + escaped(response));
+                    check(fetched.failure().reason_ == reason, toString(fetched.failure()));
+                }
+            }),
+        // libcurl finds these itself, before it passes the line on.
+        test("the failure says so too if libcurl refused it",
+            [] {
+                for (const auto &response : {withStatusLine("HTTP/1.1 000 OK"), withHeadLine("X-Field")}) {
+                    const auto peer = peerWithResponse(response);
+                    const auto fetched = fetch({.url_ = peer->url()});
+                    check(!fetched, "a fetch takes " + escaped(response));
+                    check(fetched.failure().reason_.starts_with("malformed response: "), toString(fetched.failure()));
+                }
+            }),
+    }};
+
+} // namespace
--- a/packages/platform/tests/slow_store_test.cpp
+++ b/packages/platform/tests/slow_store_test.cpp
@@ -139,6 +139,28 @@
                         check(Clock::now() - startedAt < 20 * timeout, "the read took too long");
                     }),
             }),
+        section("whose response is malformed",
+            {
+                // Guards against a configuration or a list of upstreams that is read from a store in trouble.
+                test("fails, and so do a write and a watch",
+                    [] {
+                        for (const auto *head :
+                            {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1  200 OK\r\n"}) {
+                            const auto store = testbench::RawServer([head](int socket) {
+                                testbench::readUntil(socket, "\r\n\r\n");
+                                testbench::sendText(socket, head + std::string("Content-Length: 2\r\n\r\n{}"));
+                            });
+                            auto client = KeyValueClient({.url_ = store.url()});
+                            check(!client.get("/k"), head);
+                            const auto written = client.put("/k", "v");
+                            check(!written && written.failure().runState_ == RunState::MayHaveRun, head);
+                            auto call = WatchCall();
+                            const auto watched = client.watch({.key_ = "/k", .after_ = {}, .timeout_ = timeout}, call,
+                                [](const WatchEvent & /*event*/) {});
+                            check(!watched, head);
+                        }
+                    }),
+            }),
     }};
 
 } // namespace
