Refuse responses with a malformed line in a head or a trailer

What callers saw: if an upstream in trouble sent a field name with a blank, a control byte, an 8-bit byte or a delimiter, an empty one, one with a blank before the colon, or a folded line, they got the response, with that line passed on or dropped. A control byte or a bare CR in a value was passed on. Where the line was that of the length ("Content Length", "Content-Length :"), the body ran to the end of the connection and its request waited until its timeout.

Cause: the client cut each line at its first colon and trimmed both parts, and libcurl 7.88 checks only that there is a colon and no NUL. libcurl also ends a head at any line that begins with CR, so that the fields behind "\rX: a" became the beginning of the body; the client accepted such an end.

Change: internal::parseFieldLine holds the grammar of RFC 9110 (5.1, 5.5, 5.6.2) and RFC 9112 (5): a name is a token, a value has no control byte but the tab, nothing stands before the name or between it and its colon. Folded lines are refused, which RFC 9112 (5.2) allows a gateway. Only an empty line ends a head. The failure names the field but never its value.

--- a/packages/engine/tests/chat_call_test.cpp
+++ b/packages/engine/tests/chat_call_test.cpp
@@ -276,8 +276,8 @@
                 // Guards against output of an engine in trouble.
                 test("fails without any text",
                     [] {
-                        for (const auto *head :
-                            {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1  200 OK\r\n"}) {
+                        for (const auto *head : {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1  200 OK\r\n",
+                                 "HTTP/1.1 200 OK\r\nX Field: a\r\n", "HTTP/1.1 200 OK\r\nX-Field: \x01\r\n"}) {
                             const auto engine = testbench::RawServer([head](int socket) {
                                 testbench::readUntil(socket, "\r\n\r\n");
                                 testbench::sendText(socket,
--- a/packages/forward/tests/malformed_upstream_test.cpp
+++ b/packages/forward/tests/malformed_upstream_test.cpp
@@ -30,11 +30,17 @@
     return line + "\r\n" + ownFields + restOfResponse;
 }
 
+auto withFieldName(const std::string &name) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\n" + std::string(ownFields) + name + ": a\r\n" + restOfResponse;
+}
+
 // Responses that a client must not get.
 auto malformedResponses() -> std::vector<std::string>
 {
     return {withStatusLine("HTTP/1.1 000 OK"), withStatusLine("HTTP/1.1 600 OK"), withStatusLine("HTTP/1.1  200 OK"),
-        "HTTP/1.1 101 Switching Protocols\r\n" + std::string(ownFields) + "\r\n"};
+        withFieldName("X Field"), withFieldName("X\x01Name"), withFieldName("X-Field "),
+        withFieldName("Content Length"), "HTTP/1.1 101 Switching Protocols\r\n" + std::string(ownFields) + "\r\n"};
 }
 
 // An upstream that sends one response to all requests.
@@ -101,11 +107,10 @@
                 test("has the rule and the byte named to the caller",
                     [] {
                         auto fixture = FrontendFixture();
-                        const auto upstream = RawUpstream(fixture, "a", withStatusLine("HTTP/1.1 600 OK"));
+                        const auto upstream = RawUpstream(fixture, "a", withFieldName("X Field"));
                         const auto response = send(fixture, "/once/");
                         check(response && response->status_ == 502);
-                        check(response->body_.find("status code: byte 0x36 at offset 9 (HTTP/1.1 600 OK)")
-                                != std::string::npos,
+                        check(response->body_.find("field name: byte 0x20 at offset 1 (X Field)") != std::string::npos,
                             response->body_);
                     }),
             }),
@@ -130,7 +135,7 @@
                 test("is put aside after its first failure",
                     [] {
                         auto fixture = FrontendFixture();
-                        const auto upstream = RawUpstream(fixture, "a", withStatusLine("HTTP/1.1 600 OK"));
+                        const auto upstream = RawUpstream(fixture, "a", withFieldName("X Field"));
                         addSoundUpstream(fixture, "b");
                         constexpr int requests = 40;
                         auto whole = 0;
--- a/packages/http/src/response_grammar.cpp
+++ b/packages/http/src/response_grammar.cpp
@@ -25,13 +25,32 @@
     return letter >= '0' && letter <= '9';
 }
 
-// Returns whether the byte may stand in a reason phrase.
+auto isBlank(char letter) -> bool
+{
+    return letter == ' ' || letter == '\t';
+}
+
+auto isTokenCharacter(char letter) -> bool
+{
+    constexpr auto symbols = std::string_view("!#$%&'*+-.^_`|~");
+    return isDigit(letter) || (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z')
+        || symbols.find(letter) != std::string_view::npos;
+}
+
+// Returns whether the byte may stand in a reason phrase or in the value of a field.
 auto isTextCharacter(char letter) -> bool
 {
     const auto byte = static_cast<unsigned char>(letter);
     return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
 }
 
+auto trimBlanks(std::string_view text) -> std::string_view
+{
+    const auto first = text.find_first_not_of(" \t");
+    const auto last = text.find_last_not_of(" \t");
+    return first == std::string_view::npos ? std::string_view() : text.substr(first, last - first + 1);
+}
+
 // Returns the error for the byte of the text at the offset, or for its missing if the text ends there.
 auto errorAt(GrammarRule rule, std::string_view subject, std::string_view text, std::size_t offset) -> GrammarError
 {
@@ -75,8 +94,8 @@
 
 auto ruleName(GrammarRule rule) -> std::string_view
 {
-    constexpr auto names = std::array<std::string_view, 4> {
-        "HTTP version", "status code", "reason phrase", "protocol switch that was not requested"};
+    constexpr auto names = std::array<std::string_view, 7> {"HTTP version", "status code", "reason phrase",
+        "protocol switch that was not requested", "field name", "field value", "folded line"};
     return names.at(std::size_t(rule));
 }
 
@@ -123,4 +142,22 @@
     return StatusLine {.minorVersion_ = line[versionPrefix.size()] - '0', .status_ = status};
 }
 
+auto parseFieldLine(std::string_view line) -> std::variant<HeaderField, GrammarError>
+{
+    const auto lineName = line.substr(0, line.find(':'));
+    if (!line.empty() && isBlank(line.front())) {
+        return GrammarError {.rule_ = GrammarRule::LineFolding};
+    }
+    const auto nameEnd = std::size_t(std::find_if_not(line.begin(), line.end(), &isTokenCharacter) - line.begin());
+    if (nameEnd == 0 || nameEnd == line.size() || line[nameEnd] != ':') {
+        return errorAt(GrammarRule::FieldName, lineName, line, nameEnd);
+    }
+    const auto value = trimBlanks(line.substr(nameEnd + 1));
+    const auto invalid = std::find_if_not(value.begin(), value.end(), &isTextCharacter);
+    if (invalid != value.end()) {
+        return errorAt(GrammarRule::FieldValue, lineName, value, std::size_t(invalid - value.begin()));
+    }
+    return HeaderField {.name_ = std::string(lineName), .value_ = std::string(value)};
+}
+
 } // namespace jasminewood::http::internal
--- a/packages/http/src/response_grammar.h
+++ b/packages/http/src/response_grammar.h
@@ -11,11 +11,11 @@
 
 #include "jasminewood/http/server.h"
 
-// The grammar of status lines (RFC 9110, section 15; RFC 9112, section 4). libcurl 7.88 accepts lines outside of it,
-// and other readers of the same bytes may take those for another response.
+// The grammar of response heads (RFC 9110, sections 5 and 15; RFC 9112, sections 4 to 6). libcurl 7.88 accepts heads
+// outside of it, and other readers of the same bytes may take those for another response.
 //
-//     const auto line = internal::parseStatusLine("HTTP/1.1 600 OK");
-//     // holds GrammarError {StatusCode, "HTTP/1.1 600 OK", InvalidByte {0x36, 9}}
+//     const auto line = internal::parseFieldLine("X Field: a");
+//     // holds GrammarError {FieldName, "X Field", InvalidByte {0x20, 1}}
 
 namespace jasminewood::http::internal
 {
@@ -27,6 +27,10 @@
     ReasonPhrase,
     // A peer may switch protocols only if the request offers that (RFC 9110, 15.2.2). No request of this client does.
     ProtocolSwitch,
+    FieldName,
+    FieldValue,
+    // A line that begins with white space, which continues the line before it in an obsolete form (RFC 9112, 5.2).
+    LineFolding,
 };
 
 // A byte that may not stand where it does.
@@ -68,4 +72,8 @@
 // as common servers send it.
 auto parseStatusLine(std::string_view line) -> std::variant<StatusLine, GrammarError>;
 
+// Parses a line without its terminator, of a head or a trailer. The value is returned without the white space around
+// it.
+auto parseFieldLine(std::string_view line) -> std::variant<HeaderField, GrammarError>;
+
 } // namespace jasminewood::http::internal
--- a/packages/http/src/response_head_reader.cpp
+++ b/packages/http/src/response_head_reader.cpp
@@ -1,6 +1,5 @@
 #include "response_head_reader.h"
 
-#include <string>
 #include <utility>
 #include <variant>
 
@@ -22,13 +21,6 @@
     return line;
 }
 
-auto trimmed(std::string_view text) -> std::string
-{
-    const auto first = text.find_first_not_of(" \t\r\n");
-    const auto last = text.find_last_not_of(" \t\r\n");
-    return first == std::string_view::npos ? std::string() : std::string(text.substr(first, last - first + 1));
-}
-
 } // namespace
 
 auto ResponseHeadReader::read(std::string_view line) -> std::optional<GrammarError>
@@ -38,8 +30,7 @@
         return readStatusLine(content);
     }
     if (!content.empty()) {
-        readFieldLine(content);
-        return std::nullopt;
+        return readFieldLine(content);
     }
     if (position_ == Position::Fields) {
         endHead();
@@ -77,12 +68,16 @@
     return std::nullopt;
 }
 
-auto ResponseHeadReader::readFieldLine(std::string_view line) -> void
+auto ResponseHeadReader::readFieldLine(std::string_view line) -> std::optional<GrammarError>
 {
-    const auto colon = line.find(':');
-    if (position_ == Position::Fields && colon != std::string_view::npos) {
-        fields_.push_back({.name_ = trimmed(line.substr(0, colon)), .value_ = trimmed(line.substr(colon + 1))});
+    auto parsed = parseFieldLine(line);
+    if (const auto *error = std::get_if<GrammarError>(&parsed)) {
+        return *error;
+    }
+    if (position_ == Position::Fields) {
+        fields_.push_back(std::get<HeaderField>(parsed));
     }
+    return std::nullopt;
 }
 
 auto ResponseHeadReader::endHead() -> void
--- a/packages/http/src/response_head_reader.h
+++ b/packages/http/src/response_head_reader.h
@@ -39,7 +39,7 @@
     };
 
     auto readStatusLine(std::string_view line) -> std::optional<GrammarError>;
-    auto readFieldLine(std::string_view line) -> void;
+    auto readFieldLine(std::string_view line) -> std::optional<GrammarError>;
     auto endHead() -> void;
 
     Position position_ = Position::StatusLine;
--- a/packages/http/tests/malformed_response_test.cpp
+++ b/packages/http/tests/malformed_response_test.cpp
@@ -180,6 +180,93 @@
             }),
     }};
 
+const testkit::TestSuite fieldLines = {"a response",
+    {
+        section("with a malformed line in its head",
+            {
+                // Guards against a field that is dropped or passed on under a name which other readers take for
+                // another.
+                test("is refused if the name of a field is not a token",
+                    [] {
+                        for (const auto *name : {"X Field", "X\tField",
+                                 "X\x01"
+                                 "Field",
+                                 "X\x1f"
+                                 "Field",
+                                 "X\x7f"
+                                 "Field",
+                                 "X\x80"
+                                 "Field",
+                                 "X\xff"
+                                 "Field",
+                                 "X(Field)", "X\"Field\"", "X/Field", "X[Field]", "X{Field}", "X@Field", "X,Field",
+                                 "X;Field", "X=Field", "X?Field", "X<Field>", "X\\Field", "", "X-Field ", "X-Field\t",
+                                 " X-Field", "Content Length", "Content-Length ", "Content-Length\x01",
+                                 "Transfer-Encoding "}) {
+                            checkRefused(withHeadLine(std::string(name) + ": 4"));
+                        }
+                        checkRefused({withHeadLine(std::string("X\0Field: a", 10)), withHeadLine("X\rField: a"),
+                            withHeadLine("\rX-Field: a"), withHeadLine("X-Field"), withHeadLine("HTTP/1.1 200 OK"),
+                            withHeadLine("HTTP/1.1 200: OK")});
+                    }),
+                // Guards against two readers that see different fields.
+                test("is refused if the value of a field holds a control byte",
+                    [] {
+                        checkRefused({withHeadLine("X-Field: a\rb"), withHeadLine("X-Field: a\r"),
+                            withHeadLine("X-Field: \rX-Other: b"), withHeadLine("X-Field: a\x01"),
+                            withHeadLine("X-Field: a\x7f"), withHeadLine("X-Field: a\vb"),
+                            withHeadLine(std::string("X-Field: a\0b", 12))});
+                    }),
+                // Guards against a line that one reader takes for a field and another one for a part of the one before.
+                test("is refused if a line begins with a space or a tab",
+                    [] {
+                        checkRefused({"HTTP/1.1 200 OK\r\n X-Field: a\r\nContent-Length: 4\r\n\r\nbody",
+                            withHeadLine(" continued"), withHeadLine("\tcontinued"), withHeadLine(" X-Field: a"),
+                            withHeadLine(" ")});
+                    }),
+                test("is refused if that line is in the head of an interim response",
+                    [] {
+                        checkRefused({"HTTP/1.1 103 Early Hints\r\nX Field: a\r\n\r\n"
+                                + withStatusLine("HTTP/1.1 200 OK"),
+                            "HTTP/1.1 103 Early Hints\r\nX-Field: \x01\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK")});
+                    }),
+            }),
+        section("with a malformed line in its trailer",
+            {
+                // Guards against a response that counts as whole although its end is broken.
+                test("is refused",
+                    [] {
+                        for (const auto *line : {"X Field: a", "X-Field : a", "X-Field: \x01", "X-Field", ": a"}) {
+                            const auto peer = peerWithResponse(
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+                                + std::string(line) + "\r\n\r\n");
+                            const auto startedAt = Clock::now();
+                            const auto fetched = fetch({.method_ = "POST", .url_ = peer->url(), .timeout_ = 20s});
+                            check(!fetched, "a fetch takes the trailer " + escaped(line));
+                            checkFailure(fetched.failure(), startedAt, escaped(line));
+                        }
+                    }),
+            }),
+        section("whose fields are sound",
+            {
+                // Guards against a check that refuses what servers do send.
+                test("is taken with all characters of tokens and all values without control bytes",
+                    [] {
+                        checkAccepted({withHeadLine("!#$%&'*+-.^_`|~09azAZ: a"), withHeadLine("X-Field:"),
+                            withHeadLine("X-Field: "), withHeadLine("X-Field:a"), withHeadLine("X-Field: \t a \t "),
+                            withHeadLine("X-Field: a b\tc: \"d\", (e) @ \xc3\xa8\xff"),
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Field: "
+                            "a\r\n\r\n"});
+                    }),
+                test("has its values without the white space around them",
+                    [] {
+                        const auto peer = peerWithResponse(withHeadLine("X-Field: \t a b \t "));
+                        const auto fetched = fetch({.url_ = peer->url()});
+                        check(fetched && fetched->headers_.at("x-field") == "a b");
+                    }),
+            }),
+    }};
+
 const testkit::TestSuite afterwards = {"after a malformed response",
     {
         // Guards against bytes behind the malformed head that are taken for the next response.
@@ -189,8 +276,7 @@
                 const auto peer = RawServer([connections](int socket) {
                     const auto isFirst = ++*connections == 1;
                     while (!readUntil(socket, "\r\n\r\n").empty()) {
-                        sendText(
-                            socket, isFirst ? withStatusLine("HTTP/1.1 600 OK") : withStatusLine("HTTP/1.1 200 OK"));
+                        sendText(socket, isFirst ? withHeadLine("X Field: a") : withHeadLine("X-Field: a"));
                     }
                 });
                 check(!fetch({.url_ = peer.url()}));
@@ -200,8 +286,12 @@
         test("the failure names the rule, the place and the byte",
             [] {
                 for (const auto &[response, reason] :
-                    std::vector<std::pair<std::string, std::string>> {{withStatusLine("HTTP/1.1 600 OK"),
-                        "malformed response: status code: byte 0x36 at offset 9 (HTTP/1.1 600 OK)"}}) {
+                    std::vector<std::pair<std::string, std::string>> {
+                        {withStatusLine("HTTP/1.1 600 OK"),
+                            "malformed response: status code: byte 0x36 at offset 9 (HTTP/1.1 600 OK)"},
+                        {withHeadLine("X Field: a"), "malformed response: field name: byte 0x20 at offset 1 (X Field)"},
+                        {withHeadLine("X-Field: a\x01"),
+                            "malformed response: field value: byte 0x01 at offset 1 (X-Field)"}}) {
                     const auto peer = peerWithResponse(response);
                     const auto fetched = fetch({.url_ = peer->url()});
                     check(!fetched, "a fetch takes " + escaped(response));
--- a/packages/platform/tests/slow_store_test.cpp
+++ b/packages/platform/tests/slow_store_test.cpp
@@ -144,8 +144,8 @@
                 // Guards against a configuration or a list of upstreams that is read from a store in trouble.
                 test("fails, and so do a write and a watch",
                     [] {
-                        for (const auto *head :
-                            {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1  200 OK\r\n"}) {
+                        for (const auto *head : {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1  200 OK\r\n",
+                                 "HTTP/1.1 200 OK\r\nX Field: a\r\n", "HTTP/1.1 200 OK\r\nX-Field: \x01\r\n"}) {
                             const auto store = testbench::RawServer([head](int socket) {
                                 testbench::readUntil(socket, "\r\n\r\n");
                                 testbench::sendText(socket, head + std::string("Content-Length: 2\r\n\r\n{}"));
