Refuse responses whose fields leave the end of their body in doubt

What callers saw: a response with Content-Length twice and different, "4,5", "+4" or "0x4" reached them with one of the readings as its body. With a length and a transfer coding both, or with an empty Transfer-Encoding, its request waited until its timeout.

Cause: libcurl 7.88 takes the last length, reads digits as far as there are some, takes a number that is too large for none, and applies transfer codings that were not asked for. Nothing looked at the fields before that.

Change: internal::checkFraming, at the end of each final head, after RFC 9112 (6.1, 6.3): one decimal length, which may be repeated with the same value, or the one coding "chunked" in HTTP/1.1, or neither. Everything else fails the call at once, like any malformed head. Lengths in interim heads are ignored, as before.

--- a/packages/http/src/response_grammar.cpp
+++ b/packages/http/src/response_grammar.cpp
@@ -3,10 +3,14 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdint>
+#include <system_error>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "jasminewood/http/client.h"
+
 namespace jasminewood::http::internal
 {
 
@@ -17,6 +21,8 @@
 constexpr std::size_t versionBytes = versionPrefix.size() + 1;
 constexpr std::size_t statusCodeStart = versionBytes + 1;
 constexpr std::size_t statusCodeEnd = statusCodeStart + 3;
+constexpr auto lengthName = "Content-Length";
+constexpr auto codingName = "Transfer-Encoding";
 // Longer subjects are cut in messages, in bytes.
 constexpr std::size_t maximumSubjectBytes = 64;
 
@@ -94,8 +100,9 @@
 
 auto ruleName(GrammarRule rule) -> std::string_view
 {
-    constexpr auto names = std::array<std::string_view, 7> {"HTTP version", "status code", "reason phrase",
-        "protocol switch that was not requested", "field name", "field value", "folded line"};
+    constexpr auto names = std::array<std::string_view, 10> {"HTTP version", "status code", "reason phrase",
+        "protocol switch that was not requested", "field name", "field value", "folded line", "Content-Length",
+        "Transfer-Encoding", "Content-Length beside Transfer-Encoding"};
     return names.at(std::size_t(rule));
 }
 
@@ -110,6 +117,51 @@
     return text.size() > maximumSubjectBytes ? shown + "..." : shown;
 }
 
+// Returns the number that the text states, if it is one decimal number without a sign.
+auto parseLength(std::string_view text) -> std::optional<std::int64_t>
+{
+    auto length = std::int64_t(0);
+    const auto isDecimal = !text.empty() && std::all_of(text.begin(), text.end(), &isDigit);
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), length);
+    return isDecimal && parsed.ec == std::errc() ? std::optional(length) : std::nullopt;
+}
+
+// Returns the one length that a list of lengths states; nothing if an entry is malformed or differs from the others.
+auto parseLengthList(std::string_view list) -> std::optional<std::int64_t>
+{
+    auto common = std::optional<std::int64_t>();
+    for (auto start = std::size_t(0); start <= list.size();) {
+        const auto end = std::min(list.find(',', start), list.size());
+        const auto length = parseLength(trimBlanks(list.substr(start, end - start)));
+        if (!length || (common && *common != *length)) {
+            return std::nullopt;
+        }
+        common = length;
+        start = end + 1;
+    }
+    return common;
+}
+
+auto fieldsNamed(const std::vector<HeaderField> &fields, std::string_view name) -> std::vector<std::string_view>
+{
+    auto values = std::vector<std::string_view>();
+    for (const auto &field : fields) {
+        if (isSameFieldName(field.name_, name)) {
+            values.push_back(field.value_);
+        }
+    }
+    return values;
+}
+
+// Returns whether the fields state one length, however often.
+auto isOneLength(const std::vector<std::string_view> &values) -> bool
+{
+    const auto first = parseLengthList(values.front());
+    return first && std::all_of(values.begin(), values.end(), [&first](std::string_view value) {
+        return parseLengthList(value) == first;
+    });
+}
+
 } // namespace
 
 auto toString(const GrammarError &error) -> std::string
@@ -160,4 +212,23 @@
     return HeaderField {.name_ = std::string(lineName), .value_ = std::string(value)};
 }
 
+auto checkFraming(const StatusLine &statusLine, const std::vector<HeaderField> &fields) -> std::optional<GrammarError>
+{
+    const auto lengths = fieldsNamed(fields, lengthName);
+    const auto codings = fieldsNamed(fields, codingName);
+    if (!lengths.empty() && !codings.empty()) {
+        return GrammarError {.rule_ = GrammarRule::LengthAndCoding, .subject_ = codingName};
+    }
+    if (!lengths.empty() && !isOneLength(lengths)) {
+        return GrammarError {.rule_ = GrammarRule::ContentLength, .subject_ = lengthName};
+    }
+    // No request of this client asks for another coding, and HTTP/1.0 has none.
+    const auto isChunked
+        = codings.size() == 1 && isSameFieldName(codings.front(), "chunked") && statusLine.minorVersion_ > 0;
+    if (!codings.empty() && !isChunked) {
+        return GrammarError {.rule_ = GrammarRule::TransferEncoding, .subject_ = codingName};
+    }
+    return std::nullopt;
+}
+
 } // namespace jasminewood::http::internal
--- a/packages/http/src/response_grammar.h
+++ b/packages/http/src/response_grammar.h
@@ -31,6 +31,10 @@
     FieldValue,
     // A line that begins with white space, which continues the line before it in an obsolete form (RFC 9112, 5.2).
     LineFolding,
+    ContentLength,
+    TransferEncoding,
+    // A response has a length or a transfer coding, not both (RFC 9112, 6.3).
+    LengthAndCoding,
 };
 
 // A byte that may not stand where it does.
@@ -76,4 +80,8 @@
 // it.
 auto parseFieldLine(std::string_view line) -> std::variant<HeaderField, GrammarError>;
 
+// Checks that the fields of a response head leave no doubt about where its body ends (RFC 9112, 6.3). Several equal
+// lengths count as one.
+auto checkFraming(const StatusLine &statusLine, const std::vector<HeaderField> &fields) -> std::optional<GrammarError>;
+
 } // namespace jasminewood::http::internal
--- a/packages/http/src/response_head_reader.cpp
+++ b/packages/http/src/response_head_reader.cpp
@@ -32,10 +32,7 @@
     if (!content.empty()) {
         return readFieldLine(content);
     }
-    if (position_ == Position::Fields) {
-        endHead();
-    }
-    return std::nullopt;
+    return position_ == Position::Fields ? endHead() : std::nullopt;
 }
 
 auto ResponseHeadReader::isComplete() const -> bool
@@ -80,9 +77,14 @@
     return std::nullopt;
 }
 
-auto ResponseHeadReader::endHead() -> void
+auto ResponseHeadReader::endHead() -> std::optional<GrammarError>
 {
-    position_ = statusLine_->status_ < firstFinalStatus ? Position::StatusLine : Position::Trailer;
+    if (statusLine_->status_ < firstFinalStatus) {
+        position_ = Position::StatusLine;
+        return std::nullopt;
+    }
+    position_ = Position::Trailer;
+    return checkFraming(*statusLine_, fields_);
 }
 
 } // namespace jasminewood::http::internal
--- a/packages/http/src/response_head_reader.h
+++ b/packages/http/src/response_head_reader.h
@@ -40,7 +40,7 @@
 
     auto readStatusLine(std::string_view line) -> std::optional<GrammarError>;
     auto readFieldLine(std::string_view line) -> std::optional<GrammarError>;
-    auto endHead() -> void;
+    auto endHead() -> std::optional<GrammarError>;
 
     Position position_ = Position::StatusLine;
     // Of the head that was begun last.
--- a/packages/http/tests/malformed_response_test.cpp
+++ b/packages/http/tests/malformed_response_test.cpp
@@ -267,6 +267,70 @@
             }),
     }};
 
+// Returns a response with these lines in its head and this body.
+auto withFraming(const std::string &lines, const std::string &body) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\n" + lines + "\r\n" + body;
+}
+
+const testkit::TestSuite framing = {"a response",
+    {
+        section("whose fields leave the end of its body in doubt",
+            {
+                // Guards against a body that is cut, or one that another reader ends elsewhere.
+                test("is refused if its length is not one decimal number",
+                    [] {
+                        for (const auto *value :
+                            {"+4", "-4", "0x4", "4x", "4.0", "4 4", "", "4,5", "4, 5", "4,", "99999999999999999999"}) {
+                            checkRefused(withFraming("Content-Length: " + std::string(value) + "\r\n", "body"));
+                        }
+                    }),
+                test("is refused if it has two lengths that differ",
+                    [] {
+                        checkRefused({withFraming("Content-Length: 4\r\nContent-Length: 3\r\n", "body"),
+                            withFraming("Content-Length: 3\r\ncontent-length: 4\r\n", "body")});
+                    }),
+                test("is refused if it has a length and chunks",
+                    [] {
+                        checkRefused({withFraming("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "body"),
+                            withFraming(
+                                "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", "4\r\nbody\r\n0\r\n\r\n")});
+                    }),
+                // The client asks for no transfer coding, so "chunked" is the only one a peer may use.
+                test("is refused if it has a transfer coding other than chunks",
+                    [] {
+                        for (const auto *value : {"", "identity", "gzip", "gzip, chunked", "chunked, chunked",
+                                 "chunked, identity", "xchunked", "chunked;a=b"}) {
+                            checkRefused(withFraming(
+                                "Transfer-Encoding: " + std::string(value) + "\r\n", "4\r\nbody\r\n0\r\n\r\n"));
+                        }
+                        checkRefused(withFraming(
+                            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n"));
+                        checkRefused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+                    }),
+            }),
+        section("whose fields state the end of its body",
+            {
+                test("is taken with one length, the same length again, or chunks",
+                    [] {
+                        checkAccepted({withFraming("Content-Length: 4\r\n", "body"),
+                            withFraming("Content-Length:  0004 \r\n", "body"),
+                            withFraming("Content-Length: 4\r\nContent-Length: 4\r\n", "body"),
+                            withFraming("Content-Length: 4, 4\r\n", "body"),
+                            withFraming("Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n"),
+                            withFraming("transfer-encoding:Chunked\r\n", "4\r\nbody\r\n0\r\n\r\n")});
+                    }),
+                // Guards against a length in an interim head that ends the body of the response.
+                test("is taken whole, whatever the head of an interim response states",
+                    [] {
+                        checkAccepted({"HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\n\r\n"
+                                + withFraming("Content-Length: 4\r\n", "body"),
+                            "HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\n\r\n"
+                                + withFraming("Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n")});
+                    }),
+            }),
+    }};
+
 const testkit::TestSuite afterwards = {"after a malformed response",
     {
         // Guards against bytes behind the malformed head that are taken for the next response.
@@ -301,7 +365,8 @@
         // libcurl finds these itself, before it passes the line on.
         test("the failure says so too if libcurl refused it",
             [] {
-                for (const auto &response : {withStatusLine("HTTP/1.1 000 OK"), withHeadLine("X-Field")}) {
+                for (const auto &response : {withStatusLine("HTTP/1.1 000 OK"), withHeadLine("X-Field"),
+                         withFraming("Content-Length: x\r\n", "body")}) {
                     const auto peer = peerWithResponse(response);
                     const auto fetched = fetch({.url_ = peer->url()});
                     check(!fetched, "a fetch takes " + escaped(response));
