Take no cut response for complete if the connection breaks during an upload

What callers saw: an upstream answered an upload of 1 to 32 MB at once with a 200 that had no length, sent part of its body, ended its sending side and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: a body without a length or chunks ends with its connection. At the end of the data libcurl 7.88 gives up the rest of the upload ("we are done reading and this is set to close, stop send") and returns success, and it does not look for an error behind that end. A reset without an end before it was handled already: reading fails then, and the tests of it stay as guards.

Change: such a response is complete only if its connection ended without an error (RFC 9112, 8). As libcurl closes the socket, inspectConnection asks the kernel whether the peer has reset the connection and whether it has acknowledged all that was sent. interruptionOf decides: a reset, or a success while the request was not received whole, makes the response incomplete. A peer that has read a request has acknowledged it before the end of its response arrives, so a sound response never meets this. A refusal (status 300 or more) may end before the upload does.

What remains: a short upload that the peer's kernel has taken whole, whose end of data arrives and whose reset comes only after this side has closed, looks like a complete response on the wire.

--- a/packages/forward/tests/malformed_upstream_test.cpp
+++ b/packages/forward/tests/malformed_upstream_test.cpp
@@ -1,8 +1,11 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include "frontend_fixture.h"
 #include "jasminewood/testbench/raw_peer.h"
 #include "jasminewood/testkit/test_suite.h"
@@ -18,6 +21,7 @@
 {
 
 constexpr auto events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+constexpr std::size_t longUploadBytes = 3'000'000;
 
 // The fields by which a response is known as that of the request "r1".
 constexpr auto ownFields = "Genuine: 1\r\nRequest-Id: r1\r\n";
@@ -77,10 +81,14 @@
     });
 }
 
-auto send(const FrontendFixture &fixture, const std::string &path) -> Result<http::ClientResponse>
+auto send(const FrontendFixture &fixture, const std::string &path, const http::Body &body = {})
+    -> Result<http::ClientResponse>
 {
-    return http::fetch(
-        {.url_ = fixture.url(path), .headers_ = FrontendFixture::requestFields("r1"), .retryable_ = false});
+    return http::fetch({.method_ = body.empty() ? "GET" : "POST",
+        .url_ = fixture.url(path),
+        .headers_ = FrontendFixture::requestFields("r1"),
+        .body_ = body,
+        .retryable_ = false});
 }
 
 const testkit::TestSuite malformedHeads = {"an upstream that sends malformed heads",
@@ -150,4 +158,33 @@
             }),
     }};
 
+const testkit::TestSuite cutResponses = {"an upstream that resets the connection in an early response to an upload",
+    {
+        // Guards against a part of a response that is taken for the whole.
+        test("has its caller answered with 502 or a response of another upstream",
+            [] {
+                for (const auto delay : {0ms, 1ms, 10ms, 50ms}) {
+                    for (const auto finishesFirst : {false, true}) {
+                        auto fixture = FrontendFixture();
+                        const auto upstream = testbench::RawServer([delay, finishesFirst](int socket) {
+                            testbench::readUntil(socket, "\r\n\r\n");
+                            testbench::sendText(socket, "HTTP/1.1 200 OK\r\n" + std::string(ownFields) + "\r\npart");
+                            std::this_thread::sleep_for(delay);
+                            if (finishesFirst) {
+                                shutdown(socket, SHUT_WR);
+                            }
+                            testbench::resetConnection(socket);
+                        });
+                        fixture.registerUpstream("a", upstream.address(), "ready");
+                        const auto upload = http::Body(std::string(longUploadBytes, 'u'));
+                        const auto only = send(fixture, "/once/", upload);
+                        check(only && only->status_ == 502, only ? std::to_string(only->status_) : "no response");
+                        addSoundUpstream(fixture, "b");
+                        const auto retried = send(fixture, "/again/", upload);
+                        check(retried && retried->status_ == 200 && retried->body_ == events);
+                    }
+                }
+            }),
+    }};
+
 } // namespace
--- a/packages/http/src/response_grammar.cpp
+++ b/packages/http/src/response_grammar.cpp
@@ -231,4 +231,9 @@
     return std::nullopt;
 }
 
+auto hasFraming(const std::vector<HeaderField> &fields) -> bool
+{
+    return !fieldsNamed(fields, lengthName).empty() || !fieldsNamed(fields, codingName).empty();
+}
+
 } // namespace jasminewood::http::internal
--- a/packages/http/src/response_grammar.h
+++ b/packages/http/src/response_grammar.h
@@ -84,4 +84,7 @@
 // lengths count as one.
 auto checkFraming(const StatusLine &statusLine, const std::vector<HeaderField> &fields) -> std::optional<GrammarError>;
 
+// Returns whether the fields state a length or a transfer coding.
+auto hasFraming(const std::vector<HeaderField> &fields) -> bool;
+
 } // namespace jasminewood::http::internal
--- a/packages/http/src/response_head_reader.cpp
+++ b/packages/http/src/response_head_reader.cpp
@@ -11,6 +11,8 @@
 
 constexpr int firstFinalStatus = 200;
 constexpr int switchingProtocols = 101;
+constexpr int noContent = 204;
+constexpr int notModified = 304;
 
 auto withoutTerminator(std::string_view line) -> std::string_view
 {
@@ -50,6 +52,12 @@
     return fields_;
 }
 
+auto ResponseHeadReader::bodyEndsWithConnection() const -> bool
+{
+    const auto hasNoBody = status() == noContent || status() == notModified;
+    return !hasNoBody && !hasFraming(fields_);
+}
+
 auto ResponseHeadReader::readStatusLine(std::string_view line) -> std::optional<GrammarError>
 {
     const auto parsed = parseStatusLine(line);
--- a/packages/http/src/response_head_reader.h
+++ b/packages/http/src/response_head_reader.h
@@ -29,6 +29,10 @@
     // Returns the fields of the head that was begun last, without those of the trailer.
     auto fields() const -> const std::vector<HeaderField> &;
 
+    // Returns whether the body, if the request's method allows one, ends with the connection. Valid once the final head
+    // is complete.
+    auto bodyEndsWithConnection() const -> bool;
+
 private:
     enum class Position : std::uint8_t
     {
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -157,6 +157,12 @@
     return 0;
 }
 
+auto Transfer::onSocketClose(void *transfer, curl_socket_t socket) -> int
+{
+    static_cast<Transfer *>(transfer)->connectionEnd_.emplace(inspectConnection(socket));
+    return close(socket);
+}
+
 auto Transfer::resetCancellation() -> void
 {
     auto count = eventfd_t(0);
@@ -274,6 +280,8 @@
     curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, request.ownConnection_ ? 1L : 0L);
     curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, long(request.connectTimeout_.count()));
     curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, long(request.timeout_.count()));
+    curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION, &Transfer::onSocketClose);
+    curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &Transfer::onConnected);
     curl_easy_setopt(easy_, CURLOPT_PREREQDATA, progress_.get());
     curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &Transfer::onHeaderLine);
@@ -312,14 +320,34 @@
     return "";
 }
 
-auto Transfer::failure(CURLcode code) const -> Failure
+auto Transfer::uploadState() const -> UploadState
+{
+    auto sentBytes = curl_off_t(0);
+    curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+    return std::size_t(sentBytes) < progress_->request_.body_.size() ? UploadState::Abandoned : UploadState::Complete;
+}
+
+auto Transfer::incompleteness() const -> std::string
+{
+    // libcurl returns success if the peer closes the connection after the status line, before the end of the head.
+    if (!progress_->fieldsDelivered_) {
+        return "the response ended inside its head";
+    }
+    const auto isUnframed = progress_->request_.method_ != "HEAD" && progress_->head_.bodyEndsWithConnection();
+    if (!isUnframed || !connectionEnd_) {
+        return "";
+    }
+    return std::string(interruptionOf(progress_->head_.status(), uploadState(), *connectionEnd_).value_or(""));
+}
+
+auto Transfer::failure(CURLcode code, const std::string &incompleteness) const -> Failure
 {
     const auto cancelled = cancelled_ || progress_->dataRejected_;
     const auto limit = exceededLimit();
     const auto &grammarError = progress_->grammarError_;
     const auto reason = !limit.empty() ? limit
         : grammarError                 ? toString(*grammarError)
-        : code == CURLE_OK             ? "the response ended inside its head"
+        : code == CURLE_OK             ? incompleteness
                                        : reasonOf(code, progress_->errorText_.data());
     return Failure {.step_ = cancelled ? "cancel" : stepOf(code, progress_->connected_),
         .peer_ = peerOf(progress_->request_.url_),
@@ -331,6 +359,7 @@
 {
     progress_ = std::make_unique<Progress>(
         Progress {.request_ = request, .onFields_ = std::move(onFields), .onData_ = std::move(onData), .easy_ = easy_});
+    connectionEnd_.reset();
     configure(request);
     curl_multi_add_handle(multi_, easy_);
     timerAt_ = Clock::now();
@@ -438,13 +467,13 @@
 auto Transfer::end() -> Result<int>
 {
     const auto code = progress_->result_.value_or(CURLE_ABORTED_BY_CALLBACK);
+    const auto incompleteReason = code == CURLE_OK ? incompleteness() : "";
     idleSocket_ = CURL_SOCKET_BAD;
     curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &idleSocket_);
     curl_multi_remove_handle(multi_, easy_);
     curl_easy_reset(easy_);
-    // libcurl returns success if the peer closes the connection after the status line, before the end of the head.
-    const auto isComplete = code == CURLE_OK && progress_->fieldsDelivered_;
-    auto outcome = isComplete ? Result<int>(progress_->head_.status()) : Result<int>(failure(code));
+    const auto isComplete = code == CURLE_OK && incompleteReason.empty();
+    auto outcome = isComplete ? Result<int>(progress_->head_.status()) : Result<int>(failure(code, incompleteReason));
     updateUsableUntil();
     progress_.reset();
     return outcome;
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -12,6 +12,7 @@
 #include <curl/curl.h>
 #include <poll.h>
 
+#include "connection_end.h"
 #include "jasminewood/http/client.h"
 #include "response_head_reader.h"
 
@@ -108,12 +109,18 @@
     static auto onSocketChange(CURL *easy, curl_socket_t socket, int events, void *transfer, void *) -> int;
     // Called by libcurl with the time after which it is to be called next; -1 for none.
     static auto onTimerChange(CURLM *multi, long timeoutMs, void *transfer) -> int;
+    // Called by libcurl to close a socket.
+    static auto onSocketClose(void *transfer, curl_socket_t socket) -> int;
     static auto onConnected(void *progress, char *, char *, int, int) -> int;
     static auto onHeaderLine(char *data, std::size_t size, std::size_t count, void *progress) -> std::size_t;
     static auto onBody(char *data, std::size_t size, std::size_t count, void *progress) -> std::size_t;
 
     auto configure(const ClientRequest &request) -> void;
-    auto failure(CURLcode code) const -> Failure;
+    // Returns the failure of the call; the reason, unless it is empty, replaces that of the code.
+    auto failure(CURLcode code, const std::string &incompleteness) const -> Failure;
+    // Returns why a response that libcurl takes for complete is not; empty if it is.
+    auto incompleteness() const -> std::string;
+    auto uploadState() const -> UploadState;
     // Returns which limit the response exceeds; empty if none.
     auto exceededLimit() const -> std::string;
     // Lets libcurl act on the events that were found at a socket; on its timers if there is none. Records the result if
@@ -142,6 +149,8 @@
     TimePoint usableUntil_;
     // The socket of the last call; CURL_SOCKET_BAD if it is closed.
     curl_socket_t idleSocket_ = CURL_SOCKET_BAD;
+    // How the connection that was closed last stood; empty if none was closed during the last call.
+    std::optional<ConnectionEnd> connectionEnd_;
     std::atomic<bool> cancelled_ = false;
 };
 
