Use a new libcurl handle for each call: a folded first line ended the process

What callers saw: a replica in trouble sent a response whose first field line began with a blank, on a connection that had carried another response, and the router's process ended; its callers' connections were closed or refused until it was back.

Cause: libcurl 7.88 appends a folded line to the field before it and keeps a pointer to that field in the handle. A handle that is used again (curl_easy_reset() does not clear the pointer) still has that of the response before, whose memory it has freed. It does so before the product's check of the line is called.

Change: each call has a handle of its own. Connections belong to the multi handle, so they are reused as before.

--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "call_failure.h"
 #include "jasminewood/http/hang_up.h"
 
 namespace jasminewood::http::internal
@@ -70,34 +71,6 @@
     return text;
 }
 
-auto stepOf(CURLcode code, bool connected) -> std::string
-{
-    if (!connected) {
-        return "connect";
-    }
-    switch (code) {
-    case CURLE_OPERATION_TIMEDOUT:
-        return "timeout";
-    case CURLE_SEND_ERROR:
-    case CURLE_SEND_FAIL_REWIND:
-        return "send";
-    default:
-        return "receive";
-    }
-}
-
-// Returns the reason for a failure. The text of libcurl says which part of a malformed response it refused; for other
-// failures it holds times and numbers, which would make equal failures differ.
-auto reasonOf(CURLcode code, const std::string &errorText) -> std::string
-{
-    const auto isMalformed = code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY;
-    if (isMalformed && !errorText.empty()) {
-        return "malformed response: " + errorText;
-    }
-    return code == CURLE_ABORTED_BY_CALLBACK ? "the peer closed a kept connection without an answer"
-                                             : curl_easy_strerror(code);
-}
-
 // Returns the events of poll() for those that libcurl wants to know of.
 auto pollEvents(int curlEvents) -> short
 {
@@ -117,7 +90,6 @@
 
 Transfer::Transfer()
     : multi_(curl_multi_init())
-    , easy_(curl_easy_init())
 {
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &Transfer::onSocketChange);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
@@ -130,7 +102,6 @@
     if (progress_) {
         static_cast<void>(end());
     }
-    curl_easy_cleanup(easy_);
     curl_multi_cleanup(multi_);
     if (cancelDescriptor_ >= 0) {
         close(cancelDescriptor_);
@@ -182,7 +153,7 @@
 auto Transfer::connectionReused() const -> bool
 {
     auto newConnections = 0L;
-    curl_easy_getinfo(easy_, CURLINFO_NUM_CONNECTS, &newConnections);
+    curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &newConnections);
     return newConnections == 0;
 }
 
@@ -268,43 +239,43 @@
 auto Transfer::configure(const ClientRequest &request) -> void
 {
     headers_.reset(headerList(request));
-    curl_easy_reset(easy_);
-    curl_easy_setopt(easy_, CURLOPT_URL, request.url_.c_str());
-    curl_easy_setopt(easy_, CURLOPT_ERRORBUFFER, progress_->errorText_.data());
-    curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy_, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
-    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers_.get());
-    curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN, maximumIdleSeconds);
-    curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, request.ownConnection_ ? 1L : 0L);
-    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, long(request.connectTimeout_.count()));
-    curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, long(request.timeout_.count()));
-    curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION, &Transfer::onSocketClose);
-    curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, this);
-    curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &Transfer::onConnected);
-    curl_easy_setopt(easy_, CURLOPT_PREREQDATA, progress_.get());
-    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &Transfer::onHeaderLine);
-    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, progress_.get());
-    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
-    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, progress_.get());
+    easy_.reset(curl_easy_init());
+    curl_easy_setopt(easy_.get(), CURLOPT_URL, request.url_.c_str());
+    curl_easy_setopt(easy_.get(), CURLOPT_ERRORBUFFER, progress_->errorText_.data());
+    curl_easy_setopt(easy_.get(), CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy_.get(), CURLOPT_PROXY, "");
+    curl_easy_setopt(easy_.get(), CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy_.get(), CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy_.get(), CURLOPT_HTTPHEADER, headers_.get());
+    curl_easy_setopt(easy_.get(), CURLOPT_MAXAGE_CONN, maximumIdleSeconds);
+    curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, request.ownConnection_ ? 1L : 0L);
+    curl_easy_setopt(easy_.get(), CURLOPT_CONNECTTIMEOUT_MS, long(request.connectTimeout_.count()));
+    curl_easy_setopt(easy_.get(), CURLOPT_TIMEOUT_MS, long(request.timeout_.count()));
+    curl_easy_setopt(easy_.get(), CURLOPT_CLOSESOCKETFUNCTION, &Transfer::onSocketClose);
+    curl_easy_setopt(easy_.get(), CURLOPT_CLOSESOCKETDATA, this);
+    curl_easy_setopt(easy_.get(), CURLOPT_PREREQFUNCTION, &Transfer::onConnected);
+    curl_easy_setopt(easy_.get(), CURLOPT_PREREQDATA, progress_.get());
+    curl_easy_setopt(easy_.get(), CURLOPT_HEADERFUNCTION, &Transfer::onHeaderLine);
+    curl_easy_setopt(easy_.get(), CURLOPT_HEADERDATA, progress_.get());
+    curl_easy_setopt(easy_.get(), CURLOPT_WRITEFUNCTION, &Transfer::onBody);
+    curl_easy_setopt(easy_.get(), CURLOPT_WRITEDATA, progress_.get());
     if (!request.requestTarget_.empty()) {
-        curl_easy_setopt(easy_, CURLOPT_REQUEST_TARGET, request.requestTarget_.c_str());
+        curl_easy_setopt(easy_.get(), CURLOPT_REQUEST_TARGET, request.requestTarget_.c_str());
     }
     if (request.deadPeerTimeout_.count() > 0) {
         constexpr long probeSeconds = 1;
-        curl_easy_setopt(easy_, CURLOPT_TCP_KEEPALIVE, 1L);
-        curl_easy_setopt(easy_, CURLOPT_TCP_KEEPIDLE, probeSeconds);
-        curl_easy_setopt(easy_, CURLOPT_TCP_KEEPINTVL, probeSeconds);
-        curl_easy_setopt(easy_, CURLOPT_SOCKOPTFUNCTION, &setUserTimeout);
-        curl_easy_setopt(easy_, CURLOPT_SOCKOPTDATA, &request.deadPeerTimeout_);
+        curl_easy_setopt(easy_.get(), CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(easy_.get(), CURLOPT_TCP_KEEPIDLE, probeSeconds);
+        curl_easy_setopt(easy_.get(), CURLOPT_TCP_KEEPINTVL, probeSeconds);
+        curl_easy_setopt(easy_.get(), CURLOPT_SOCKOPTFUNCTION, &setUserTimeout);
+        curl_easy_setopt(easy_.get(), CURLOPT_SOCKOPTDATA, &request.deadPeerTimeout_);
     }
     if (request.method_ == "HEAD") {
-        curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+        curl_easy_setopt(easy_.get(), CURLOPT_NOBODY, 1L);
     } else if (request.method_ != "GET" || !request.body_.empty()) {
-        curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request.body_.data());
-        curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE, curl_off_t(request.body_.size()));
-        curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request.method_.c_str());
+        curl_easy_setopt(easy_.get(), CURLOPT_POSTFIELDS, request.body_.data());
+        curl_easy_setopt(easy_.get(), CURLOPT_POSTFIELDSIZE_LARGE, curl_off_t(request.body_.size()));
+        curl_easy_setopt(easy_.get(), CURLOPT_CUSTOMREQUEST, request.method_.c_str());
     }
 }
 
@@ -323,7 +294,7 @@
 auto Transfer::uploadState() const -> UploadState
 {
     auto sentBytes = curl_off_t(0);
-    curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+    curl_easy_getinfo(easy_.get(), CURLINFO_SIZE_UPLOAD_T, &sentBytes);
     return std::size_t(sentBytes) < progress_->request_.body_.size() ? UploadState::Abandoned : UploadState::Complete;
 }
 
@@ -348,8 +319,8 @@
     const auto reason = !limit.empty() ? limit
         : grammarError                 ? toString(*grammarError)
         : code == CURLE_OK             ? incompleteness
-                                       : reasonOf(code, progress_->errorText_.data());
-    return Failure {.step_ = cancelled ? "cancel" : stepOf(code, progress_->connected_),
+                                       : failureReason(code, progress_->errorText_.data());
+    return Failure {.step_ = cancelled ? "cancel" : failedStep(code, progress_->connected_),
         .peer_ = peerOf(progress_->request_.url_),
         .reason_ = cancelled ? "the call was cancelled" : reason,
         .runState_ = progress_->connected_ ? RunState::MayHaveRun : RunState::NotRun};
@@ -358,10 +329,10 @@
 auto Transfer::begin(const ClientRequest &request, FieldsCallback onFields, DataCallback onData) -> void
 {
     progress_ = std::make_unique<Progress>(
-        Progress {.request_ = request, .onFields_ = std::move(onFields), .onData_ = std::move(onData), .easy_ = easy_});
+        Progress {.request_ = request, .onFields_ = std::move(onFields), .onData_ = std::move(onData)});
     connectionEnd_.reset();
     configure(request);
-    curl_multi_add_handle(multi_, easy_);
+    curl_multi_add_handle(multi_, easy_.get());
     timerAt_ = Clock::now();
 }
 
@@ -469,9 +440,9 @@
     const auto code = progress_->result_.value_or(CURLE_ABORTED_BY_CALLBACK);
     const auto incompleteReason = code == CURLE_OK ? incompleteness() : "";
     idleSocket_ = CURL_SOCKET_BAD;
-    curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &idleSocket_);
-    curl_multi_remove_handle(multi_, easy_);
-    curl_easy_reset(easy_);
+    curl_easy_getinfo(easy_.get(), CURLINFO_ACTIVESOCKET, &idleSocket_);
+    curl_multi_remove_handle(multi_, easy_.get());
+    easy_.reset();
     const auto isComplete = code == CURLE_OK && incompleteReason.empty();
     auto outcome = isComplete ? Result<int>(progress_->head_.status()) : Result<int>(failure(code, incompleteReason));
     updateUsableUntil();
--- a/packages/http/src/transfer.h
+++ b/packages/http/src/transfer.h
@@ -86,7 +86,6 @@
         const ClientRequest &request_;
         const FieldsCallback onFields_;
         const DataCallback onData_;
-        CURL *easy_ = nullptr;
         ResponseHeadReader head_ = {};
         // Why the response is refused; empty if it is well-formed so far.
         std::optional<GrammarError> grammarError_ = std::nullopt;
@@ -103,6 +102,7 @@
         bool hungUpBeforeSend_ = false;
     };
 
+    using EasyHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
     using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
     // Called by libcurl when a socket is to be watched for other events, or not any more.
@@ -136,7 +136,10 @@
     auto updateUsableUntil() -> void;
 
     CURLM *const multi_;
-    CURL *const easy_;
+    // The handle of the current call. Each call has its own: one that is used again makes libcurl 7.88 append a folded
+    // first line of a head to the last field of the response before, which it has freed. The connections belong to
+    // multi_.
+    EasyHandle easy_ = {nullptr, &curl_easy_cleanup};
     // The sockets that libcurl wants to be watched, and when it wants to be called at the latest.
     std::vector<pollfd> sockets_;
     TimePoint timerAt_ = TimePoint::max();
--- a/packages/http/tests/malformed_response_test.cpp
+++ b/packages/http/tests/malformed_response_test.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include <malloc.h>
+
 #include "jasminewood/http/client.h"
 #include "jasminewood/testbench/raw_peer.h"
 #include "jasminewood/testkit/test_suite.h"
@@ -331,6 +333,52 @@
             }),
     }};
 
+// Makes malloc() and free() overwrite memory with this byte, so that any use of freed memory ends the program.
+class OverwrittenMemory
+{
+public:
+    OverwrittenMemory()
+    {
+        mallopt(M_PERTURB, 0xa5);
+    }
+
+    ~OverwrittenMemory()
+    {
+        mallopt(M_PERTURB, 0);
+    }
+
+    OverwrittenMemory(const OverwrittenMemory &) = delete;
+    auto operator=(const OverwrittenMemory &) -> OverwrittenMemory & = delete;
+};
+
+const testkit::TestSuite keptConnections = {"a response on a kept connection",
+    {
+        section("whose first field begins with a space",
+            {
+                // Guards against the end of the process. libcurl 7.88 appends such a line to the last field of the
+                // response before, whose memory is free by then.
+                test("is refused, and the process goes on",
+                    [] {
+                        const auto memory = OverwrittenMemory();
+                        for (const auto &line :
+                            {std::string(" X-Field: a"), " " + std::string(4'000, 'a'), std::string("\ta")}) {
+                            const auto peer = RawServer([line](int socket) {
+                                readUntil(socket, "\r\n\r\n");
+                                sendText(socket, withHeadLine("X-Last: " + std::string(100, 'a')));
+                                readUntil(socket, "\r\n\r\n");
+                                sendText(socket, "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody");
+                                readUntil(socket, "\r\n\r\n");
+                            });
+                            check(bool(fetch({.url_ = peer.url()})));
+                            const auto second = fetch({.method_ = "POST", .url_ = peer.url(), .timeout_ = 10s});
+                            check(!second, "a fetch takes " + escaped(line));
+                            check(second.failure().reason_.starts_with("malformed response: "),
+                                toString(second.failure()));
+                        }
+                    }),
+            }),
+    }};
+
 const testkit::TestSuite afterwards = {"after a malformed response",
     {
         // Guards against bytes behind the malformed head that are taken for the next response.
