--- a/packages/http/include/jasminewood/http/client.h
+++ b/packages/http/include/jasminewood/http/client.h
@@ -21,10 +21,11 @@
 //     if (response && response->status_ == 200) { ... }
 //
 // A failure has step "connect", "send", "receive", "timeout" or "cancel" and the peer HOST:PORT. A response that
-// exceeds maximumHeadBytes or the request's maximumBodyBytes_ fails with step "receive". Its run state is NotRun only
-// if the connection was never established, else MayHaveRun. Connections are reused. An idle one is kept for 3 s, or
-// for a second less than the peer's Keep-Alive field says, at most 60 s. If a reused connection closes without a
-// response, libcurl sends the request again if it is retryable_; any other request fails.
+// exceeds maximumHeadBytes or the request's maximumBodyBytes_, or is malformed (RFC 9110, RFC 9112), fails with step
+// "receive". The run state of a failure is NotRun only if the connection was never established, else MayHaveRun.
+// Connections are reused. An idle one is kept for 3 s, or for a second less than the peer's Keep-Alive field says, at
+// most 60 s. If a reused connection closes without a response, libcurl sends the request again if it is retryable_; any
+// other request fails.
 
 namespace jasminewood::http
 {
--- a/packages/http/src/response_grammar.cpp
+++ b/packages/http/src/response_grammar.cpp
@@ -17,10 +17,10 @@
 namespace
 {
 
-constexpr std::string_view versionPrefix = "HTTP/1.";
-constexpr std::size_t versionBytes = versionPrefix.size() + 1;
-constexpr std::size_t statusCodeStart = versionBytes + 1;
-constexpr std::size_t statusCodeEnd = statusCodeStart + 3;
+// A status line up to its reason phrase; '#' stands for a digit.
+constexpr std::string_view statusLinePattern = "HTTP/1.# ###";
+constexpr std::size_t minorVersionOffset = 7;
+constexpr std::size_t statusCodeOffset = 9;
 constexpr auto lengthName = "Content-Length";
 constexpr auto codingName = "Transfer-Encoding";
 // Longer subjects are cut in messages, in bytes.
@@ -57,7 +57,7 @@
     return first == std::string_view::npos ? std::string_view() : text.substr(first, last - first + 1);
 }
 
-// Returns the error for the byte of the text at the offset, or for its missing if the text ends there.
+// Returns the error for the byte of the text at the offset; it names no byte if the text ends there.
 auto errorAt(GrammarRule rule, std::string_view subject, std::string_view text, std::size_t offset) -> GrammarError
 {
     if (offset >= text.size()) {
@@ -68,34 +68,15 @@
         .invalidByte_ = InvalidByte {.byte_ = static_cast<unsigned char>(text[offset]), .offset_ = offset}};
 }
 
-// Returns the offset of the first byte that breaks the version, which a space must follow; versionBytes + 1 if none
-// does.
-auto versionMismatch(std::string_view line) -> std::size_t
+auto fitsPattern(char letter, char pattern) -> bool
 {
-    const auto prefix = line.substr(0, versionPrefix.size());
-    const auto [inLine, inPrefix] = std::mismatch(prefix.begin(), prefix.end(), versionPrefix.begin());
-    auto offset = std::size_t(inLine - prefix.begin());
-    if (offset == versionPrefix.size() && line.size() > offset && isDigit(line[offset])) {
-        ++offset;
-    }
-    if (offset == versionBytes && line.size() > offset && line[offset] == ' ') {
-        ++offset;
-    }
-    return offset;
+    return pattern == '#' ? isDigit(letter) : letter == pattern;
 }
 
-// Returns the offset of the first byte that breaks the status code; statusCodeEnd if none does.
-auto statusCodeMismatch(std::string_view line) -> std::size_t
+// Returns whether the first digit of a status code is one of the five classes of responses.
+auto isResponseClass(char digit) -> bool
 {
-    auto offset = statusCodeStart;
-    // The first digit is the class of the response, from 1 to 5.
-    if (line.size() <= offset || line[offset] < '1' || line[offset] > '5') {
-        return offset;
-    }
-    while (offset < statusCodeEnd && offset < line.size() && isDigit(line[offset])) {
-        ++offset;
-    }
-    return offset;
+    return digit >= '1' && digit <= '5';
 }
 
 auto ruleName(GrammarRule rule) -> std::string_view
@@ -142,7 +123,7 @@
     return common;
 }
 
-auto fieldsNamed(const std::vector<HeaderField> &fields, std::string_view name) -> std::vector<std::string_view>
+auto valuesOf(const std::vector<HeaderField> &fields, std::string_view name) -> std::vector<std::string_view>
 {
     auto values = std::vector<std::string_view>();
     for (const auto &field : fields) {
@@ -176,22 +157,28 @@
 
 auto parseStatusLine(std::string_view line) -> std::variant<StatusLine, GrammarError>
 {
-    if (const auto offset = versionMismatch(line); offset < statusCodeStart) {
-        return errorAt(GrammarRule::HttpVersion, line, line, offset);
+    const auto start = line.substr(0, statusLinePattern.size());
+    const auto misfit = std::mismatch(start.begin(), start.end(), statusLinePattern.begin(), &fitsPattern).first;
+    const auto fittingBytes = std::size_t(misfit - start.begin());
+    if (fittingBytes < statusLinePattern.size()) {
+        const auto rule = fittingBytes < statusCodeOffset ? GrammarRule::HttpVersion : GrammarRule::StatusCode;
+        return errorAt(rule, line, line, fittingBytes);
     }
-    if (const auto offset = statusCodeMismatch(line); offset < statusCodeEnd) {
-        return errorAt(GrammarRule::StatusCode, line, line, offset);
+    if (!isResponseClass(line[statusCodeOffset])) {
+        return errorAt(GrammarRule::StatusCode, line, line, statusCodeOffset);
     }
-    if (line.size() > statusCodeEnd && line[statusCodeEnd] != ' ') {
-        return errorAt(GrammarRule::StatusCode, line, line, statusCodeEnd);
+    const auto rest = line.substr(statusLinePattern.size());
+    if (!rest.empty() && rest.front() != ' ') {
+        return errorAt(GrammarRule::StatusCode, line, line, statusLinePattern.size());
     }
-    const auto invalid = std::find_if_not(line.begin() + statusCodeEnd, line.end(), &isTextCharacter);
-    if (invalid != line.end()) {
-        return errorAt(GrammarRule::ReasonPhrase, line, line, std::size_t(invalid - line.begin()));
+    const auto invalid = std::find_if_not(rest.begin(), rest.end(), &isTextCharacter);
+    if (invalid != rest.end()) {
+        const auto offset = statusLinePattern.size() + std::size_t(invalid - rest.begin());
+        return errorAt(GrammarRule::ReasonPhrase, line, line, offset);
     }
     auto status = 0;
-    std::from_chars(line.data() + statusCodeStart, line.data() + statusCodeEnd, status);
-    return StatusLine {.minorVersion_ = line[versionPrefix.size()] - '0', .status_ = status};
+    std::from_chars(line.data() + statusCodeOffset, line.data() + statusLinePattern.size(), status);
+    return StatusLine {.minorVersion_ = line[minorVersionOffset] - '0', .status_ = status};
 }
 
 auto parseFieldLine(std::string_view line) -> std::variant<HeaderField, GrammarError>
@@ -214,8 +201,8 @@
 
 auto checkFraming(const StatusLine &statusLine, const std::vector<HeaderField> &fields) -> std::optional<GrammarError>
 {
-    const auto lengths = fieldsNamed(fields, lengthName);
-    const auto codings = fieldsNamed(fields, codingName);
+    const auto lengths = valuesOf(fields, lengthName);
+    const auto codings = valuesOf(fields, codingName);
     if (!lengths.empty() && !codings.empty()) {
         return GrammarError {.rule_ = GrammarRule::LengthAndCoding, .subject_ = codingName};
     }
@@ -233,7 +220,7 @@
 
 auto hasFraming(const std::vector<HeaderField> &fields) -> bool
 {
-    return !fieldsNamed(fields, lengthName).empty() || !fieldsNamed(fields, codingName).empty();
+    return !valuesOf(fields, lengthName).empty() || !valuesOf(fields, codingName).empty();
 }
 
 } // namespace jasminewood::http::internal
