--- a/packages/forward/tests/malformed_upstream_test.cpp
+++ b/packages/forward/tests/malformed_upstream_test.cpp
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -26,17 +27,21 @@
 // The fields by which a response is known as that of the request "r1".
 constexpr auto ownFields = "Genuine: 1\r\nRequest-Id: r1\r\n";
 
-constexpr auto restOfResponse
-    = "Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+// Returns the lines behind a malformed one, and the body.
+auto restOfResponse() -> std::string
+{
+    return "Content-Type: text/event-stream\r\nContent-Length: " + std::to_string(std::string_view(events).size())
+        + "\r\n\r\n" + events;
+}
 
 auto withStatusLine(const std::string &line) -> std::string
 {
-    return line + "\r\n" + ownFields + restOfResponse;
+    return line + "\r\n" + ownFields + restOfResponse();
 }
 
 auto withFieldName(const std::string &name) -> std::string
 {
-    return "HTTP/1.1 200 OK\r\n" + std::string(ownFields) + name + ": a\r\n" + restOfResponse;
+    return "HTTP/1.1 200 OK\r\n" + std::string(ownFields) + name + ": a\r\n" + restOfResponse();
 }
 
 // Responses that a client must not get.
@@ -158,6 +163,23 @@
             }),
     }};
 
+const testkit::TestSuite malformedTrailers = {"an upstream that sends a malformed trailer",
+    {
+        // Guards against a response that looks complete to its caller although its end is broken.
+        test("has no response and no stream passed on as complete",
+            [] {
+                for (const auto *type : {"text/plain", "text/event-stream"}) {
+                    auto fixture = FrontendFixture();
+                    const auto upstream = RawUpstream(fixture, "a",
+                        "HTTP/1.1 200 OK\r\n" + std::string(ownFields) + "Content-Type: " + type
+                            + "\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\nX Field: "
+                              "a\r\n\r\n");
+                    const auto response = send(fixture, type == std::string("text/plain") ? "/once/" : "/stream/");
+                    check(!response || response->status_ == 502, type);
+                }
+            }),
+    }};
+
 const testkit::TestSuite cutResponses = {"an upstream that resets the connection in an early response to an upload",
     {
         // Guards against a part of a response that is taken for the whole.
