Answer every request that has run, however long its head is

Cause: libmicrohttpd takes an entry for each field, cookie and parameter of a request, and then the head of its response, from one block of fixed size for each connection. Whether the response has room shows only after the handler has run. Ruled out: a limit on the number of fields (the count at which it fails depends on the response and on what else takes memory), and the replica or the forwarding (a handler that returns a constant loses requests as well). A larger block is no way out: it is cleared after each response, so all of it is resident for each kept connection (measured: 651 KB each with a block of 640 KB, which legal heads need).

Evidence: http_test "a request with a long head, inside the limit, on a connection that stays open", "a request whose head exceeds the limit" and "requests with long heads that are handled at the same time": 9 of 9 failed on (lost at 934 fields, 932 with a body, 906 cookies, 510 fields with requests behind, 800 fields and a response of 4,000), none fails now.

Change: the server reads requests with the parser of Boost.Beast (Debian's libboost-dev) into memory that grows up to the limit of the head, and writes responses from memory of their own; libmicrohttpd is gone. server.cpp (730 lines) and connection.cpp are split: the listener, the registry of connections, the connection's task, heads, bodies, refusals and responses are modules of their own. Since all heads within the limit are served now, a head that takes more than 64 KB while it is handled reserves that from the memory for bodies, and is refused with 503 as not run if there is none.

--- a/packages/http/include/jasminewood/http/server.h
+++ b/packages/http/include/jasminewood/http/server.h
@@ -18,7 +18,7 @@
 #include "jasminewood/core/result.h"
 #include "jasminewood/http/body.h"
 
-// An HTTP/1.1 server with one thread for each connection, over libmicrohttpd.
+// An HTTP/1.1 server with one thread for each connection. Requests are parsed by Boost.Beast.
 //
 //     const auto server = http::Server::start({.port_ = 8080}, [](const http::Request &request) -> http::Response {
 //         return http::BufferedResponse {.status_ = 200, .body_ = request.path_};
@@ -136,7 +136,7 @@
 // and the connection of its caller can be kept if the handler refuses the request.
 constexpr std::size_t uncheckedBodyBytes = std::size_t(16) * 1024;
 
-// The memory of a connection, which its request line and header fields must fit in.
+// The longest head (request line and header fields) that any limit allows, in bytes.
 constexpr std::size_t maximumHeaderBytes = std::size_t(64) * 1024;
 
 struct ServerOptions
@@ -146,8 +146,8 @@
     const std::uint16_t port_ = 0;
     // A larger body is rejected with status 413 and the handler is not called.
     const std::size_t maximumBodyBytes_ = std::size_t(4) << 20U;
-    // What all bodies together may hold in memory, in bytes; at least two bodies of the largest size. A body for which
-    // there is none is refused with status 503 and the handler is not called.
+    // What all bodies, and heads with very many fields, together may hold in memory, in bytes; at least two bodies of
+    // the largest size. A request for which there is none is refused with status 503 and the handler is not called.
     const std::size_t maximumBodyMemory_ = std::size_t(32) << 20U;
     const unsigned maximumConnections_ = 4096;
     // A connection without a request in progress is closed after this time. A caller that accepts no data for this time
@@ -188,7 +188,7 @@
     BodyTooLarge,
     // The request line and the header fields exceed the limit.
     HeadTooLarge,
-    // There is no memory for the body.
+    // There is no memory for the body, or for a head with very many fields.
     NoBodyMemory,
     // The body made no progress while memory was short.
     BodyStalled,
@@ -256,7 +256,7 @@
     // Returns the number of open connections. At ServerOptions::maximumConnections_ each new one is closed at once.
     auto connectionCount() const -> unsigned;
 
-    // Returns the memory that the bodies of requests have reserved, in bytes.
+    // Returns the memory that the bodies and the long heads of requests have reserved, in bytes.
     auto bodyBytes() const -> std::size_t;
 
     // Makes each later response close its connection. New connections are still accepted.
--- a/packages/http/src/receiving_bodies.cpp
+++ b/packages/http/src/receiving_bodies.cpp
@@ -5,7 +5,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-#include "connection.h"
+#include "response_writer.h"
 
 namespace jasminewood::http::internal
 {
@@ -122,6 +122,11 @@
     return ledger_->reservedBytes();
 }
 
+auto ReceivingBodies::ledger() const -> std::shared_ptr<MemoryLedger>
+{
+    return ledger_;
+}
+
 auto ReceivingBodies::refuseStalled(const MemoryDemand &demand, TimePoint now) -> void
 {
     if (!ledger_->isShort(demand)) {
--- a/packages/http/src/receiving_bodies.h
+++ b/packages/http/src/receiving_bodies.h
@@ -71,6 +71,9 @@
 
     auto reservedBytes() const -> std::size_t;
 
+    // Returns what limits the memory of all bodies.
+    auto ledger() const -> std::shared_ptr<MemoryLedger>;
+
 private:
     struct Receipt
     {
