--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -176,7 +176,7 @@
 {
     respondDuringBody(
         socket_, *head.refusal_.response_, std::max(head.refusal_.discardedBytes_, minimumDiscardedBytes));
-    server_.reportUnserved({.reason_ = head.refusal_.reason_,
+    server_.reportUnserved({.reason_ = *head.refusal_.reason_,
         .target_ = head.target_,
         .responseBegun_ = true,
         .detail_ = head.refusal_.detail_});
@@ -201,7 +201,6 @@
     }
     if (server_.check_ && declaredBytes.value_or(maximumBodyBytes) > uncheckedBodyBytes) {
         if (const auto response = checkAdmission(request)) {
-            request.refusedByCheck_ = true;
             return Refusal {.response_ = response, .discardedBytes_ = maximumBodyBytes};
         }
     }
@@ -303,7 +302,7 @@
 auto CallerConnection::finish(const CurrentRequest &request) -> void
 {
     const auto &progress = request.progress_;
-    if (progress.reason_ && !request.refusedByCheck_) {
+    if (progress.reason_) {
         server_.reportUnserved({.reason_ = *progress.reason_,
             .target_ = request.head_.target_,
             .requestRead_ = request.parser_.isComplete(),
--- a/packages/http/src/caller_connection.h
+++ b/packages/http/src/caller_connection.h
@@ -33,8 +33,6 @@
         const ConnectionLimits limits_;
         RequestParser &parser_;
         ResponseProgress progress_ = {};
-        // Whether the AdmissionCheck refused it.
-        bool refusedByCheck_ = false;
         // What its header fields have reserved; empty if they take little memory.
         std::shared_ptr<Reservation> headMemory_ = nullptr;
     };
@@ -52,6 +50,7 @@
 
     // Returns why the request is refused by its head, if it is.
     auto checkHead(CurrentRequest &request) -> std::optional<Refusal>;
+    // Returns whether there is memory for the copies of the header fields.
     auto reserveHeadMemory(CurrentRequest &request) -> bool;
     // Returns the response of the AdmissionCheck, if there is one and it refuses the request.
     auto checkAdmission(const CurrentRequest &request) -> std::optional<BufferedResponse>;
@@ -61,7 +60,7 @@
     auto makeRequest(const CurrentRequest &request, const Body &body) const -> Request;
     auto callHandler(const Request &request, ResponseProgress &progress) const -> Response;
     auto persistence(const RequestHead &head) -> Persistence;
-    // Returns the time for which the connection may be idle from now on.
+    // Returns the time for which the connection may be idle by the limits in force.
     auto idleTimeout() const -> Milliseconds;
     // Returns why a request ends whose caller sends no more.
     auto reasonFor(ReceiveEnd end) const -> EndReason;
--- a/packages/http/src/refusal.h
+++ b/packages/http/src/refusal.h
@@ -14,12 +14,13 @@
 
 struct Refusal
 {
-    const EndReason reason_ = EndReason::NoBodyMemory;
+    // Empty if the refusal is not reported to the UnservedListener.
+    const std::optional<EndReason> reason_ = std::nullopt;
     // Empty if the caller has got its response already.
     const std::optional<BufferedResponse> response_ = std::nullopt;
     // After the response, as much as this is read and discarded, in bytes.
     const std::size_t discardedBytes_ = 0;
-    // For the report of the request.
+    // For the report.
     const std::string detail_ = {};
 
     auto operator<=>(const Refusal &) const = default;
--- a/packages/http/tests/long_head_test.cpp
+++ b/packages/http/tests/long_head_test.cpp
@@ -154,6 +154,9 @@
                         checkAllServed(server, 2'700, [](std::size_t count) {
                             return "POST /p HTTP/1.1\r\nContent-Length: 2\r\n" + fieldLines(count) + "\r\n{}";
                         });
+                        checkAllServed(server, 2'700, [](std::size_t count) {
+                            return "GET /p HTTP/1.0\r\n" + fieldLines(count) + "\r\n";
+                        });
                     }),
                 // Guards against the same failure where the body needs memory too.
                 test("runs once and is answered if it has a body in chunks, or a large one",
