Read all responses in the test of requests sent ahead

Cause: the test. It read until the end of the first body had arrived and then expected nothing behind it. Its caller has sent 2,000 more requests, so a read that starts late returns up to 4,096 bytes of several responses, the last of them cut off by the size of the buffer.

Change: the caller reads to the end of the connection, and all 2,001 responses must be there and complete; before, only the first was looked at. The comment of countsUpTo() speaks of the memory, not of a library that is gone.

--- a/packages/http/tests/long_head_test.cpp
+++ b/packages/http/tests/long_head_test.cpp
@@ -2,8 +2,10 @@
 #include <functional>
 #include <future>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "jasminewood/http/server.h"
@@ -29,9 +31,10 @@
 constexpr auto generousTimeout = std::chrono::seconds(30);
 
 constexpr auto plainRequest = "GET /plain HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr auto lastPlainRequest = "GET /plain HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 constexpr auto endOfBody = "end of body";
 
-// Returns numbers from 1 to the largest, each one around those that libmicrohttpd with 64 KB a connection failed at.
+// Returns numbers from 1 to the largest, most of them where 64 KB of memory would not hold a head and its response.
 auto countsUpTo(std::size_t largest) -> std::vector<std::size_t>
 {
     constexpr std::size_t closeSteps[] = {440, 560, 890, 990};
@@ -58,6 +61,27 @@
     return all;
 }
 
+auto occurrences(std::string_view text, std::string_view part) -> std::size_t
+{
+    auto count = std::size_t(0);
+    for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + part.size())) {
+        ++count;
+    }
+    return count;
+}
+
+// Reads until the peer closes.
+auto readToEnd(int socket) -> std::string
+{
+    auto text = std::string();
+    char buffer[16'384];
+    for (auto size = recv(socket, buffer, sizeof(buffer), 0); size > 0;
+         size = recv(socket, buffer, sizeof(buffer), 0)) {
+        text.append(buffer, std::size_t(size));
+    }
+    return text;
+}
+
 // A server that counts the requests that its handler has run, other than the plain ones.
 class CountingServer
 {
@@ -104,6 +128,23 @@
             description + ": run, and its response is \"" + statusLine + "\"");
     }
 
+    // Checks the same, and that as many plain requests are answered which the caller sends on the connection at once
+    // with the request.
+    auto checkServedBefore(std::size_t plainRequests, const std::string &request, const std::string &description)
+        -> void
+    {
+        const auto runsBefore = runs_.load();
+        const auto socket = connectTo(server_->port());
+        sendText(socket, request + repeated(plainRequest, plainRequests - 1) + lastPlainRequest);
+        const auto responses = readToEnd(socket);
+        close(socket);
+        check(runs_ == runsBefore + 1, description + ": not run: " + responses.substr(0, responses.find("\r\n")));
+        const auto complete = occurrences(responses, endOfBody);
+        check(complete == plainRequests + 1 && occurrences(responses, "HTTP/1.1 200 ") == complete
+                && responses.ends_with(endOfBody),
+            description + ": run, and " + std::to_string(complete) + " responses are complete");
+    }
+
 private:
     std::atomic<int> runs_ = 0;
     const std::shared_ptr<Server> server_;
@@ -195,9 +236,10 @@
                 test("is answered if its caller has sent more requests ahead",
                     [] {
                         auto server = CountingServer(&respondPlainly);
-                        checkAllServed(server, 2'700, [](std::size_t count) {
-                            return "GET /p HTTP/1.1\r\n" + fieldLines(count) + "\r\n" + repeated(plainRequest, 2'000);
-                        });
+                        for (const auto count : countsUpTo(2'700)) {
+                            server.checkServedBefore(2'000, "GET /p HTTP/1.1\r\n" + fieldLines(count) + "\r\n",
+                                std::to_string(count) + " fields");
+                        }
                     }),
             }),
         section("made of many cookies or query parameters",
