Reset the connection of an HTTP/1.0 caller whose stream is cut off

What callers saw: a stream to a caller of HTTP/1.0 has no chunks, its body ends with the connection. If the upstream broke it off, if producing it failed, or if the server stopped before its end, the connection ended like that of a whole body, so the caller had a part and could not know.

Cause: ResponseWriter closed the socket in the same way whether the body was complete or not. Only chunks tell the two apart.

Change: the socket of such a stream resets its connection when it is closed (SO_LINGER without any time) until the body is complete. The kernel then resets it at the end of the process as well. Server::stop() resets such connections instead of shutting them down.

--- a/packages/http/src/connection_registry.cpp
+++ b/packages/http/src/connection_registry.cpp
@@ -4,6 +4,8 @@
 
 #include <sys/socket.h>
 
+#include "socket_io.h"
+
 namespace jasminewood::http::internal
 {
 
@@ -98,7 +100,7 @@
     const auto lock = std::scoped_lock(mutex_);
     shutDown_ = true;
     for (const auto &[socket, openedAt] : openedAt_) {
-        shutdown(socket, SHUT_RDWR);
+        endConnection(socket);
     }
 }
 
--- a/packages/http/src/response_writer.cpp
+++ b/packages/http/src/response_writer.cpp
@@ -204,6 +204,10 @@
     const auto framing = isChunked && !hasNoBody(response.status_) ? "Transfer-Encoding: chunked\r\n" : "";
     const auto head = responseHead(response.status_, response.headers_, framing,
         {.close_ = closes, .isHttp10_ = persistence.isHttp10_, .keepAlive_ = persistence.keepAlive_});
+    if (hasBody && !isChunked) {
+        // Until the body is complete, its connection must not end properly.
+        setCloseMode(socket_, CloseMode::Reset);
+    }
     return send(head) && (!hasBody || writeEvents(response, isChunked)) && !closes;
 }
 
@@ -231,7 +235,7 @@
             return writeChunk(chunk.data_, isChunked) ? StreamState::Open : StreamState::Failed;
         },
         [this, isChunked](const EndOfStream & /*event*/) {
-            return !isChunked || send(lastChunk) ? StreamState::Complete : StreamState::Failed;
+            return endBody(isChunked) ? StreamState::Complete : StreamState::Failed;
         },
         [this](const AbortStream & /*event*/) {
             progress_.reason_ = EndReason::StreamAborted;
@@ -241,6 +245,15 @@
     return std::visit(visitor, event);
 }
 
+auto ResponseWriter::endBody(bool isChunked) -> bool
+{
+    if (isChunked) {
+        return send(lastChunk);
+    }
+    setCloseMode(socket_, CloseMode::Proper);
+    return true;
+}
+
 auto ResponseWriter::writeChunk(const std::string &data, bool isChunked) -> bool
 {
     // An empty chunk would end the body.
--- a/packages/http/src/response_writer.h
+++ b/packages/http/src/response_writer.h
@@ -61,6 +61,7 @@
     auto writeEvents(const StreamResponse &response, bool isChunked) -> bool;
     auto writeEvent(const StreamEvent &event, bool isChunked) -> StreamState;
     auto writeChunk(const std::string &data, bool isChunked) -> bool;
+    auto endBody(bool isChunked) -> bool;
     auto send(std::string_view text) -> bool;
 
     const int socket_;
--- a/packages/http/src/socket_io.cpp
+++ b/packages/http/src/socket_io.cpp
@@ -21,6 +21,14 @@
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
 
+auto closeMode(int socket) -> CloseMode
+{
+    auto option = linger {};
+    auto size = socklen_t(sizeof(option));
+    getsockopt(socket, SOL_SOCKET, SO_LINGER, &option, &size);
+    return option.l_onoff == 0 ? CloseMode::Proper : CloseMode::Reset;
+}
+
 } // namespace
 
 auto awaitSocket(int socket, short events, TimePoint deadline) -> bool
@@ -88,6 +96,24 @@
     return true;
 }
 
+auto setCloseMode(int socket, CloseMode mode) -> void
+{
+    // Without any time to linger, closing the socket resets the connection (socket(7)).
+    const auto option = linger {.l_onoff = mode == CloseMode::Reset ? 1 : 0, .l_linger = 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
+auto endConnection(int socket) -> void
+{
+    if (closeMode(socket) == CloseMode::Proper) {
+        shutdown(socket, SHUT_RDWR);
+        return;
+    }
+    // Linux resets a TCP connection that is dissolved (connect(2)).
+    const auto unspecified = sockaddr {.sa_family = AF_UNSPEC, .sa_data = {}};
+    connect(socket, &unspecified, sizeof(unspecified));
+}
+
 auto discardReceived(int socket, std::size_t maximumBytes, TimePoint deadline) -> void
 {
     auto buffer = std::array<char, discardBlockBytes>();
