Say once how tests read to the end and call until a server is gone

Twelve tests read to the end of a connection by waiting for a text that is never sent, and two had the same loop of callers that call until a server accepts no connection.

No check is changed; tests and the testbench only, no product code.

--- a/packages/forward/tests/shutdown_load_test.cpp
+++ b/packages/forward/tests/shutdown_load_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdlib>
 #include <iostream>
 #include <mutex>
@@ -20,6 +21,7 @@
 using namespace jasminewood::forward;
 using namespace std::chrono_literals;
 using jasminewood::testbench::connectTo;
+using jasminewood::testbench::readToEnd;
 using jasminewood::testbench::readUntil;
 using jasminewood::testbench::sendText;
 using jasminewood::testkit::check;
@@ -31,26 +33,14 @@
 
 constexpr auto stops = 24U;
 constexpr auto callers = 32U;
-constexpr auto longestPauseMicroseconds = 30'000U;
+constexpr auto longestPause = std::chrono::microseconds(30'000);
 
-// Sends requests on connections that are kept as long as the frontend keeps them, with pauses before each, until no
-// connection is accepted. Never closes a connection that the frontend has not closed.
+// Sends requests until the frontend accepts no connection.
 auto callUntilGone(std::uint16_t port, std::uint32_t seed) -> void
 {
-    auto random = std::mt19937(seed);
     const auto request = std::string("POST /once/1 HTTP/1.1\r\nHost: shop\r\nRequest-Id: r") + std::to_string(seed)
         + "\r\nKey: " + sampleApiKey + "\r\nContent-Length: 4\r\n\r\nbody";
-    for (auto socket = connectTo(port); socket >= 0; socket = connectTo(port)) {
-        auto open = true;
-        while (open) {
-            usleep(random() % longestPauseMicroseconds);
-            sendText(socket, request);
-            const auto head = readUntil(socket, "\r\n\r\n");
-            open = !head.empty() && head.find("Connection: close") == std::string::npos;
-        }
-        readUntil(socket, "never sent");
-        close(socket);
-    }
+    testbench::sendUntilGone(port, request, longestPause, seed);
 }
 
 constexpr auto shortSoakStops = 6U;
@@ -105,7 +95,7 @@
     for (auto socket = connectTo(port); socket >= 0; socket = connectTo(port)) {
         auto open = true;
         while (open) {
-            usleep(random() % longestPauseMicroseconds);
+            std::this_thread::sleep_for(std::chrono::microseconds(random() % longestPause.count()));
             const auto id = std::to_string(seed) + "-" + std::to_string(random());
             const auto *route = std::array {"once", "again", "stream", "resumable"}.at(random() % 4);
             const auto isStream = route[0] == 's' || route[0] == 'r';
@@ -128,7 +118,7 @@
                 open = readUntil(socket, "0\r\n\r\n").ends_with("0\r\n\r\n");
             }
         }
-        readUntil(socket, "never sent");
+        readToEnd(socket);
         close(socket);
     }
 }
--- a/packages/forward/tests/shutdown_test.cpp
+++ b/packages/forward/tests/shutdown_test.cpp
@@ -15,6 +15,7 @@
 using namespace jasminewood::forward;
 using namespace std::chrono_literals;
 using jasminewood::testbench::connectTo;
+using jasminewood::testbench::readToEnd;
 using jasminewood::testbench::readUntil;
 using jasminewood::testbench::sendText;
 using jasminewood::testkit::check;
@@ -44,7 +45,7 @@
 {
     sendText(socket, requestText(path, timeout));
     return std::async(std::launch::async, [socket] {
-        auto text = readUntil(socket, "never sent");
+        auto text = readToEnd(socket).text_;
         close(socket);
         return text;
     });
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -13,6 +13,7 @@
 using namespace jasminewood;
 using namespace jasminewood::http;
 using jasminewood::testbench::RawServer;
+using jasminewood::testbench::readToEnd;
 using jasminewood::testbench::readUntil;
 using jasminewood::testbench::sendText;
 using jasminewood::testkit::check;
@@ -61,7 +62,7 @@
                 test("fails by the idle timeout and by the timeout of the call",
                     [] {
                         const auto peer = RawServer([](int socket) {
-                            readUntil(socket, "never sent");
+                            readToEnd(socket);
                         });
                         for (const auto &request :
                             {ClientRequest {.url_ = peer.url(), .idleTimeout_ = Milliseconds(50)},
@@ -139,7 +140,7 @@
                             }
                         });
                         const auto silent = RawServer([](int socket) {
-                            readUntil(socket, "never sent");
+                            readToEnd(socket);
                         });
                         auto call = StreamCall();
                         check(bool(fetch({.url_ = peer.url()})) && bool(fetch({.url_ = peer.url()})));
@@ -157,7 +158,7 @@
                         const auto peer = RawServer([](int socket) {
                             readUntil(socket, "\r\n\r\n");
                             sendText(socket, std::string(responseHead) + "half");
-                            readUntil(socket, "never sent");
+                            readToEnd(socket);
                         });
                         auto call = StreamCall();
                         auto arrived = std::promise<std::string>();
@@ -185,7 +186,7 @@
                         const auto peer = RawServer([](int socket) {
                             readUntil(socket, "\r\n\r\n");
                             sendText(socket, std::string(responseHead) + "half");
-                            readUntil(socket, "never sent");
+                            readToEnd(socket);
                         });
                         const auto ended = StreamCall().perform({.url_ = peer.url()}, nullptr, [](std::string_view) {
                             return false;
--- a/packages/http/tests/http10_stream_test.cpp
+++ b/packages/http/tests/http10_stream_test.cpp
@@ -1,10 +1,11 @@
 #include <cerrno>
+#include <functional>
 #include <future>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <utility>
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "jasminewood/http/server.h"
@@ -14,6 +15,7 @@
 using namespace jasminewood;
 using namespace jasminewood::http;
 using jasminewood::testbench::connectTo;
+using jasminewood::testbench::readToEnd;
 using jasminewood::testbench::readUntil;
 using jasminewood::testbench::sendText;
 using jasminewood::testkit::check;
@@ -26,20 +28,6 @@
 constexpr auto http10Request = "GET /p HTTP/1.0\r\n\r\n";
 constexpr auto firstPart = "first part";
 
-// How a connection ended at the caller: errno of its last read, 0 if it ended properly.
-using EndError = int;
-
-// Reads what is left on the connection.
-auto readToEnd(int socket) -> EndError
-{
-    char buffer[4096];
-    auto size = ssize_t(0);
-    do {
-        size = recv(socket, buffer, sizeof(buffer), 0);
-    } while (size > 0);
-    return size == 0 ? 0 : errno;
-}
-
 // Returns a handler that streams the first part and then what the function returns.
 auto streamThen(const std::function<auto()->StreamEvent> &nextEvent) -> Handler
 {
@@ -51,15 +39,15 @@
     };
 }
 
-// Returns how a stream ends at an HTTP/1.0 caller that has got its first part.
-auto endOfStream(const std::function<auto()->StreamEvent> &nextEvent) -> EndError
+// Returns the errno with which a stream ends at an HTTP/1.0 caller that has got its first part; 0 for a proper end.
+auto endOfStream(const std::function<auto()->StreamEvent> &nextEvent) -> int
 {
     const auto server = *Server::start({}, streamThen(nextEvent));
     const auto socket = connectTo(server->port());
     sendText(socket, http10Request);
     const auto received = readUntil(socket, firstPart);
     check(received.find(firstPart) != std::string::npos, "the first part arrives: " + received);
-    const auto error = readToEnd(socket);
+    const auto error = readToEnd(socket).error_;
     close(socket);
     return error;
 }
@@ -94,7 +82,7 @@
                 auto stopped = std::async(std::launch::async, [server] {
                     server->stop();
                 });
-                const auto error = readToEnd(socket);
+                const auto error = readToEnd(socket).error_;
                 proceed->set_value();
                 stopped.wait();
                 close(socket);
--- a/packages/http/tests/interrupted_upload_test.cpp
+++ b/packages/http/tests/interrupted_upload_test.cpp
@@ -14,6 +14,7 @@
 using namespace jasminewood;
 using namespace jasminewood::http;
 using jasminewood::testbench::RawServer;
+using jasminewood::testbench::readToEnd;
 using jasminewood::testbench::readUntil;
 using jasminewood::testbench::resetConnection;
 using jasminewood::testbench::sendText;
@@ -178,7 +179,7 @@
                             readUntil(socket, "\r\n\r\n");
                             sendText(socket, "HTTP/1.1 413 Content Too Large\r\nConnection: close\r\n\r\nrefused");
                             shutdown(socket, SHUT_WR);
-                            readUntil(socket, "never sent");
+                            readToEnd(socket);
                         });
                         const auto response = fetch(uploadRequest(peer, longUploadBytes));
                         check(response && response->status_ == 413 && response->body_ == "refused");
@@ -192,7 +193,7 @@
                         const auto peer = RawServer([](int socket) {
                             readUntil(socket, "\r\n\r\n");
                             sendText(socket, "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n");
-                            readUntil(socket, "never sent");
+                            readToEnd(socket);
                         });
                         const auto response = fetch(uploadRequest(peer, longUploadBytes));
                         check(response && response->status_ == 204);
--- a/packages/http/tests/long_head_test.cpp
+++ b/packages/http/tests/long_head_test.cpp
@@ -5,7 +5,6 @@
 #include <string_view>
 #include <vector>
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "jasminewood/http/server.h"
@@ -15,6 +14,7 @@
 using namespace jasminewood;
 using namespace jasminewood::http;
 using jasminewood::testbench::connectTo;
+using jasminewood::testbench::readToEnd;
 using jasminewood::testbench::readUntil;
 using jasminewood::testbench::sendText;
 using jasminewood::testkit::check;
@@ -70,18 +70,6 @@
     return count;
 }
 
-// Reads until the peer closes.
-auto readToEnd(int socket) -> std::string
-{
-    auto text = std::string();
-    char buffer[16'384];
-    for (auto size = recv(socket, buffer, sizeof(buffer), 0); size > 0;
-         size = recv(socket, buffer, sizeof(buffer), 0)) {
-        text.append(buffer, std::size_t(size));
-    }
-    return text;
-}
-
 // A server that counts the requests that its handler has run, other than the plain ones.
 class CountingServer
 {
@@ -136,7 +124,7 @@
         const auto runsBefore = runs_.load();
         const auto socket = connectTo(server_->port());
         sendText(socket, request + repeated(plainRequest, plainRequests - 1) + lastPlainRequest);
-        const auto responses = readToEnd(socket);
+        const auto responses = readToEnd(socket).text_;
         close(socket);
         check(runs_ == runsBefore + 1, description + ": not run: " + responses.substr(0, responses.find("\r\n")));
         const auto complete = occurrences(responses, endOfBody);
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -14,6 +14,7 @@
 using namespace jasminewood;
 using namespace jasminewood::http;
 using jasminewood::testbench::connectTo;
+using jasminewood::testbench::readToEnd;
 using jasminewood::testbench::readUntil;
 using jasminewood::testbench::sendText;
 using jasminewood::testkit::check;
@@ -117,7 +118,7 @@
                         check(!isClosedAfterResponse(third));
                         check(isClosedAfterResponse(first));
                         check(!isClosedAfterResponse(second));
-                        check(readUntil(first, "never sent").empty());
+                        check(readToEnd(first).text_.empty());
                         close(first);
                         close(second);
                         close(third);
--- a/packages/router/tests/planned_stop_test.cpp
+++ b/packages/router/tests/planned_stop_test.cpp
@@ -1,4 +1,4 @@
-#include <random>
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -11,9 +11,6 @@
 
 using namespace jasminewood;
 using namespace jasminewood::router;
-using jasminewood::testbench::connectTo;
-using jasminewood::testbench::readUntil;
-using jasminewood::testbench::sendText;
 using jasminewood::testkit::check;
 using jasminewood::testkit::section;
 using jasminewood::testkit::test;
@@ -23,25 +20,14 @@
 
 constexpr auto stops = 24U;
 constexpr auto callers = 32U;
-constexpr auto longestPauseMicroseconds = 3'000U;
+constexpr auto longestPause = std::chrono::microseconds(3'000);
 
-// Sends requests on connections that are kept as long as the router keeps them, until no connection is accepted.
+// Sends requests until the router accepts no connection.
 auto callUntilGone(std::uint16_t port, std::uint32_t seed) -> void
 {
-    auto random = std::mt19937(seed);
     const auto request
         = std::string("GET /v1/models HTTP/1.1\r\nHost: shop\r\nAuthorization: Bearer ") + callersKey + "\r\n\r\n";
-    for (auto socket = connectTo(port); socket >= 0; socket = connectTo(port)) {
-        auto open = true;
-        while (open) {
-            usleep(random() % longestPauseMicroseconds);
-            sendText(socket, request);
-            const auto head = readUntil(socket, "\r\n\r\n");
-            open = !head.empty() && head.find("Connection: close") == std::string::npos;
-        }
-        readUntil(socket, "never sent");
-        close(socket);
-    }
+    testbench::sendUntilGone(port, request, longestPause, seed);
 }
 
 const testkit::TestSuite suite = {"a router that is stopped again and again",
--- a/packages/testbench/src/raw_peer.cpp
+++ b/packages/testbench/src/raw_peer.cpp
@@ -1,5 +1,8 @@
 #include "jasminewood/testbench/raw_peer.h"
 
+#include <cerrno>
+#include <random>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -58,6 +61,36 @@
     return text;
 }
 
+auto readToEnd(int socket) -> ReceivedData
+{
+    auto text = std::string();
+    char buffer[4096];
+    while (true) {
+        const auto count = recv(socket, buffer, sizeof(buffer), 0);
+        if (count <= 0) {
+            return {.text_ = text, .error_ = count < 0 ? errno : 0};
+        }
+        text.append(buffer, std::size_t(count));
+    }
+}
+
+auto sendUntilGone(std::uint16_t port, const std::string &request, std::chrono::microseconds longestPause,
+    std::uint32_t randomSeed) -> void
+{
+    auto random = std::mt19937(randomSeed);
+    for (auto socket = connectTo(port); socket >= 0; socket = connectTo(port)) {
+        auto open = true;
+        while (open) {
+            std::this_thread::sleep_for(std::chrono::microseconds(random() % longestPause.count()));
+            sendText(socket, request);
+            const auto head = readUntil(socket, "\r\n\r\n");
+            open = !head.empty() && head.find("Connection: close") == std::string::npos;
+        }
+        readToEnd(socket);
+        close(socket);
+    }
+}
+
 auto resetConnection(int socket) -> void
 {
     auto unspecified = sockaddr {};
