Name the ways to end a connection by their usual terms

CloseMode::Graceful and terminateConnection() in place of Proper and endConnection(), which is also a function of Server::State; the test of pipelined requests says so in its name. Names and comments only.

--- a/packages/http/src/connection_registry.cpp
+++ b/packages/http/src/connection_registry.cpp
@@ -100,7 +100,7 @@
     const auto lock = std::scoped_lock(mutex_);
     shutDown_ = true;
     for (const auto &[socket, openedAt] : openedAt_) {
-        endConnection(socket);
+        terminateConnection(socket);
     }
 }
 
--- a/packages/http/src/response_writer.cpp
+++ b/packages/http/src/response_writer.cpp
@@ -205,7 +205,7 @@
     const auto head = responseHead(response.status_, response.headers_, framing,
         {.close_ = closes, .isHttp10_ = persistence.isHttp10_, .keepAlive_ = persistence.keepAlive_});
     if (hasBody && !isChunked) {
-        // Until the body is complete, its connection must not end properly.
+        // The caller takes a graceful close for the end of the body.
         setCloseMode(socket_, CloseMode::Reset);
     }
     return send(head) && (!hasBody || writeEvents(response, isChunked)) && !closes;
@@ -250,7 +250,7 @@
     if (isChunked) {
         return send(lastChunk);
     }
-    setCloseMode(socket_, CloseMode::Proper);
+    setCloseMode(socket_, CloseMode::Graceful);
     return true;
 }
 
--- a/packages/http/src/socket_io.cpp
+++ b/packages/http/src/socket_io.cpp
@@ -26,7 +26,7 @@
     auto option = linger {};
     auto size = socklen_t(sizeof(option));
     getsockopt(socket, SOL_SOCKET, SO_LINGER, &option, &size);
-    return option.l_onoff == 0 ? CloseMode::Proper : CloseMode::Reset;
+    return option.l_onoff == 0 ? CloseMode::Graceful : CloseMode::Reset;
 }
 
 } // namespace
@@ -103,9 +103,9 @@
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
-auto endConnection(int socket) -> void
+auto terminateConnection(int socket) -> void
 {
-    if (closeMode(socket) == CloseMode::Proper) {
+    if (closeMode(socket) == CloseMode::Graceful) {
         shutdown(socket, SHUT_RDWR);
         return;
     }
--- a/packages/http/src/socket_io.h
+++ b/packages/http/src/socket_io.h
@@ -56,18 +56,17 @@
 // timeout.
 auto sendAll(int socket, std::string_view text, Milliseconds timeout) -> bool;
 
-// Whether the kernel resets the connection when its socket is closed, also by the end of the process, or ends it
-// properly.
+// How the kernel ends a connection when its socket is closed, also by the end of the process: with a FIN or a RST.
 enum class CloseMode : std::uint8_t
 {
-    Proper,
+    Graceful,
     Reset,
 };
 
 auto setCloseMode(int socket, CloseMode mode) -> void;
 
-// Ends the connection by its close mode and wakes the threads that wait for it. The socket stays open.
-auto endConnection(int socket) -> void;
+// Ends the connection in its close mode and wakes the threads that wait for it. The socket stays open.
+auto terminateConnection(int socket) -> void;
 
 // Reads until the peer closes, the deadline passes or so many bytes have been read.
 auto discardReceived(int socket, std::size_t maximumBytes, TimePoint deadline) -> void;
--- a/packages/http/tests/long_head_test.cpp
+++ b/packages/http/tests/long_head_test.cpp
@@ -118,7 +118,7 @@
 
     // Checks the same, and that as many plain requests are answered which the caller sends on the connection at once
     // with the request.
-    auto checkServedBefore(std::size_t plainRequests, const std::string &request, const std::string &description)
+    auto checkServedWithPipelined(std::size_t plainRequests, const std::string &request, const std::string &description)
         -> void
     {
         const auto runsBefore = runs_.load();
@@ -225,7 +225,7 @@
                     [] {
                         auto server = CountingServer(&respondPlainly);
                         for (const auto count : countsUpTo(2'700)) {
-                            server.checkServedBefore(2'000, "GET /p HTTP/1.1\r\n" + fieldLines(count) + "\r\n",
+                            server.checkServedWithPipelined(2'000, "GET /p HTTP/1.1\r\n" + fieldLines(count) + "\r\n",
                                 std::to_string(count) + " fields");
                         }
                     }),
