--- a/packages/http/tests/http10_stream_test.cpp
+++ b/packages/http/tests/http10_stream_test.cpp
@@ -52,49 +52,57 @@
     return error;
 }
 
-const testkit::TestSuite http10Streams = {"a stream to a caller of HTTP/1.0, whose body ends with its connection",
+const testkit::TestSuite http10Streams = {"a stream to a caller of HTTP/1.0, whose body ends with its connection,",
     {
-        // Guards against a part of a body that its caller takes for the whole.
-        test("ends with a reset if it is aborted",
-            [] {
-                const auto error = endOfStream([]() -> StreamEvent {
-                    return AbortStream {};
-                });
-                check(error == ECONNRESET, std::to_string(error));
+        section("that is cut off",
+            {
+                // Guards against a part of a body that its caller takes for the whole.
+                test("ends with a reset if it is aborted",
+                    [] {
+                        const auto error = endOfStream([]() -> StreamEvent {
+                            return AbortStream {};
+                        });
+                        check(error == ECONNRESET, std::to_string(error));
+                    }),
+                // Guards against the same where the stream reports nothing before it ends.
+                test("ends with a reset if making it throws",
+                    [] {
+                        const auto error = endOfStream([]() -> StreamEvent {
+                            throw std::runtime_error("no more data");
+                        });
+                        check(error == ECONNRESET, std::to_string(error));
+                    }),
+                // Guards against the same where another thread ends the connection.
+                test("ends with a reset if the server stops before",
+                    [] {
+                        auto proceed = std::make_shared<std::promise<void>>();
+                        const auto server = *Server::start({}, streamThen([proceed]() -> StreamEvent {
+                            proceed->get_future().wait();
+                            return EndOfStream {};
+                        }));
+                        const auto socket = connectTo(server->port());
+                        sendText(socket, http10Request);
+                        readUntil(socket, firstPart);
+                        auto stopped = std::async(std::launch::async, [server] {
+                            server->stop();
+                        });
+                        const auto error = readToEnd(socket).error_;
+                        proceed->set_value();
+                        stopped.wait();
+                        close(socket);
+                        check(error == ECONNRESET, std::to_string(error));
+                    }),
             }),
-        test("ends with a reset if making it throws",
-            [] {
-                const auto error = endOfStream([]() -> StreamEvent {
-                    throw std::runtime_error("no more data");
-                });
-                check(error == ECONNRESET, std::to_string(error));
-            }),
-        test("ends with a reset if the server stops before",
-            [] {
-                auto proceed = std::make_shared<std::promise<void>>();
-                const auto server = *Server::start({}, streamThen([proceed]() -> StreamEvent {
-                    proceed->get_future().wait();
-                    return EndOfStream {};
-                }));
-                const auto socket = connectTo(server->port());
-                sendText(socket, http10Request);
-                readUntil(socket, firstPart);
-                auto stopped = std::async(std::launch::async, [server] {
-                    server->stop();
-                });
-                const auto error = readToEnd(socket).error_;
-                proceed->set_value();
-                stopped.wait();
-                close(socket);
-                check(error == ECONNRESET, std::to_string(error));
-            }),
-        // Guards against a whole body that is lost with a reset.
-        test("ends properly if it is complete",
-            [] {
-                const auto error = endOfStream([]() -> StreamEvent {
-                    return EndOfStream {};
-                });
-                check(error == 0, std::to_string(error));
+        section("that is complete",
+            {
+                // Guards against a whole body that is lost with a reset.
+                test("ends without an error",
+                    [] {
+                        const auto error = endOfStream([]() -> StreamEvent {
+                            return EndOfStream {};
+                        });
+                        check(error == 0, std::to_string(error));
+                    }),
             }),
     }};
 
