--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -121,7 +122,7 @@
         self.revision, self.era = 100, 1
         self.items, self.events, self.leases = {}, [], {}
         self.next_lease = 7000
-        self.mode = "up"  # or "busy" (503), "silent"
+        self.mode = "up"  # or "busy" (503), "silent", "reset"
         self.changed = None
         self.calls = []
         self.connections = set()
@@ -197,6 +198,9 @@
                 if head is None:
                     break
                 body = await read_body(reader, head)
+                if self.mode == "reset":
+                    writer.transport.abort()
+                    break
                 status, document = await self._handle(head, body)
                 if status is None:
                     await asyncio.sleep(3600)
@@ -356,9 +360,11 @@
 class Router:
     """One router: the program of the deploy file, as a process of its own."""
 
-    def __init__(self, name, store, record, directory, memory_mb=260, zone="lj-a", duties=None, revocation_ms=5000):
+    def __init__(self, name, store, record, directory, memory_mb=260, zone="lj-a", duties=None, revocation_ms=5000,
+                 descriptors=None):
         self.name, self.store, self.record, self.directory = name, store, record, directory
         self.memory_mb, self.zone, self.duties, self.revocation_ms = memory_mb, zone, duties, revocation_ms
+        self.descriptors = descriptors
         self.front, self.ready, self.peers, self.metrics = free_ports(4)
         self.process = None
 
@@ -402,7 +408,10 @@
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
                        "LANG": "C.UTF-8", "JASMINEWOOD_NODE_FILE": path}
         try:
-            self.process = subprocess.Popen(COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log)
+            # The platform limits the descriptors of each process.
+            limit = (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors,) * 2)
+                     ) if self.descriptors else None
+            self.process = subprocess.Popen(COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log, preexec_fn=limit)
         except OSError as error:
             raise CannotRun(str(error)) from error
         self.record(f"{self.name}: started")
