--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -290,6 +290,7 @@
         self.slots, self.version, self.sequence = slots, version, 0
         self.state, self.born, self.running, self.port = "ready", int(time.time() * 1000), 0, 0
         self.connections, self.server, self.beating = set(), None, True
+        self.loses_next, self.lost = False, None
 
     def start(self):
         self.loop.run(self._start())
@@ -307,15 +308,23 @@
     async def _beat(self, born):
         while self.beating and self.born == born:
             await asyncio.sleep(1.2)
-            if self.beating and self.born == born and self.store.mode == "up":
+            if not self.beating or self.born != born or self.store.mode != "up":
+                continue
+            if self.loses_next:
+                # The store performs this write later, if at all.
+                self.loses_next, self.sequence = False, self.sequence + 1
+                self.lost = (time.monotonic(), self.entry())
+            else:
                 await self.register()
 
+    def entry(self):
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "lj-a", "version": self.version,
+                "slots": self.slots, "state": self.state, "cold_remaining_ms": 0, "stage": "both",
+                "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": self.sequence, "born": self.born}
+
     async def register(self):
         self.sequence += 1
-        await self.store.put_async("servers/" + self.name, {
-            "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "lj-a", "version": self.version,
-            "slots": self.slots, "state": self.state, "cold_remaining_ms": 0, "stage": "both",
-            "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": self.sequence, "born": self.born})
+        await self.store.put_async("servers/" + self.name, self.entry())
 
     def crash(self):
         self.loop.run(self._crash())
