--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -124,7 +124,8 @@
         self.next_lease = 7000
         self.mode = "up"  # or "busy" (503), "silent", "reset"
         self.changed = None
-        self.calls = []
+        # Keys of which the next write gets no response and is performed this number of seconds later.
+        self.late = {}
         self.connections = set()
         self.port = self.loop.run(self._listen())
         self.loop.spawn(self._expire())
@@ -265,7 +266,18 @@
                 except asyncio.TimeoutError:
                     pass
 
+    async def _transact_late(self, delay, body):
+        await asyncio.sleep(delay)
+        status, _ = await self._transact(body)
+        self.record(f"store: the late write of {[each['key'] for each in body['writes']]} is performed: {status}")
+
     async def _transact(self, body):
+        for write in body.get("writes", []):
+            if write["key"] in self.late:
+                delay = self.late.pop(write["key"])
+                self.record(f"store: the write of {write['key']} gets no response")
+                asyncio.ensure_future(self._transact_late(delay, body))
+                return None, {}
         for row in body.get("precondition", []):
             item = self.items.get(row["key"])
             if (item["revision"] if item else 0) != row["revision"]:
