--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -427,7 +427,9 @@
             file.write(self.settings())
         log = open(os.path.join(self.directory, self.name + ".log"), "a", encoding="utf-8")
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
-                       "LANG": "C.UTF-8", "JASMINEWOOD_NODE_FILE": path}
+                       "LANG": "C.UTF-8", "JASMINEWOOD_NODE_FILE": path,
+                       # As the bench does; more arenas only take more memory.
+                       "MALLOC_ARENA_MAX": os.environ.get("ARENAS", "1")}
         try:
             # The platform limits the descriptors of each process.
             limit = (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors,) * 2)
