--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,6 @@
-"""One part of a prompt crashes each replica that begins to write an answer on it, with its first event.
+"""A write of a replica that got no response is executed seconds later, after the replica has said that it leaves.
 
-Once the part has crashed five replicas, hardly any request with it may reach a replica.
+No request may reach the replica later than drain_ms after the store has accepted that it is draining.
 """
 
 import asyncio
@@ -10,110 +10,90 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-3"))
-from harness import (BROKEN, KEPT, CannotRun, Loop, Replica, Router, Store, ask, configuration, main,  # noqa: E402
-                     message, request_bytes, route)
+from harness import (BROKEN, KEPT, CannotRun, Loop, Replica, Router, Store, ask, configuration, main, message,  # noqa: E402
+                     request_bytes, route)
 
-STABILITY_S = 3.0
-CRASHES = 5
-ALLOWED = 3
-DOWN_S = 2.0
-PLAY_S = 45
-SOUND_PER_S, DEADLY_PER_S = 10, 1.5
-DEADLY_PART = "dead0001"
-SHARED_PART = "5c1e07a2"
+DRAIN_MS = 2000
+LATE_S = 5.1
+DRAINING_AFTER_S = 3.05
+REQUESTS_PER_S = 60
 
 
 class State:
-    crashes = []
-    deadly = []
-
-
-def prompt(part, number):
-    return [("X-Model", "m"), ("X-Token-Counts", "900,180"),
-            ("X-Prompt-Prefix", f"{SHARED_PART}:200,{part}:100,{0xe4400000 + number:x}:600")]
-
-
-async def stream(replica, head, body, writer):
-    attempt, deadly = head.get("X-Attempt-Id"), DEADLY_PART in head.get("X-Prompt-Prefix")
-    if deadly:
-        State.deadly.append(time.monotonic())
-        replica.record(f"{replica.name} gets {attempt}, which has the deadly part")
-    await asyncio.sleep(0.1)
-    fields = replica.signature(head) + [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
-    writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields) + "\r\n").encode())
-    for number in range(1, 11):
-        event = f"id: {number}\ndata: x\n\n".encode()
-        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        await writer.drain()
-        if deadly:
-            # The process dies with its first event: what it has written is on its way.
-            await asyncio.sleep(0.005)
-            if replica.beating:
-                State.crashes.append(time.monotonic())
-                replica.record(f"{replica.name} crashes (crash {len(State.crashes)})")
-                await replica._crash()
-                asyncio.ensure_future(come_back(replica))
-            return "close"
-        await asyncio.sleep(0.1)
-    writer.write(b"0\r\n\r\n")
-    return None
-
-
-async def come_back(replica):
-    await asyncio.sleep(DOWN_S)
-    await replica._start()
-    replica.record(f"{replica.name} is back")
-
-
-async def callers(router, name, per_s, until, part, answers):
-    number, pending = 0, []
-
-    async def one(data):
-        answer = await ask(router.front, data, 6)
-        key = (answer.status or answer.error, answer.complete)
-        answers[key] = answers.get(key, 0) + 1
+    draining_at = None  # when the store had accepted that the replica is draining
+    late = []
+
+
+async def serve(replica, head, body, writer):
+    sent_at = float(head.get("X-Sent-At"))
+    if replica.state == "draining" and State.draining_at:
+        after = time.monotonic() - State.draining_at
+        record_late = after > DRAIN_MS / 1000
+        replica.record(f"{replica.name} (draining) runs {head.get('X-Attempt-Id')} {after:.3f} s after the store had "
+                       f"accepted that it is draining; the client sent it {sent_at - State.draining_at:+.3f} s after that")
+        if record_late:
+            State.late.append(head.get("X-Attempt-Id"))
+    await asyncio.sleep(0.06)
+    writer.write(message(200, replica.signature(head), b"served"))
+
+
+async def callers(router, until, statuses):
+    number = 0
+    pending = []
+
+    async def one(name):
+        answer = await ask(router.front, request_bytes("GET", "/read/1", name, fields=[
+            ("X-Sent-At", f"{time.monotonic():.3f}")], remaining_ms=4000), 4)
+        key = answer.status or answer.error
+        statuses[key] = statuses.get(key, 0) + 1
 
     while time.monotonic() < until:
         number += 1
-        fields = prompt(part or f"ab{number % 8:06x}", number + (1 << 16 if part else 0))
-        data = request_bytes("POST", "/draft/1", f"{name}-{number}", fields=fields, body=f"{name}-{number}".encode(),
-                             remaining_ms=6000)
-        pending.append(asyncio.ensure_future(one(data)))
-        await asyncio.sleep(1 / per_s)
+        pending.append(asyncio.ensure_future(one(f"read-{number}")))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
     await asyncio.gather(*pending)
 
 
-async def play(router, record, trouble):
-    sound, deadly = {}, {}
-    until = time.monotonic() + PLAY_S
-    calls = [callers(router, "sound", SOUND_PER_S, until, None, sound)]
-    if trouble:
-        calls.append(callers(router, "deadly", DEADLY_PER_S, until, DEADLY_PART, deadly))
-    await asyncio.gather(*calls)
-    record(f"answers to sound requests: {sound}; to those with the deadly part: {deadly}")
-    if len(State.crashes) < CRASHES:
-        record(f"{len(State.crashes)} crashes")
-        return KEPT
-    late = [each for each in State.deadly if each > State.crashes[CRASHES - 1] + STABILITY_S]
-    record(f"{len(State.crashes)} crashes; {len(late)} requests with the deadly part reached replicas later than "
-           f"{STABILITY_S} s after the fifth one; {ALLOWED} are allowed")
-    return BROKEN if len(late) > ALLOWED else KEPT
+async def play(router, store, replica, record, trouble):
+    statuses = {}
+    calls = asyncio.ensure_future(callers(router, time.monotonic() + 14, statuses))
+    await asyncio.sleep(2)
+    # platform_lost, late: one of the replica's regular writes gets no response, and is executed LATE_S later.
+    replica.loses_next = trouble
+    while trouble and not replica.lost:
+        await asyncio.sleep(0.005)
+    lost_at, lost = replica.lost or (time.monotonic(), None)
+    if lost:
+        record(f"the write of {replica.name}, state {lost['state']}, sequence {lost['sequence']}, gets no response")
+    await asyncio.sleep(lost_at + DRAINING_AFTER_S - time.monotonic())
+    replica.state = "draining"
+    await replica.register()
+    State.draining_at = time.monotonic()
+    record(f"the store accepts that {replica.name} is draining, sequence {replica.sequence}")
+    await asyncio.sleep(lost_at + LATE_S - time.monotonic())
+    if lost:
+        await store.put_async("servers/" + replica.name, lost)
+        record(f"the store executes the late write: state {lost['state']}, sequence {lost['sequence']}")
+    await calls
+    record(f"answers by status: {statuses}")
+    record(f"{len(State.late)} requests reached {replica.name} later than {DRAIN_MS} ms after the store had accepted that "
+           f"it is draining: {State.late}")
+    return BROKEN if State.late else KEPT
 
 
 def case(record, trouble, directory, started):
     loop = Loop()
     store = Store(loop, record)
-    draft = route("r-draft", "/draft/", "streaming", "pool", 6000, 1, 600, gap_target_ms=200, resume_streams=False)
-    store.put("op/config", configuration([draft], services=("pool",)))
-    for number in range(1, 7):
-        Replica(loop, store, record, f"i-{number}", "pool", stream).start()
+    store.put("op/config", configuration([route("r-read", "/read/", "idempotent", "desk")], services=("desk",)))
+    replicas = [Replica(loop, store, record, f"i-{number}", "desk", serve, slots=6).start() for number in (1, 2, 3)]
     router = Router("front-lj-a-1", store, record, directory)
     started.append(router)
     router.start()
-    first = loop.run(ask(router.front, request_bytes("POST", "/draft/1", "first", fields=prompt("ab000000", 1), body=b"x")))
+    first = loop.run(ask(router.front, request_bytes("GET", "/read/1", "first", fields=[
+        ("X-Sent-At", f"{time.monotonic():.3f}")])))
     if first.status != 200:
         raise CannotRun(f"the first request got {first.status or first.error}")
-    return loop.run(play(router, record, trouble), 110)
+    return loop.run(play(router, store, replicas[0], record, trouble), 100)
 
 
 if __name__ == "__main__":
