--- a/review/11/case.py
+++ b/review/11/case.py
@@ -107,7 +107,7 @@
     store.put("op/config", configuration([draft], services=("pool",)))
     for number in range(1, 7):
         Replica(loop, store, record, f"i-{number}", "pool", stream).start()
-    router = Router("front-lj-a-1", store, record, directory)
+    router = Router("front-trd-a-1", store, record, directory)
     started.append(router)
     router.start()
     first = loop.run(ask(router.front, request_bytes("POST", "/draft/1", "first", fields=prompt("ab000000", 1), body=b"x")))
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -86,7 +86,7 @@
     store = Store(loop, record)
     store.put("op/config", configuration([route("r-read", "/read/", "idempotent", "desk")], services=("desk",)))
     replicas = [Replica(loop, store, record, f"i-{number}", "desk", serve, slots=6).start() for number in (1, 2, 3)]
-    router = Router("front-lj-a-1", store, record, directory)
+    router = Router("front-trd-a-1", store, record, directory)
     started.append(router)
     router.start()
     first = loop.run(ask(router.front, request_bytes("GET", "/read/1", "first", fields=[
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -60,7 +60,7 @@
     store.put("op/config", configuration([route("r-read", "/read/", "idempotent", "desk")], services=("desk",)))
     for number in range(1, REPLICAS + 1):
         Replica(loop, store, record, f"i-{number}", "desk", serve, slots=SLOTS).start()
-    router = Router("front-lj-a-1", store, record, directory, memory_mb=MEMORY_MB)
+    router = Router("front-trd-a-1", store, record, directory, memory_mb=MEMORY_MB)
     started.append(router)
     router.start()
     first = loop.run(ask(router.front, request_bytes("GET", "/read/0", "first")))
--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -330,7 +330,7 @@
                 await self.register()
 
     def entry(self):
-        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "lj-a", "version": self.version,
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "trd-a", "version": self.version,
                 "slots": self.slots, "state": self.state, "cold_remaining_ms": 0, "stage": "both",
                 "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": self.sequence, "born": self.born}
 
@@ -381,7 +381,7 @@
 class Router:
     """One router: the program of the deploy file, as a process of its own."""
 
-    def __init__(self, name, store, record, directory, memory_mb=260, zone="lj-a", duties=None, revocation_ms=5000,
+    def __init__(self, name, store, record, directory, memory_mb=110, zone="trd-a", duties=None, revocation_ms=5000,
                  descriptors=None):
         self.name, self.store, self.record, self.directory = name, store, record, directory
         self.memory_mb, self.zone, self.duties, self.revocation_ms = memory_mb, zone, duties, revocation_ms
@@ -407,7 +407,7 @@
 trust = {self.revocation_ms}ms
 [retries]
 fraction = 0.2
-slack = 54
+slack = 52
 window = 10s
 [stop]
 grace = 8s
