Refuse a prompt segment that crashes engines after the first event (BUDGET)

Cause: RequestRun recorded a success for all shared segments with the first token, which took back what earlier crashes held against them, and accused none of them after it. The log shows it: each crash was seen, and accused the whole request only.

Change: the age of the answer decides (routing::AnswerAge). A crash accuses segments and whole request alike until the last data came 1 s after the first token; an answer clears them when it completes or still gets data 1.25 s after its first token. A segment needs four crashes in place of three if some of the answers had begun, and the segment that explains the crashes best clears the others also while it needs one more. A stream that ends with its connection while it is young is checked for a crash.

--- a/packages/forward/include/jasminewood/forward/crashing_requests.h
+++ b/packages/forward/include/jasminewood/forward/crashing_requests.h
@@ -26,6 +26,19 @@
 namespace jasminewood::forward
 {
 
+// A request that was lost when its upstream's process ended.
+struct LostRequest
+{
+    // Those that may have been the cause.
+    const routing::RequestFeatures features_;
+    // The crash in which the attempt before was lost, if there was one.
+    const routing::CrashId previous_ = routing::noCrash;
+    // Whether the answer had begun.
+    const bool answerBegan_ = false;
+
+    auto operator<=>(const LostRequest &) const = default;
+};
+
 // Requires the service "environment"; exchanges evidence with other routers if there is a service "peer-network".
 // Thread-safe.
 class CrashingRequests
@@ -34,10 +47,8 @@
     auto start(const kernel::ServiceRegistry &services) -> Status;
     auto stop() -> void;
 
-    // Records that an upstream's process ended under a request, and that these features of it may have been the cause.
-    // previous is the crash in which the attempt before was lost, if there was one. Returns this crash.
-    auto recordCrash(const membership::UpstreamRecord &upstream, const routing::RequestFeatures &features,
-        routing::CrashId previous) -> routing::CrashId;
+    // Records that an upstream's process ended under a request. Returns the crash.
+    auto recordCrash(const membership::UpstreamRecord &upstream, const LostRequest &lost) -> routing::CrashId;
 
     // Records that a request went so well that these features of it crash no upstream.
     auto recordSuccess(const routing::RequestFeatures &features) -> void;
--- a/packages/forward/src/crashing_requests.cpp
+++ b/packages/forward/src/crashing_requests.cpp
@@ -69,8 +69,9 @@
     auto evidence = routing::CrashEvidence();
     for (const auto &feature : message.features_) {
         auto crashes = std::vector<routing::CrashOfFeature>();
-        for (const auto &[id, age, previous] : feature.crashes_) {
-            crashes.push_back({.crash_ = {.id_ = id, .previous_ = previous}, .age_ = age});
+        for (const auto &[id, age, previous, answersBegan] : feature.crashes_) {
+            crashes.push_back(
+                {.crash_ = {.id_ = id, .previous_ = previous, .answerBegan_ = answersBegan}, .age_ = age});
         }
         evidence.push_back({.feature_ = parseFeature(feature),
             .depth_ = feature.depth_,
@@ -88,7 +89,7 @@
         return failure;
     }
     promptCrashCounter_.emplace(environment_->metrics().counter("jasminewood_forward_prompt_crashes_total",
-        "Requests that were lost before their first token in the crash of an engine"));
+        "Requests with a prompt that were lost, as they began to run or before, in the crash of an engine"));
     requestCrashCounter_.emplace(environment_->metrics().counter("jasminewood_forward_request_crashes_total",
         "Requests that were lost, as they began to run or before, in the crash of an upstream"));
     const auto network = services.find<PeerNetwork>("peer-network");
@@ -117,24 +118,25 @@
     }
 }
 
-auto CrashingRequests::recordCrash(const membership::UpstreamRecord &upstream, const routing::RequestFeatures &features,
-    routing::CrashId previous) -> routing::CrashId
+auto CrashingRequests::recordCrash(const membership::UpstreamRecord &upstream, const LostRequest &lost)
+    -> routing::CrashId
 {
     requestCrashCounter_->add();
     const auto isSegment = [](const routing::RequestFeature &feature) {
         return std::holds_alternative<routing::SharedSegment>(feature);
     };
-    if (std::any_of(features.begin(), features.end(), isSegment)) {
+    if (std::any_of(lost.features_.begin(), lost.features_.end(), isSegment)) {
         promptCrashCounter_->add();
     }
     const auto name = fmt::format("{}@{}", upstream.id_, upstream.incarnation_);
     const auto id = XXH3_64bits(name.data(), name.size());
     environment_->log().warning("an upstream crashed under a request",
-        {{"upstream", upstream.id_}, {"crash", name}, {"retry", previous != routing::noCrash},
-            {"features", toText(features)}});
+        {{"upstream", upstream.id_}, {"crash", name}, {"retry", lost.previous_ != routing::noCrash},
+            {"answer_began", lost.answerBegan_}, {"features", toText(lost.features_)}});
     const auto now = Clock::now();
     const auto lock = std::scoped_lock(mutex_);
-    detector_.recordCrash({.id_ = id, .previous_ = previous}, features, now);
+    detector_.recordCrash(
+        {.id_ = id, .previous_ = lost.previous_, .answerBegan_ = lost.answerBegan_}, lost.features_, now);
     applyChange(now);
     return id;
 }
@@ -196,7 +198,10 @@
     for (const auto &[feature, depth, crashes, successAge] : evidence) {
         auto reported = std::vector<wire::FeatureCrash>();
         for (const auto &[crash, age] : crashes) {
-            reported.push_back({.crash_ = crash.id_, .age_ = limited(age), .previous_ = crash.previous_});
+            reported.push_back({.crash_ = crash.id_,
+                .age_ = limited(age),
+                .previous_ = crash.previous_,
+                .answersBegan_ = crash.answerBegan_});
         }
         features.push_back({.isWholeRequest_ = std::holds_alternative<routing::WholeRequest>(feature),
             .id_ = idOf(feature),
--- a/packages/forward/src/request_response.cpp
+++ b/packages/forward/src/request_response.cpp
@@ -40,6 +40,12 @@
     return parsed.ec == std::errc::result_out_of_range ? std::numeric_limits<std::uint64_t>::max() : length;
 }
 
+// Returns whether nothing but the end of the connection ends the body.
+auto endsWithConnection(const http::ResponseHead &head) -> bool
+{
+    return !http::findHeader(head.fields_, "Content-Length") && !http::findHeader(head.fields_, "Transfer-Encoding");
+}
+
 } // namespace
 
 auto RequestRun::awaitResponse(const AdmittedRequest &admitted) -> std::variant<http::Response, FailedAttempt>
@@ -87,6 +93,7 @@
     if (!responseMetadata.isEventStream_) {
         recordBegan();
     }
+    attempt_->endsWithConnection_ = endsWithConnection(head);
     responseStartedAt_ = Clock::now();
     pool.recordResponseStart(attempt_->assignment_, *responseStartedAt_);
     frontend_.timeToResponse_->observe(std::chrono::duration<double>(Clock::now() - arrivedAt_).count());
@@ -108,14 +115,14 @@
         .body_ = *body,
         .resource_ = attempt_->hold_};
     if (started.head_.status_ >= firstServerErrorStatus && allowsRerun(*admitted.route_)) {
-        recordCompletion();
+        recordServerError();
         return failAttempt({.step_ = "answer",
                                .peer_ = attempt_->assignment_.upstream_.address_,
                                .reason_ = fmt::format("status {}", started.head_.status_),
                                .runState_ = RunState::Ran},
             AttemptResult::Responded, response);
     }
-    recordFirstToken();
+    recordToken();
     recordCompletion();
     endAttempt(AttemptResult::Responded);
     relayedBytes_ = body->size();
--- a/packages/forward/src/request_run.cpp
+++ b/packages/forward/src/request_run.cpp
@@ -33,9 +33,6 @@
 constexpr Milliseconds maximumStartupWait = Milliseconds(500);
 // Hosts on the local network refuse a connection to a port without a listener within this time.
 constexpr Milliseconds crashProbeTimeout = Milliseconds(100);
-// A crash later than this after the first token does not accuse the request: many streams are lost in each crash, and
-// those that crash their upstream do so as they begin to run.
-constexpr Milliseconds maximumStartTime = Milliseconds(1'000);
 // How long a request that resumes a stream waits for the record of where it began: routers collect records for a while,
 // and the store feed delays them.
 constexpr Milliseconds maximumOriginWait = Milliseconds(300);
@@ -77,8 +74,7 @@
     , handledAt_(Clock::now())
     , admittedAt_(BootClock::now())
     , requestMetadata_(frontend.protocolAdapter_.parseRequestMetadata_(request))
-    , sharedSegments_(sharedSegments(requestMetadata_.prompt_))
-    , crashFeatures_(sharedSegments_)
+    , crashFeatures_(sharedSegments(requestMetadata_.prompt_))
     , routeTable_(frontend.configuration_->awaitCurrent(handledAt_ + maximumStartupWait))
 {
 }
@@ -325,7 +321,9 @@
     // Ends the work at the upstream before anything that may take time.
     attempt_->exchange_.reset();
     recordFailedAttempt(failedAttempt);
-    recordCrash(failure);
+    if (failure.step_ == "receive" || failure.step_ == "send") {
+        recordCrash();
+    }
     endAttempt(result);
     return failedAttempt;
 }
@@ -343,41 +341,36 @@
     }
 }
 
-auto RequestRun::recordFirstToken() -> void
+auto RequestRun::recordToken() -> void
 {
+    const auto now = Clock::now();
     recordBegan();
-    attempt_->firstTokenAt_ = Clock::now();
-    if (!sharedSegments_.empty()) {
-        frontend_.crashingRequests_->recordSuccess(sharedSegments_);
+    attempt_->answerAge_.recordToken(now);
+    if (attempt_->answerAge_.takeSurvival(now)) {
+        frontend_.crashingRequests_->recordSuccess(crashFeatures_);
     }
 }
 
-auto RequestRun::recordCompletion() -> void
+auto RequestRun::recordServerError() -> void
 {
     frontend_.crashingRequests_->recordSuccess({routing::WholeRequest {.fingerprint_ = fingerprint_}});
 }
 
-auto RequestRun::accusedFeatures() const -> routing::RequestFeatures
+auto RequestRun::recordCompletion() -> void
 {
-    if (!attempt_->firstTokenAt_) {
-        return crashFeatures_;
-    }
-    const auto isStarting = Clock::now() - *attempt_->firstTokenAt_ < maximumStartTime;
-    return isStarting ? routing::RequestFeatures {routing::WholeRequest {.fingerprint_ = fingerprint_}}
-                      : routing::RequestFeatures();
+    frontend_.crashingRequests_->recordSuccess(crashFeatures_);
 }
 
-auto RequestRun::recordCrash(const Failure &failure) -> void
+auto RequestRun::recordCrash() -> bool
 {
-    const auto wasCutOff = failure.step_ == "receive" || failure.step_ == "send";
-    const auto features = accusedFeatures();
-    if (!wasCutOff || features.empty()) {
-        return;
-    }
     const auto &upstream = attempt_->assignment_.upstream_;
-    if (http::probeListener(upstream.address_, crashProbeTimeout) == http::ListenerState::Refused) {
-        lastCrash_ = frontend_.crashingRequests_->recordCrash(upstream, features, lastCrash_);
+    if (!attempt_->answerAge_.isStarting()
+        || http::probeListener(upstream.address_, crashProbeTimeout) != http::ListenerState::Refused) {
+        return false;
     }
+    lastCrash_ = frontend_.crashingRequests_->recordCrash(upstream,
+        {.features_ = crashFeatures_, .previous_ = lastCrash_, .answerBegan_ = attempt_->answerAge_.hasFirstToken()});
+    return true;
 }
 
 auto RequestRun::tryAcquireRetry(const AdmittedRequest &admitted) -> bool
--- a/packages/forward/src/request_run.h
+++ b/packages/forward/src/request_run.h
@@ -12,6 +12,7 @@
 #include "jasminewood/forward/frontend.h"
 #include "jasminewood/forward/retry_decision.h"
 #include "jasminewood/http/client.h"
+#include "jasminewood/routing/answer_age.h"
 #include "stream_progress.h"
 #include "stream_version.h"
 
@@ -44,7 +45,9 @@
     std::unique_ptr<http::Exchange> exchange_ = nullptr;
     // The memory of its response. Shared with the response that is sent to the caller.
     std::shared_ptr<ResponseHold> hold_ = nullptr;
-    std::optional<TimePoint> firstTokenAt_ = std::nullopt;
+    routing::AnswerAge answerAge_ = {};
+    // Whether its response ends with its connection, so that the end of the upstream's process looks the same.
+    bool endsWithConnection_ = false;
     // Whether its response is accepted as the caller's stream.
     bool isRelayed_ = false;
     // The progress of its stream; for one that resumes a stream, counted from its start.
@@ -136,14 +139,16 @@
     auto recordFailedAttempt(const FailedAttempt &failedAttempt) -> void;
     // Counts the request for its client account, once: at the first event of a stream, or when another response begins.
     auto recordBegan() -> void;
-    // Records the first token of the attempt in flight.
-    auto recordFirstToken() -> void;
-    // Records that an upstream has run the request to its end.
+    // Records tokens that the attempt in flight brought, and whether its answer shows by now that the request crashes
+    // no upstream.
+    auto recordToken() -> void;
+    // Records that an upstream has run the request to its end with a server error. It may not have read the prompt.
+    auto recordServerError() -> void;
+    // Records that an upstream has completed its response.
     auto recordCompletion() -> void;
-    // Returns the features of the request that may be the cause if the upstream has crashed now.
-    auto accusedFeatures() const -> routing::RequestFeatures;
-    // Records a crash of the upstream if the failure shows that its process has ended.
-    auto recordCrash(const Failure &failure) -> void;
+    // Called when the connection of the attempt in flight ended. Records a crash of the upstream if its process has
+    // ended too, and may have by this request. Returns whether it did.
+    auto recordCrash() -> bool;
     // Decides whether the request is retried. If so, acquires the retry from the budget and returns true.
     auto tryAcquireRetry(const AdmittedRequest &admitted) -> bool;
     auto respondAfterFailure() -> http::Response;
@@ -172,9 +177,7 @@
     // The total time that the request may take.
     Milliseconds timeout_ = Milliseconds(0);
     const RequestMetadata requestMetadata_;
-    // The segments of the prompt that other requests may share.
-    const routing::RequestFeatures sharedSegments_;
-    // These, and the whole request once it is admitted.
+    // The segments of the prompt that other requests may share, and the whole request once it is admitted.
     routing::RequestFeatures crashFeatures_;
     std::uint64_t fingerprint_ = 0;
     // The last crash in which an attempt was lost.
--- a/packages/forward/src/request_stream.cpp
+++ b/packages/forward/src/request_stream.cpp
@@ -90,8 +90,11 @@
         if (!unreadData) {
             progress.record(**chunk, Clock::now());
         }
-        if (progress.hasEvent() && !attempt_->firstTokenAt_) {
-            recordFirstToken();
+        const auto isFirstEvent = progress.hasEvent() && !attempt_->answerAge_.hasFirstToken();
+        if (progress.hasEvent()) {
+            recordToken();
+        }
+        if (isFirstEvent) {
             if (const auto failure = acceptFirstEvent()) {
                 return *failure;
             }
@@ -217,7 +220,10 @@
     if (const auto partialEvent = eventSplitter_.takePartial(); !partialEvent.empty()) {
         return http::Chunk {.data_ = partialEvent};
     }
-    recordCompletion();
+    const auto crashed = attempt_->endsWithConnection_ && recordCrash();
+    if (!crashed) {
+        recordCompletion();
+    }
     endAttempt(AttemptResult::Responded);
     recordOutcome("answered", okStatus);
     return http::EndOfStream {};
--- a/packages/routing/include/jasminewood/routing/crashing_request_detector.h
+++ b/packages/routing/include/jasminewood/routing/crashing_request_detector.h
@@ -50,6 +50,11 @@
 
 // The crashes, at different moments, after which a feature is refused.
 constexpr std::size_t crashesBeforeSegmentRefusal = 3;
+// The same for a segment if the answer had begun in some of them. Many more requests are in that state at any time, so
+// that sound ones are lost in it more often where upstreams crash for other reasons.
+constexpr std::size_t begunCrashesBeforeSegmentRefusal = 4;
+// Unless it was lost in so many crashes, some of which came at the same moments.
+constexpr std::size_t evidentCrashes = 5;
 constexpr std::size_t crashesBeforeRequestRefusal = 2;
 // The crashes after which a whole request is refused even if something else explains them.
 constexpr std::size_t crashesOfCertainRequest = 3;
@@ -89,6 +94,8 @@
     const CrashId id_ = noCrash;
     // The crash in which the attempt before was lost if this one was a retry, else noCrash.
     const CrashId previous_ = noCrash;
+    // Whether the answer to the request had begun.
+    const bool answerBegan_ = false;
 
     auto operator<=>(const RequestCrash &) const = default;
 };
@@ -161,6 +168,8 @@
         // By the first report.
         TimePoint crashedAt_;
         CrashId previous_ = noCrash;
+        // Whether the answers to all requests that were lost in it had begun.
+        bool answersBegan_ = false;
     };
 
     struct Accusation
@@ -176,10 +185,11 @@
     auto accuse(const RequestFeature &feature, std::uint32_t depth, CrashId id, const Crash &crash) -> bool;
     // Returns whether there was anything to take back.
     static auto takeBack(Accusation &accusation, TimePoint succeededAt) -> bool;
-    static auto moments(const Accusation &accusation, Milliseconds commonCause) -> std::vector<TimePoint>;
+    static auto moments(const Accusation &accusation, Milliseconds commonCause) -> std::vector<Crash>;
     static auto lastTime(const Accusation &accusation) -> TimePoint;
     static auto dropLeastTellingCrash(Accusation &accusation) -> void;
     static auto refusalEnd(const RequestFeature &feature, const Accusation &accusation) -> std::optional<TimePoint>;
+    static auto isSuspect(const RequestFeature &feature, const Accusation &accusation) -> bool;
     static auto mostAccused(const Accusations &accusations) -> Accusations::const_iterator;
     static auto findRefused(const Accusations &allAccusations) -> std::map<RequestFeature, TimePoint>;
     static auto makeEvidence(const RequestFeature &feature, const Accusation &accusation, TimePoint now)
--- a/packages/routing/src/crashing_request_detector.cpp
+++ b/packages/routing/src/crashing_request_detector.cpp
@@ -16,6 +16,7 @@
 struct RefusalLimits
 {
     const std::size_t crashes_ = 0;
+    const std::size_t begunCrashes_ = 0;
     const Milliseconds commonCauseTime_ = Milliseconds(0);
     const Milliseconds firstTime_ = Milliseconds(0);
     const Milliseconds secondTime_ = Milliseconds(0);
@@ -27,6 +28,7 @@
 {
     return std::visit(Overloaded {[](const SharedSegment & /*segment*/) {
                                       return RefusalLimits {.crashes_ = crashesBeforeSegmentRefusal,
+                                          .begunCrashes_ = begunCrashesBeforeSegmentRefusal,
                                           .commonCauseTime_ = commonCauseTime,
                                           .firstTime_ = firstSegmentRefusal,
                                           .secondTime_ = secondSegmentRefusal,
@@ -35,6 +37,7 @@
                                   },
                           [](const WholeRequest & /*request*/) {
                               return RefusalLimits {.crashes_ = crashesBeforeRequestRefusal,
+                                  .begunCrashes_ = crashesBeforeRequestRefusal,
                                   .commonCauseTime_ = requestCommonCauseTime,
                                   .firstTime_ = firstRequestRefusal,
                                   .secondTime_ = secondRequestRefusal,
@@ -49,13 +52,14 @@
     return std::holds_alternative<WholeRequest>(feature);
 }
 
-auto refusalTime(const RefusalLimits &limits, std::size_t crashes) -> Milliseconds
+// Returns for how long a feature is refused after this number of crashes, if so many are needed for the first refusal.
+auto refusalTime(const RefusalLimits &limits, std::size_t needed, std::size_t crashes) -> Milliseconds
 {
-    if (crashes <= limits.crashes_) {
+    if (crashes <= needed) {
         return limits.firstTime_;
     }
     auto time = limits.secondTime_;
-    for (auto count = limits.crashes_ + 1; count < crashes && time < limits.maximumTime_; ++count) {
+    for (auto count = needed + 1; count < crashes && time < limits.maximumTime_; ++count) {
         time *= 2;
     }
     return std::min(time, limits.maximumTime_);
@@ -80,8 +84,8 @@
     -> void
 {
     for (auto depth = std::size_t(0); depth < features.size(); ++depth) {
-        if (accuse(
-                features[depth], std::uint32_t(depth), crash.id_, {.crashedAt_ = now, .previous_ = crash.previous_})) {
+        if (accuse(features[depth], std::uint32_t(depth), crash.id_,
+                {.crashedAt_ = now, .previous_ = crash.previous_, .answersBegan_ = crash.answerBegan_})) {
             news_.insert(features[depth]);
         }
     }
@@ -107,7 +111,8 @@
 {
     for (const auto &[feature, depth, crashes, successAge] : evidence) {
         for (const auto &[crash, age] : crashes) {
-            accuse(feature, depth, crash.id_, {.crashedAt_ = now - age, .previous_ = crash.previous_});
+            accuse(feature, depth, crash.id_,
+                {.crashedAt_ = now - age, .previous_ = crash.previous_, .answersBegan_ = crash.answerBegan_});
         }
         if (successAge) {
             takeBack(accusations_[feature], now - *successAge);
@@ -206,6 +211,7 @@
     auto &known = position->second;
     known.crashedAt_ = std::min(known.crashedAt_, crash.crashedAt_);
     known.previous_ = std::max(known.previous_, crash.previous_);
+    known.answersBegan_ = known.answersBegan_ && crash.answersBegan_;
     if (accusation.crashes_.size() > maximumCrashesPerFeature) {
         dropLeastTellingCrash(accusation);
     }
@@ -221,8 +227,8 @@
     return erased > 0;
 }
 
-// Returns the moments of the crashes; those that came sooner than this after the one before count as one with it.
-auto CrashingRequestDetector::moments(const Accusation &accusation, Milliseconds commonCause) -> std::vector<TimePoint>
+// Returns the crashes at different moments; those that came sooner than this after the one before count as one with it.
+auto CrashingRequestDetector::moments(const Accusation &accusation, Milliseconds commonCause) -> std::vector<Crash>
 {
     auto crashes = std::vector<Crash>();
     for (const auto &[id, crash] : accusation.crashes_) {
@@ -231,11 +237,13 @@
     std::sort(crashes.begin(), crashes.end(), [](const Crash &left, const Crash &right) {
         return left.crashedAt_ < right.crashedAt_;
     });
-    auto moments = std::vector<TimePoint>();
-    for (const auto &[crashedAt, previous] : crashes) {
-        const auto endedRetry = previous != noCrash && accusation.crashes_.contains(previous);
-        if (moments.empty() || crashedAt - moments.back() >= commonCause || endedRetry) {
-            moments.push_back(crashedAt);
+    auto moments = std::vector<Crash>();
+    for (const auto &crash : crashes) {
+        const auto endedRetry = crash.previous_ != noCrash && accusation.crashes_.contains(crash.previous_);
+        if (moments.empty() || crash.crashedAt_ - moments.back().crashedAt_ >= commonCause || endedRetry) {
+            moments.push_back(crash);
+        } else {
+            moments.back().answersBegan_ = moments.back().answersBegan_ && crash.answersBegan_;
         }
     }
     return moments;
@@ -276,20 +284,35 @@
         return std::nullopt;
     }
     const auto crashMoments = moments(accusation, limits.commonCauseTime_);
-    return crashMoments.size() < limits.crashes_
+    const auto withoutAnswer = std::count_if(crashMoments.begin(), crashMoments.end(), [](const Crash &crash) {
+        return !crash.answersBegan_;
+    });
+    const auto isEvident
+        = std::size_t(withoutAnswer) >= limits.crashes_ || accusation.crashes_.size() >= evidentCrashes;
+    const auto needed = isEvident ? limits.crashes_ : limits.begunCrashes_;
+    return crashMoments.size() < needed
         ? std::nullopt
-        : std::optional(crashMoments.back() + refusalTime(limits, crashMoments.size()));
+        : std::optional(crashMoments.back().crashedAt_ + refusalTime(limits, needed, crashMoments.size()));
 }
 
-// Returns, of the features with enough crashes, the one that explains the most; if several do, a whole request, then
-// the deepest segment, since it is in the fewest requests. The crashes of both kinds are counted in the same way.
+// Returns whether a feature may explain its crashes.
+auto CrashingRequestDetector::isSuspect(const RequestFeature &feature, const Accusation &accusation) -> bool
+{
+    const auto limits = limitsOf(feature);
+    return accusation.crashes_.size() >= limits.crashes_
+        && moments(accusation, limits.commonCauseTime_).size() >= limits.crashes_;
+}
+
+// Returns, of the features that may explain their crashes, the one that explains the most; if several do, a whole
+// request, then the deepest segment, since it is in the fewest requests. The crashes of both kinds are counted in the
+// same way.
 auto CrashingRequestDetector::mostAccused(const Accusations &accusations) -> Accusations::const_iterator
 {
     auto most = accusations.end();
     auto mostRank = std::tuple(std::size_t(0), false, std::uint32_t(0));
     for (auto entry = accusations.begin(); entry != accusations.end(); ++entry) {
         const auto &[feature, accusation] = *entry;
-        if (!refusalEnd(feature, accusation)) {
+        if (!isSuspect(feature, accusation)) {
             continue;
         }
         const auto rank
@@ -303,24 +326,26 @@
 }
 
 // Returns until when each feature is refused. The most accused one is judged first, and what it explains is not held
-// against the others, except for whole requests that were lost in so many crashes that they are refused in any case.
+// against the others, even if it needs one more crash to be refused itself; except for whole requests that were lost in
+// so many crashes that they are refused in any case.
 auto CrashingRequestDetector::findRefused(const Accusations &allAccusations) -> std::map<RequestFeature, TimePoint>
 {
     auto refusedUntil = std::map<RequestFeature, TimePoint>();
     auto accusations = Accusations();
     for (const auto &[feature, accusation] : allAccusations) {
-        const auto end = refusalEnd(feature, accusation);
-        if (!end) {
+        if (!isSuspect(feature, accusation)) {
             continue;
         }
         accusations.emplace(feature, accusation);
         if (isWholeRequest(feature) && moments(accusation, requestCommonCauseTime).size() >= crashesOfCertainRequest) {
-            refusedUntil.emplace(feature, *end);
+            refusedUntil.emplace(feature, *refusalEnd(feature, accusation));
         }
     }
     for (auto accused = mostAccused(accusations); accused != accusations.end(); accused = mostAccused(accusations)) {
         const auto [feature, accusation] = *accused;
-        refusedUntil.emplace(feature, *refusalEnd(feature, accusation));
+        if (const auto end = refusalEnd(feature, accusation)) {
+            refusedUntil.emplace(feature, *end);
+        }
         accusations.erase(accused);
         removeExplained(accusations, accusation);
     }
@@ -341,7 +366,8 @@
 {
     auto crashes = std::vector<CrashOfFeature>();
     for (const auto &[id, crash] : accusation.crashes_) {
-        crashes.push_back({.crash_ = {.id_ = id, .previous_ = crash.previous_}, .age_ = ageOf(crash.crashedAt_, now)});
+        crashes.push_back({.crash_ = {.id_ = id, .previous_ = crash.previous_, .answerBegan_ = crash.answersBegan_},
+            .age_ = ageOf(crash.crashedAt_, now)});
     }
     const auto successAge
         = accusation.succeededAt_ ? std::optional(ageOf(*accusation.succeededAt_, now)) : std::optional<Milliseconds>();
--- a/packages/routing/tests/crashing_request_detector_test.cpp
+++ b/packages/routing/tests/crashing_request_detector_test.cpp
@@ -116,6 +116,56 @@
                         check(!isRefused(detector, segments({100}), now));
                     }),
             }),
+        section("after crashes in which the answers had begun",
+            {
+                // Guards against sound segments that are refused because upstreams crash for other reasons: many
+                // answers are lost soon after their first token.
+                test("refuses the segment after four of them, or after three without an answer",
+                    [] {
+                        auto begun = CrashingRequestDetector();
+                        auto mixed = CrashingRequestDetector();
+                        auto now = start;
+                        for (auto index = std::size_t(1); index <= begunCrashesBeforeSegmentRefusal; ++index) {
+                            check(!isRefused(begun, segments({deadly}), now));
+                            now += 1s;
+                            begun.recordCrash({.id_ = index, .answerBegan_ = true}, segments({deadly}), now);
+                            mixed.recordCrash({.id_ = index, .answerBegan_ = index == 2}, segments({deadly}), now);
+                            check(isRefused(mixed, segments({deadly}), now) == (index == 4));
+                        }
+                        check(isRefused(begun, segments({deadly}), now));
+                    }),
+                // Guards against sound requests that are refused for a segment that all of them have: some of those
+                // lost in each crash had no answer yet, so that segment needs fewer crashes than the deadly one.
+                test("refuses no segment whose crashes another one explains that needs one more crash",
+                    [] {
+                        auto detector = CrashingRequestDetector();
+                        auto now = start;
+                        for (auto index = std::size_t(1); index <= crashesBeforeSegmentRefusal; ++index) {
+                            now += 1s;
+                            detector.recordCrash(
+                                {.id_ = index, .answerBegan_ = true}, segments({sharedByAll, deadly}), now);
+                            detector.recordCrash({.id_ = index}, segments({sharedByAll, 1'000 + index}), now);
+                        }
+                        check(detector.refusedFeatures(now).empty());
+                        now = crash(detector, segments({sharedByAll, deadly}), 1, now + 1s);
+                        check(detector.refusedFeatures(now) == segments({deadly}));
+                    }),
+                // Guards against routers that decide differently about the same crash.
+                test("counts a crash as one without an answer if any router says so",
+                    [] {
+                        auto first = CrashingRequestDetector();
+                        auto second = CrashingRequestDetector();
+                        auto now = start;
+                        for (auto index = std::size_t(1); index <= crashesBeforeSegmentRefusal; ++index) {
+                            now += 1s;
+                            first.recordCrash({.id_ = index, .answerBegan_ = true}, segments({deadly}), now);
+                            second.recordCrash({.id_ = index}, segments({deadly}), now);
+                        }
+                        check(!isRefused(first, segments({deadly}), now));
+                        first.merge(second.evidence(reportedFeatures, now), now);
+                        check(isRefused(first, segments({deadly}), now));
+                    }),
+            }),
         section("that refuses a segment",
             {
                 // Guards against a segment that is refused for ever, and against trials that crash engines again soon.
--- a/packages/wire/include/jasminewood/wire/messages.h
+++ b/packages/wire/include/jasminewood/wire/messages.h
@@ -377,6 +377,8 @@
     const Milliseconds age_ = Milliseconds(0);
     // The crash in which the attempt before was lost if this one was a retry, else 0.
     const std::uint64_t previous_ = 0;
+    // Whether the answers to all requests with the feature that were lost in it had begun.
+    const bool answersBegan_ = false;
 
     auto operator<=>(const FeatureCrash &) const = default;
 };
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -184,7 +184,7 @@
 
 inline auto fieldsOf(const FeatureCrash &value)
 {
-    return std::tie(value.crash_, value.age_, value.previous_);
+    return std::tie(value.crash_, value.age_, value.previous_, value.answersBegan_);
 }
 
 inline auto fieldsOf(const FeatureEvidence &value)
