Keep a router's entry under the lease that it renews (LIMIT)

The answer to the registration of a router was lost and the store performed the write 3 s later. The entry was gone 15 s after the start for good, a router that was added later did not know the first one, and a replica got 322 requests in 4 s where its limit allows 245. The same when a former process of that name made the lost write.

Cause: writes had no condition, so that a late one undid the next, and each repeated registration took a new lease. The late write bound the entry to the first lease, which nobody renewed, and nothing looked at the entry again.

Change: internal::RouterRegistration, taken out of PeerNetwork. Each write is conditional on the revision of the entry, and a repeated one has the same lease, so that a late write fails or is the entry that is renewed. The feed of the store shows a router what became of its entry; one that is gone or has another writer is written again, after up to 0.5 s for each 50 routers and longer if it is lost again soon. The records of streams, the only other unconditional writes, have a condition too.

--- a/packages/forward/include/jasminewood/forward/peer_network.h
+++ b/packages/forward/include/jasminewood/forward/peer_network.h
@@ -44,6 +44,7 @@
 {
 
 class FragmentAssembler;
+class RouterRegistration;
 
 } // namespace internal
 
@@ -55,6 +56,10 @@
 {
 public:
     PeerNetwork(std::shared_ptr<platform::KeyValueClient> store, const PeerNetworkOptions &options);
+    ~PeerNetwork();
+
+    PeerNetwork(const PeerNetwork &) = delete;
+    auto operator=(const PeerNetwork &) -> PeerNetwork & = delete;
 
     auto start(const kernel::ServiceRegistry &services) -> Status;
     auto stop() -> void;
@@ -102,9 +107,14 @@
     // Returns the name of the router with this address, and records that it was heard.
     auto recordHeard(const sockaddr_in &sender) -> std::string;
     auto registrationLoop() -> void;
-    // Waits for the given time, or until the lease has ended with its era. Returns whether it has.
+    // Waits for the given time, or until the entry of this router is lost. Returns whether it is.
     auto waitForRenewal(Milliseconds time) -> bool;
-    auto renewRegistration() -> Status;
+    // Returns the factor by which the number of routers lengthens the delay before a lost entry is written.
+    auto reregistrationFactor() const -> std::int64_t;
+    // Tell the registration what the feed says of the entry of this router.
+    auto observeOwnEntry(const platform::Snapshot &snapshot) -> void;
+    auto observeOwnEntry(const platform::WatchEvent &event) -> void;
+    auto observeOwnEntry(platform::Revision upTo, platform::Revision revision) -> void;
     auto addPeer(const std::string &key, const std::string &value) -> void;
     auto removePeer(const std::string &key) -> void;
     // Forgets routers whose entry has ended and that are silent.
@@ -119,17 +129,17 @@
     std::shared_ptr<node::Environment> environment_;
     int socket_ = -1;
     std::uint16_t port_ = 0;
-    std::optional<platform::Lease> lease_;
     mutable std::mutex mutex_;
     std::condition_variable stopCondition_;
     bool stopping_ = false;
-    // The era of the last snapshot of the store.
+    // The era of the last snapshot of the store. Used by the callbacks of the feed only.
     platform::Era storeEra_ = 0;
     std::uint64_t nextMessageId_ = 0;
     // The other routers by name.
     std::map<std::string, Peer> peers_;
     std::vector<MessageHandler> handlers_;
     std::optional<observe::Counter> rejectedCounter_;
+    std::unique_ptr<internal::RouterRegistration> registration_;
     std::thread receiverThread_;
     std::thread registrationThread_;
 };
--- a/packages/forward/include/jasminewood/forward/stream_origins.h
+++ b/packages/forward/include/jasminewood/forward/stream_origins.h
@@ -84,6 +84,8 @@
         const std::string key_;
         const TimePoint begunAt_;
         std::vector<routing::StreamRecord> records_;
+        // The revision of the last write of the key; 0 before the first one.
+        platform::Revision revision_ = 0;
     };
 
     struct WriterLease
@@ -142,7 +144,8 @@
 
     // These must be called without mutex_, by the thread that writes.
     auto writeProposal(const Proposal &proposal) -> void;
-    auto writeBatch(const Batch &batch, Milliseconds memory) -> Status;
+    // Returns the revision of the write.
+    auto writeBatch(const Batch &batch, Milliseconds memory) -> Result<platform::Revision>;
     auto renewLease(Milliseconds memory) -> Status;
 
     auto versionsKey(const std::string &service) const -> std::string;
--- a/packages/forward/src/peer_network.cpp
+++ b/packages/forward/src/peer_network.cpp
@@ -16,6 +16,7 @@
 #include "jasminewood/http/socket_address.h"
 #include "jasminewood/membership/backoff.h"
 #include "jasminewood/wire/codec.h"
+#include "router_registration.h"
 
 namespace jasminewood::forward
 {
@@ -23,12 +24,14 @@
 namespace
 {
 
-// The entry of a router that stopped without revoking its lease expires after this time. Nothing waits for that: what
-// such a router reported expires by itself.
-constexpr Milliseconds leaseTimeToLive = Milliseconds(15'000);
 constexpr Milliseconds leaseRenewalInterval = Milliseconds(5'000);
-// The longest delay before this router registers again in a new era of the store.
-constexpr Milliseconds maximumReregistrationDelay = Milliseconds(500);
+// The longest delay before this router writes a lost entry, and the longest one if it is lost again and again, as it is
+// if another process has the same name.
+constexpr Milliseconds reregistrationDelay = Milliseconds(500);
+constexpr Milliseconds maximumReregistrationDelay = Milliseconds(4'000);
+// All routers may lose their entries at the same time. Beyond this number the delays grow with their number, so that
+// they do not exceed the rate of writes that the store accepts.
+constexpr std::size_t routersPerDelay = 50;
 // The pause before another attempt to register or to receive after a failure.
 constexpr Milliseconds retryInterval = Milliseconds(1'000);
 constexpr std::size_t maximumEntryBytes = 1'024;
@@ -82,6 +85,8 @@
 {
 }
 
+PeerNetwork::~PeerNetwork() = default;
+
 auto PeerNetwork::openSocket() -> Status
 {
     const auto bindFailure = [this](const std::string &reason) {
@@ -118,6 +123,9 @@
         "Datagrams that cannot be decoded or do not come from a known router"));
     // Distinct from the ids of an earlier process with this address.
     nextMessageId_ = environment_->identity().node_.incarnation_;
+    registration_ = std::make_unique<internal::RouterRegistration>(store_,
+        options_.keyPrefix_ + environment_->identity().node_.name_,
+        fmt::format("{}:{}/{}", options_.address_, port_, options_.dataCentre_));
     subscribe(*feed);
     receiverThread_ = std::thread([this] {
         receiveLoop();
@@ -138,15 +146,15 @@
                     for (auto &[name, peer] : peers_) {
                         peer.registered_ = false;
                     }
-                    storeEra_ = snapshot.position_.era_;
                 }
-                stopCondition_.notify_all();
+                observeOwnEntry(snapshot);
                 for (const auto &entry : snapshot.entries_) {
                     addPeer(entry.key_, entry.value_);
                 }
             },
         .onEvent_ =
             [this](const platform::WatchEvent &event) {
+                observeOwnEntry(event);
                 if (const auto *put = std::get_if<platform::KeyPut>(&event)) {
                     addPeer(put->entry_.key_, put->entry_.value_);
                 } else {
@@ -267,70 +275,78 @@
 auto PeerNetwork::waitForRenewal(Milliseconds time) -> bool
 {
     auto lock = std::unique_lock(mutex_);
-    const auto leaseEnded = [this] {
-        return lease_ && storeEra_ > lease_->era_;
-    };
-    stopCondition_.wait_for(lock, time, [this, leaseEnded] {
-        return stopping_ || leaseEnded();
+    stopCondition_.wait_for(lock, time, [this] {
+        return stopping_ || registration_->isLost();
+    });
+    return !stopping_ && registration_->isLost();
+}
+
+auto PeerNetwork::reregistrationFactor() const -> std::int64_t
+{
+    return std::int64_t(1 + peerCount() / routersPerDelay);
+}
+
+auto PeerNetwork::observeOwnEntry(const platform::Snapshot &snapshot) -> void
+{
+    storeEra_ = snapshot.position_.era_;
+    const auto &entries = snapshot.entries_;
+    const auto own = std::find_if(entries.begin(), entries.end(), [this](const auto &entry) {
+        return entry.key_ == registration_->key();
     });
-    return !stopping_ && leaseEnded();
+    const auto revision = own == entries.end() ? 0 : own->modRevision_;
+    observeOwnEntry(std::max(snapshot.position_.revision_, revision), revision);
+}
+
+auto PeerNetwork::observeOwnEntry(const platform::WatchEvent &event) -> void
+{
+    const auto *put = std::get_if<platform::KeyPut>(&event);
+    const auto &key = put == nullptr ? std::get<platform::KeyDeleted>(event).key_ : put->entry_.key_;
+    if (key != registration_->key()) {
+        return;
+    }
+    if (put == nullptr) {
+        observeOwnEntry(std::get<platform::KeyDeleted>(event).revision_, 0);
+    } else {
+        observeOwnEntry(put->entry_.modRevision_, put->entry_.modRevision_);
+    }
+}
+
+auto PeerNetwork::observeOwnEntry(platform::Revision upTo, platform::Revision revision) -> void
+{
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        registration_->observe({.upTo_ = {.era_ = storeEra_, .revision_ = upTo}, .revision_ = revision});
+    }
+    stopCondition_.notify_all();
 }
 
 auto PeerNetwork::registrationLoop() -> void
 {
-    auto jitter = membership::Backoff(
-        environment_->identity().node_.incarnation_, maximumReregistrationDelay, maximumReregistrationDelay);
+    auto backoff = membership::Backoff(
+        environment_->identity().node_.incarnation_, reregistrationDelay, maximumReregistrationDelay);
     for (auto delay = Milliseconds(0); waitUnlessStopped(delay);) {
         auto registered = false;
         environment_->contain("register this router", [this, &registered] {
-            const auto failure = renewRegistration();
+            const auto failure = registration_->renew();
             if (failure) {
                 environment_->log().debug("this router could not be registered", observe::fieldsOf(*failure));
             }
             registered = !failure;
         });
-        delay = registered ? Milliseconds(0) : retryInterval;
-        if (registered && waitForRenewal(leaseRenewalInterval)) {
-            // All routers learn of a new era of the store at about the same time.
-            delay = jitter.nextDelay();
-        }
-    }
-    if (lease_) {
-        if (const auto failure = store_->revokeLease(*lease_)) {
-            environment_->log().debug("the lease could not be revoked", observe::fieldsOf(*failure));
-        }
-    }
-}
-
-auto PeerNetwork::renewRegistration() -> Status
-{
-    if (lease_) {
-        const auto remainingTime = store_->keepAlive(*lease_);
-        if (!remainingTime) {
-            return remainingTime.failure();
-        }
-        if (remainingTime->count() > 0) {
-            return std::nullopt;
+        if (!registered) {
+            delay = retryInterval;
+        } else if (waitForRenewal(leaseRenewalInterval)) {
+            delay = backoff.nextDelay() * reregistrationFactor();
+            environment_->log().warning("the entry of this router is lost",
+                {{"store_era", store_->era()}, {"delay_ms", std::int64_t(delay.count())}});
+        } else {
+            delay = Milliseconds(0);
+            backoff.reset();
         }
-        environment_->log().info(
-            "the lease of this router has ended", {{"lease_era", lease_->era_}, {"store_era", store_->era()}});
-        lease_.reset();
-    }
-    const auto lease = store_->grantLease(std::chrono::ceil<std::chrono::seconds>(leaseTimeToLive));
-    if (!lease) {
-        return lease.failure();
     }
-    const auto key = options_.keyPrefix_ + environment_->identity().node_.name_;
-    const auto written
-        = store_->put(key, fmt::format("{}:{}/{}", options_.address_, port_, options_.dataCentre_), lease->id_);
-    if (!written) {
-        return written.failure();
+    if (const auto failure = registration_->revoke()) {
+        environment_->log().debug("the lease could not be revoked", observe::fieldsOf(*failure));
     }
-    if (written->era_ != lease->era_) {
-        return Failure {.step_ = "register", .reason_ = "the store came back from an older copy"};
-    }
-    lease_.emplace(*lease);
-    return std::nullopt;
 }
 
 auto PeerNetwork::encodeDatagrams(const wire::Message &message) -> std::vector<std::string>
--- a/packages/forward/src/stream_origin_writes.cpp
+++ b/packages/forward/src/stream_origin_writes.cpp
@@ -147,17 +147,20 @@
     const auto batch = *batch_;
     const auto memory = memory_;
     lock.unlock();
-    const auto failure = writeBatch(batch, memory);
+    const auto revision = writeBatch(batch, memory);
     lock.lock();
     nextRecordsAt_ = Clock::now() + recordInterval();
-    if (failure) {
-        // The lost write may still be performed. Its key is not written again, since it could undo that.
+    if (!revision) {
+        // The lost write may still be performed, so the revision of its key is not known. A new key is written instead.
         batch_.reset();
         versions_->putBack(records);
         delayRecords(Clock::now());
         environment_->log().warning("the versions of streams could not be written",
-            observe::concatenate({{"streams", std::int64_t(records.size())}}, observe::fieldsOf(*failure)));
+            observe::concatenate({{"streams", std::int64_t(records.size())}}, observe::fieldsOf(revision.failure())));
     } else {
+        if (batch_) {
+            batch_->revision_ = *revision;
+        }
         versions_->confirmWritten(records);
         recordsDelayedUntil_ = TimePoint();
     }
@@ -167,20 +170,24 @@
     }
 }
 
-auto StreamOrigins::writeBatch(const Batch &batch, Milliseconds memory) -> Status
+auto StreamOrigins::writeBatch(const Batch &batch, Milliseconds memory) -> Result<platform::Revision>
 {
-    if (auto failure = renewLease(memory)) {
-        return failure;
+    if (const auto failure = renewLease(memory)) {
+        return *failure;
     }
     const auto lease = lease_->lease_;
-    const auto written = store_->put(batch.key_, internal::formatStreams(batch.records_), lease.id_);
-    if (!written || written->era_ != lease.era_) {
+    const auto written = store_->writeAll({.conditions_ = {{.key_ = batch.key_, .revision_ = batch.revision_}},
+        .puts_ = {{.key_ = batch.key_, .value_ = internal::formatStreams(batch.records_), .lease_ = lease.id_}}});
+    if (!written) {
         lease_.reset();
-        return written ? Failure {.step_ = "write", .reason_ = "the store came back from an older copy"}
-                       : written.failure();
+        return written.failure();
+    }
+    if (!written->written_ || store_->era() != lease.era_) {
+        lease_.reset();
+        return Failure {.step_ = "write", .reason_ = "the store came back from an older copy"};
     }
     writtenCounter_->add();
-    return std::nullopt;
+    return written->revision_;
 }
 
 auto StreamOrigins::renewLease(Milliseconds memory) -> Status
--- a/packages/platform/include/jasminewood/platform/key_value.h
+++ b/packages/platform/include/jasminewood/platform/key_value.h
@@ -85,7 +85,8 @@
     // revision is that of all written keys.
     auto writeAll(const ConditionalWrites &writes) -> Result<WriteOutcome>;
 
-    // Writes the key unconditionally and returns the position of the write.
+    // Writes the key unconditionally and returns the position of the write. The service may perform it seconds after
+    // its response was lost, and so undo a later write: what more than one call writes needs a condition.
     auto put(const std::string &key, const std::string &value, LeaseId lease = noLease) -> Result<StorePosition>;
 
     // Deletes the key and returns whether it existed.
