Order what a replica wrote by its own count at all times (DRAIN)

The store performed a lost write of a replica 2.05 s after it had accepted that the replica drains. The same when the entry was removed in place of one that says draining.

Cause: UpstreamDirectory compared an entry with what its upstream had said before only after the store came back from an older copy. At all other times the entry that was written last counted.

Change: an entry that is older by incarnation and sequence does not count until its upstream writes again, or until it is still there after 10 s; that a run leaves is taken back only by a later word of it. The same word read twice counts outside of a restored copy, since a watch may repeat changes. After a restore all stays as it was. An ignored entry is logged.

Result: the tests pass, those of a restored store are unchanged.

--- a/packages/forward/src/upstream_watcher.cpp
+++ b/packages/forward/src/upstream_watcher.cpp
@@ -180,7 +180,7 @@
     updatePool();
     loadedCondition_.notify_all();
     for (const auto &id : directory_.outdatedUpstreams()) {
-        environment_->log().info("a restored entry is older than what its upstream said", {{"upstream", id}});
+        environment_->log().info("an entry is older than what its upstream said", {{"upstream", id}});
     }
     environment_->log().info("read all upstream entries",
         {{"era", snapshot.position_.era_}, {"revision", snapshot.position_.revision_},
@@ -193,7 +193,11 @@
     const auto record = put == nullptr ? std::nullopt : parseEntry(put->entry_);
     const auto lock = std::scoped_lock(mutex_);
     if (record) {
-        directory_.put(*record, Clock::now());
+        if (!directory_.put(*record, Clock::now())) {
+            environment_->log().info("an entry is older than what its upstream said",
+                {{"upstream", record->id_}, {"upstream_incarnation", record->incarnation_},
+                    {"sequence", record->sequence_ ? std::int64_t(*record->sequence_) : -1}});
+        }
     } else if (put != nullptr) {
         directory_.invalidate(upstreamIdOf(put->entry_.key_), Clock::now());
     } else {
--- a/packages/membership/include/jasminewood/membership/upstream_directory.h
+++ b/packages/membership/include/jasminewood/membership/upstream_directory.h
@@ -62,9 +62,9 @@
 // The maximum time for which an upstream stays routable if its entry is removed shortly after an outage. The entry may
 // have expired because of the outage, or the upstream may be leaving and must not receive new work for long.
 constexpr Milliseconds removedEntryGracePeriod = Milliseconds(1'000);
-// The time after the store came back from an older copy for which an entry that is older than what its upstream said
-// before does not count. The entry of an upstream that has left expires within this time; one that is still there then
-// is renewed by an upstream that runs.
+// The time for which an entry that is older than what its upstream said before does not count. The store may have
+// performed a lost write late, or have come back from an older copy. The entry of an upstream that has left expires
+// within this time; one that is still there then is renewed by an upstream that runs.
 constexpr Milliseconds outdatedEntryPeriod = Milliseconds(10'000);
 // How long, and for how many upstreams, the last entry is remembered after its removal.
 constexpr Milliseconds removedEntryMemory = Milliseconds(60'000);
@@ -74,8 +74,11 @@
 class UpstreamDirectory
 {
 public:
-    // Adds the entry of an upstream or replaces the one with the same id.
-    auto put(const UpstreamRecord &record, TimePoint now) -> void;
+    // Adds the entry of an upstream or replaces the one with the same id. Returns false if the entry does not count
+    // yet, since its upstream wrote it before what is known: a late write brings back neither an upstream that left nor
+    // its former state. It counts after outdatedEntryPeriod if it is still there, unless it takes back that its
+    // upstream leaves and is not from an older copy of the store.
+    auto put(const UpstreamRecord &record, TimePoint now) -> bool;
 
     // Handles an entry that was removed. Within lapsedEntryGracePeriod after an outage the
     // upstream stays routable for a grace period, because its entry may have expired only because it could not be
@@ -109,7 +112,7 @@
     // Returns the software versions of each service's upstreams, including those that are leaving.
     auto versionsByService(TimePoint now) const -> std::map<std::string, std::set<std::string>>;
 
-    // Returns the ids of the upstreams whose restored entries are older than what they said before, and differ from it.
+    // Returns the ids of the upstreams whose entries are older than what they said before, and differ from it.
     auto outdatedUpstreams() const -> std::vector<std::string>;
 
 private:
@@ -121,16 +124,19 @@
         std::optional<TimePoint> routableUntil_;
         // Whether record_ was read before the store came back from an older copy.
         bool readBeforeRestore_ = false;
-        // The entry in the store if it says less than record_.
+        // The entry in the store if it is older than record_, and when it counts all the same.
         std::shared_ptr<const UpstreamRecord> outdated_;
+        TimePoint outdatedUntil_;
         // Whether the entry was known before the current outage, and was removed during it, even if it is back.
         bool knownBeforeOutage_ = false;
         bool removedInOutage_ = false;
     };
 
     auto mostEntriesExpired() const -> bool;
+    // Returns whether an entry was written before what is known of its upstream.
+    auto isOutdated(const Entry &entry, const UpstreamRecord &record, TimePoint now) const -> bool;
     auto removeEntry(Entry &entry, TimePoint now) -> void;
-    // Lets outdated entries count that are still there after outdatedEntryPeriod.
+    // Lets outdated entries count that are still there after their time.
     auto acceptOutdated(TimePoint now) -> void;
     // Forgets removed entries that are old or too many.
     auto forgetRemoved(TimePoint now) -> void;
@@ -143,8 +149,8 @@
     bool restored_ = false;
     // The end of the grace period that follows an outage.
     TimePoint graceEndsAt_;
-    // When outdated entries count.
-    TimePoint outdatedUntil_;
+    // When entries of the older copy from which the store came back count.
+    TimePoint restoredUntil_;
 };
 
 } // namespace jasminewood::membership
--- a/packages/membership/src/upstream_directory.cpp
+++ b/packages/membership/src/upstream_directory.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace jasminewood::membership
@@ -11,25 +10,58 @@
 namespace
 {
 
-// Returns whether a record is no newer than another one of the same upstream; false if they cannot be ordered. An
-// upstream does not take back that it leaves, so this is always news of the same run.
-auto saysNothingNew(const UpstreamRecord &record, const UpstreamRecord &known) -> bool
+auto isSameRun(const UpstreamRecord &record, const UpstreamRecord &known) -> bool
 {
-    const auto leavesNow = record.leaving_ && !known.leaving_ && record.incarnation_ == known.incarnation_;
-    if (record.incarnation_ == 0 || !record.sequence_ || !known.sequence_ || leavesNow) {
-        return false;
+    return record.incarnation_ != 0 && record.incarnation_ == known.incarnation_;
+}
+
+// Returns whether an upstream wrote a record before another one; false if they cannot be ordered. The first word that a
+// run leaves is always news, and is taken back only by a record that is certainly later.
+auto isOlder(const UpstreamRecord &record, const UpstreamRecord &known) -> bool
+{
+    if (!isSameRun(record, known)) {
+        return record.incarnation_ != 0 && record.incarnation_ < known.incarnation_;
+    }
+    const auto isOrdered = record.sequence_ && known.sequence_;
+    if (record.leaving_ != known.leaving_) {
+        return known.leaving_ && !(isOrdered && *record.sequence_ > *known.sequence_);
     }
-    return std::tie(record.incarnation_, *record.sequence_) <= std::tie(known.incarnation_, *known.sequence_);
+    return isOrdered && *record.sequence_ < *known.sequence_;
+}
+
+// Returns whether two records are the same write of an upstream.
+auto isSameWrite(const UpstreamRecord &record, const UpstreamRecord &known) -> bool
+{
+    const auto isSameState = record.leaving_ == known.leaving_;
+    return isSameRun(record, known) && isSameState && record.sequence_ && record.sequence_ == known.sequence_;
+}
+
+auto takesBackLeaving(const UpstreamRecord &record, const UpstreamRecord &known) -> bool
+{
+    return isSameRun(record, known) && known.leaving_ && !record.leaving_;
 }
 
 } // namespace
 
-auto UpstreamDirectory::put(const UpstreamRecord &record, TimePoint now) -> void
+auto UpstreamDirectory::isOutdated(const Entry &entry, const UpstreamRecord &record, TimePoint now) const -> bool
+{
+    if (!entry.record_) {
+        return false;
+    }
+    // Outside of a restored copy, an entry that was seen before is there again because a part of the history was read
+    // twice.
+    const auto fromCopy = entry.readBeforeRestore_ && now < restoredUntil_;
+    return isOlder(record, *entry.record_) || (fromCopy && isSameWrite(record, *entry.record_));
+}
+
+auto UpstreamDirectory::put(const UpstreamRecord &record, TimePoint now) -> bool
 {
     auto &entry = entries_[record.id_];
-    if (entry.readBeforeRestore_ && now < outdatedUntil_ && saysNothingNew(record, *entry.record_)) {
+    if (isOutdated(entry, record, now)) {
+        const auto until = entry.readBeforeRestore_ ? restoredUntil_ : now + outdatedEntryPeriod;
+        entry.outdatedUntil_ = entry.outdated_ ? entry.outdatedUntil_ : until;
         entry.outdated_ = std::make_shared<const UpstreamRecord>(record);
-        return;
+        return false;
     }
     const auto registeredAgain = !entry.readBeforeRestore_ && entry.record_ && entry.record_->registeredAt_ > 0
         && record.registeredAt_ > 0 && entry.record_->registeredAt_ != record.registeredAt_;
@@ -38,6 +70,7 @@
     entry.routableUntil_.reset();
     entry.readBeforeRestore_ = false;
     entry.outdated_.reset();
+    return true;
 }
 
 auto UpstreamDirectory::remove(const std::string &id, TimePoint now) -> void
@@ -97,15 +130,15 @@
 
 auto UpstreamDirectory::acceptOutdated(TimePoint now) -> void
 {
-    if (now < outdatedUntil_) {
-        return;
-    }
     for (auto &[id, entry] : entries_) {
-        if (entry.outdated_) {
+        const auto isDue = entry.outdated_ && now >= entry.outdatedUntil_;
+        // After the store came back from an older copy, an older word may be all that it has.
+        const auto counts = isDue && (entry.readBeforeRestore_ || !takesBackLeaving(*entry.outdated_, *entry.record_));
+        if (counts) {
             entry.record_ = std::exchange(entry.outdated_, nullptr);
             entry.routableUntil_.reset();
         }
-        entry.readBeforeRestore_ = false;
+        entry.readBeforeRestore_ = entry.readBeforeRestore_ && now < restoredUntil_;
     }
 }
 
@@ -129,7 +162,7 @@
     acceptOutdated(now);
     onStoreFailed(now);
     restored_ = true;
-    outdatedUntil_ = now + outdatedEntryPeriod;
+    restoredUntil_ = now + outdatedEntryPeriod;
     for (auto &[id, entry] : entries_) {
         entry.readBeforeRestore_ = true;
         entry.outdated_.reset();
--- a/packages/membership/tests/upstream_directory_test.cpp
+++ b/packages/membership/tests/upstream_directory_test.cpp
@@ -76,6 +76,81 @@
                             && !routable.front().routableUntil_);
                     }),
             }),
+        section("whose store performs a lost write of an upstream late",
+            {
+                // Guards against new work for an upstream that leaves, because an older word of it is written again.
+                test("does not take back that the upstream leaves, however long the entry stays",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.put(written("a", 10), now);
+                        directory.put(written("a", 13, true), now + 3s);
+                        check(!directory.put(written("a", 11), now + 5s));
+                        check(routableIds(directory, now + 5s).empty());
+                        directory.onStoreAvailable(now + 5s + outdatedEntryPeriod);
+                        check(routableIds(directory, now + 5s + outdatedEntryPeriod).empty());
+                    }),
+                // The same for an upstream that never announces its leaving.
+                test("does not bring back an upstream whose entry was removed",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.put(written("a", 12), now);
+                        directory.remove("a", now + 3s);
+                        check(!directory.put(written("a", 11), now + 5s));
+                        directory.onStoreAvailable(now + 6s);
+                        check(routableIds(directory, now + 6s).empty());
+                    }),
+                // Guards against an entry of a former run that replaces the address of the present one.
+                test("does not return to a former run of the upstream",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.put(written("a", 1, false, 8), now);
+                        check(!directory.put(written("a", 30, false, 7), now + 1s));
+                        check(directory.routableUpstreams(now + 1s).front().record_.incarnation_ == 8);
+                    }),
+                // Guards against an upstream that is lost for good because the clock of its VM was set back, or because
+                // another process wrote an entry for it.
+                test("lets the entry count if it is still there after some time",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.put(written("a", 1, false, 8), now);
+                        directory.remove("a", now + 1s);
+                        directory.put(written("a", 1, false, 7), now + 2s);
+                        directory.put(written("a", 2, false, 7), now + 3s);
+                        directory.onStoreAvailable(now + 2s + outdatedEntryPeriod);
+                        check(routableIds(directory, now + 2s + outdatedEntryPeriod) == "a");
+                    }),
+            }),
+        section("whose upstream goes on after it",
+            {
+                // Guards against an upstream that stays out of the pool although it runs.
+                test("takes its next word, in the same run or in a new one",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.put(written("a", 12), now);
+                        directory.put(written("b", 12, true), now);
+                        directory.remove("a", now);
+                        directory.put(written("a", 11), now + 1s);
+                        check(directory.put(written("a", 13), now + 2s));
+                        check(directory.put(written("b", 1, false, 8), now + 2s));
+                        check(routableIds(directory, now + 2s) == "ab");
+                    }),
+                // Guards against an upstream that is dropped because a part of the history was read twice.
+                test("keeps it if changes are reported again",
+                    [] {
+                        auto directory = UpstreamDirectory();
+                        const auto now = TimePoint(100s);
+                        directory.replaceAll({written("a", 12)}, now);
+                        directory.put(written("a", 11), now);
+                        directory.remove("a", now);
+                        check(directory.put(written("a", 12), now));
+                        check(routableIds(directory, now) == "a");
+                    }),
+            }),
         section("one of whose entries can no longer be read",
             {
                 // Guards against requests to an upstream whose entry names none, for as long as an expired one counts.
