--- a/packages/forward/src/stream_origin_writes.cpp
+++ b/packages/forward/src/stream_origin_writes.cpp
@@ -178,13 +178,10 @@
     const auto lease = lease_->lease_;
     const auto written = store_->writeAll({.conditions_ = {{.key_ = batch.key_, .revision_ = batch.revision_}},
         .puts_ = {{.key_ = batch.key_, .value_ = internal::formatStreams(batch.records_), .lease_ = lease.id_}}});
-    if (!written) {
-        lease_.reset();
-        return written.failure();
-    }
-    if (!written->written_ || store_->era() != lease.era_) {
+    if (!written || !written->written_ || store_->era() != lease.era_) {
         lease_.reset();
-        return Failure {.step_ = "write", .reason_ = "the store came back from an older copy"};
+        return written ? Failure {.step_ = "write", .reason_ = "the key has changed, or the store has a new era"}
+                       : written.failure();
     }
     writtenCounter_->add();
     return written->revision_;
--- a/packages/membership/src/upstream_directory.cpp
+++ b/packages/membership/src/upstream_directory.cpp
@@ -15,8 +15,8 @@
     return record.incarnation_ != 0 && record.incarnation_ == known.incarnation_;
 }
 
-// Returns whether an upstream wrote a record before another one; false if they cannot be ordered. The first word that a
-// run leaves is always news, and is taken back only by a record that is certainly later.
+// Returns whether an upstream wrote a record before another one; false if they cannot be ordered. That a run leaves is
+// always news, and only a record that is certainly later takes it back.
 auto isOlder(const UpstreamRecord &record, const UpstreamRecord &known) -> bool
 {
     if (!isSameRun(record, known)) {
@@ -48,8 +48,7 @@
     if (!entry.record_) {
         return false;
     }
-    // Outside of a restored copy, an entry that was seen before is there again because a part of the history was read
-    // twice.
+    // Outside of a restored copy, the same write is seen again only because a part of the history was read twice.
     const auto fromCopy = entry.readBeforeRestore_ && now < restoredUntil_;
     return isOlder(record, *entry.record_) || (fromCopy && isSameWrite(record, *entry.record_));
 }
@@ -132,7 +131,7 @@
 {
     for (auto &[id, entry] : entries_) {
         const auto isDue = entry.outdated_ && now >= entry.outdatedUntil_;
-        // After the store came back from an older copy, an older word may be all that it has.
+        // After the store came back from an older copy, an older entry may be all that it has.
         const auto counts = isDue && (entry.readBeforeRestore_ || !takesBackLeaving(*entry.outdated_, *entry.record_));
         if (counts) {
             entry.record_ = std::exchange(entry.outdated_, nullptr);
--- a/packages/membership/tests/upstream_directory_test.cpp
+++ b/packages/membership/tests/upstream_directory_test.cpp
@@ -78,7 +78,7 @@
             }),
         section("whose store performs a lost write of an upstream late",
             {
-                // Guards against new work for an upstream that leaves, because an older word of it is written again.
+                // Guards against new work for an upstream that leaves, because an older entry of it is written again.
                 test("does not take back that the upstream leaves, however long the entry stays",
                     [] {
                         auto directory = UpstreamDirectory();
@@ -127,7 +127,7 @@
         section("whose upstream goes on after it",
             {
                 // Guards against an upstream that stays out of the pool although it runs.
-                test("takes its next word, in the same run or in a new one",
+                test("takes its next entry, in the same run or in a new one",
                     [] {
                         auto directory = UpstreamDirectory();
                         const auto now = TimePoint(100s);
--- a/packages/routing/include/jasminewood/routing/crashing_request_detector.h
+++ b/packages/routing/include/jasminewood/routing/crashing_request_detector.h
@@ -53,8 +53,9 @@
 // The same for a segment if the answer had begun in some of them. Many more requests are in that state at any time, so
 // that sound ones are lost in it more often where upstreams crash for other reasons.
 constexpr std::size_t begunCrashesBeforeSegmentRefusal = 4;
-// Unless it was lost in so many crashes, some of which came at the same moments.
-constexpr std::size_t evidentCrashes = 5;
+// With so many crashes, some of which came at the same moment, crashesBeforeSegmentRefusal moments are enough all the
+// same.
+constexpr std::size_t evidentSegmentCrashes = 5;
 constexpr std::size_t crashesBeforeRequestRefusal = 2;
 // The crashes after which a whole request is refused even if something else explains them.
 constexpr std::size_t crashesOfCertainRequest = 3;
@@ -189,6 +190,7 @@
     static auto lastTime(const Accusation &accusation) -> TimePoint;
     static auto dropLeastTellingCrash(Accusation &accusation) -> void;
     static auto refusalEnd(const RequestFeature &feature, const Accusation &accusation) -> std::optional<TimePoint>;
+    // Returns whether a feature may explain its crashes.
     static auto isSuspect(const RequestFeature &feature, const Accusation &accusation) -> bool;
     static auto mostAccused(const Accusations &accusations) -> Accusations::const_iterator;
     static auto findRefused(const Accusations &allAccusations) -> std::map<RequestFeature, TimePoint>;
--- a/packages/routing/src/crashing_request_detector.cpp
+++ b/packages/routing/src/crashing_request_detector.cpp
@@ -288,14 +288,13 @@
         return !crash.answersBegan_;
     });
     const auto isEvident
-        = std::size_t(withoutAnswer) >= limits.crashes_ || accusation.crashes_.size() >= evidentCrashes;
+        = std::size_t(withoutAnswer) >= limits.crashes_ || accusation.crashes_.size() >= evidentSegmentCrashes;
     const auto needed = isEvident ? limits.crashes_ : limits.begunCrashes_;
     return crashMoments.size() < needed
         ? std::nullopt
         : std::optional(crashMoments.back().crashedAt_ + refusalTime(limits, needed, crashMoments.size()));
 }
 
-// Returns whether a feature may explain its crashes.
 auto CrashingRequestDetector::isSuspect(const RequestFeature &feature, const Accusation &accusation) -> bool
 {
     const auto limits = limitsOf(feature);
