--- a/packages/membership/src/upstream_directory.cpp
+++ b/packages/membership/src/upstream_directory.cpp
@@ -16,17 +16,19 @@
 }
 
 // Returns whether an upstream wrote a record before another one; false if they cannot be ordered. That a run leaves is
-// always news, and only a record that is certainly later takes it back.
+// always news, and only a later record takes it back.
 auto isOlder(const UpstreamRecord &record, const UpstreamRecord &known) -> bool
 {
     if (!isSameRun(record, known)) {
         return record.incarnation_ != 0 && record.incarnation_ < known.incarnation_;
     }
-    const auto isOrdered = record.sequence_ && known.sequence_;
+    if (!record.sequence_ || !known.sequence_) {
+        return false;
+    }
     if (record.leaving_ != known.leaving_) {
-        return known.leaving_ && !(isOrdered && *record.sequence_ > *known.sequence_);
+        return known.leaving_ && *record.sequence_ <= *known.sequence_;
     }
-    return isOrdered && *record.sequence_ < *known.sequence_;
+    return *record.sequence_ < *known.sequence_;
 }
 
 // Returns whether two records are the same write of an upstream.
